--- /dev/null
+++ b/bench/site/files.go
@@ -0,0 +1,140 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+
+	"cyclamenford/bench/stand"
+	"cyclamenford/core"
+	"cyclamenford/core/tree"
+	"cyclamenford/io/front"
+	"cyclamenford/setup"
+)
+
+// Addresses are one host's listeners.
+type Addresses = setup.Listeners
+
+// FixedAddresses returns the listeners of the n-th host of an example that is started by hand.
+func FixedAddresses(n int) Addresses {
+	at := func(base int) string { return fmt.Sprintf("127.0.0.1:%d", base+n) }
+	return Addresses{Callers: at(7100), Endpoints: at(7200), Operators: at(7300), Peers: at(7400)}
+}
+
+// FreeAddresses returns listeners on free ports.
+func FreeAddresses() (Addresses, error) {
+	var a Addresses
+	for _, p := range []*string{&a.Callers, &a.Endpoints, &a.Operators, &a.Peers} {
+		address, err := FreeAddress()
+		if err != nil {
+			return a, err
+		}
+		*p = address
+	}
+	return a, nil
+}
+
+// HostSettings returns the settings file of the n-th host; folder is where hosts with disks keep their data.
+func (d Deployment) HostSettings(n int, all []Addresses, folder string) setup.Settings {
+	s := setup.Defaults()
+	h := d.Hosts[n]
+	s.Host.ID, s.Host.FailureDomain = h.ID, h.FailureDomain
+	if h.Disk {
+		s.Host.DataFolder = filepath.Join(folder, string(h.ID))
+	}
+	s.Listeners = all[n]
+	s.Keys.Cluster = ClusterKey
+	s.Keys.Operators = []tree.Key{{Name: "example", Sha256: front.HashKey(OperatorKey)}}
+	for i, other := range d.Hosts {
+		if other.Founding {
+			s.Founding = append(s.Founding, setup.FoundingKeeper{ID: other.ID, Address: all[i].Peers})
+		}
+		if other.Disk {
+			s.Join = append(s.Join, all[i].Peers)
+		}
+	}
+	return s
+}
+
+// Docs returns the subtrees as JSON and the order in which to set them.
+func (d Deployment) Docs() (map[string]json.RawMessage, []string, error) {
+	docs := map[string]json.RawMessage{}
+	order := []string{tree.PlatformPath}
+	raw, err := json.MarshalIndent(d.Tree.Platform, "", "  ")
+	if err != nil {
+		return nil, nil, fmt.Errorf("encode platform: %w", err)
+	}
+	docs[tree.PlatformPath] = raw
+	for _, id := range d.Tree.TeamIDs() {
+		raw, err := json.MarshalIndent(d.Tree.Teams[id], "", "  ")
+		if err != nil {
+			return nil, nil, fmt.Errorf("encode team: %w", err)
+		}
+		docs[tree.TeamPath(id)] = raw
+		order = append(order, tree.TeamPath(id))
+	}
+	return docs, order, nil
+}
+
+// Stands returns the options of every stand-in endpoint, announcing itself to the given listeners.
+func (d Deployment) Stands(announce []string) []stand.Options {
+	var list []stand.Options
+	domains := d.domains()
+	for _, e := range d.Endpoints {
+		for i := range e.Count {
+			o := stand.Defaults(core.EndpointID(fmt.Sprintf("%s-%d", e.Name, i+1)), e.Kind, e.Model)
+			o.Slots, o.WorkMs, o.TokenMs, o.Tokens = e.Slots, e.WorkMs, e.TokenMs, e.Tokens
+			o.FailureDomain = domains[i%len(domains)]
+			o.ChecksFencing, o.ChecksIssuer = !e.ChecksNothing, !e.ChecksNothing
+			o.Announce = announce
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func (d Deployment) domains() []core.FailureDomain {
+	var list []core.FailureDomain
+	seen := map[core.FailureDomain]bool{}
+	for _, h := range d.Hosts {
+		if !seen[h.FailureDomain] {
+			seen[h.FailureDomain] = true
+			list = append(list, h.FailureDomain)
+		}
+	}
+	return list
+}
+
+// Files returns the example's files by name: a settings file for each host, the tree and the endpoints.
+func (d Deployment) Files() (map[string][]byte, error) {
+	files := map[string][]byte{}
+	var all []Addresses
+	var announce []string
+	for i := range d.Hosts {
+		a := FixedAddresses(i + 1)
+		all = append(all, a)
+		announce = append(announce, a.Endpoints)
+	}
+	for i, h := range d.Hosts {
+		if err := addFile(files, string(h.ID)+".json", d.HostSettings(i, all, "data")); err != nil {
+			return nil, err
+		}
+	}
+	docs, _, err := d.Docs()
+	if err != nil {
+		return nil, err
+	}
+	if err := addFile(files, "tree.json", docs); err != nil {
+		return nil, err
+	}
+	return files, addFile(files, "endpoints.json", d.Stands(announce))
+}
+
+func addFile(files map[string][]byte, name string, value any) error {
+	raw, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", name, err)
+	}
+	files[name] = append(raw, '\n')
+	return nil
+}
--- /dev/null
+++ b/bench/site/site_test.go
@@ -0,0 +1,92 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/bench/stand"
+	"cyclamenford/core"
+	"cyclamenford/io/caller"
+	"cyclamenford/io/dial"
+	"cyclamenford/setup"
+)
+
+// startSite runs a deployment with quick shutdowns for a test.
+func startSite(t *testing.T, d Deployment) (*Site, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	t.Cleanup(cancel)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	if testing.Verbose() {
+		log = slog.New(slog.NewTextHandler(t.Output(), nil))
+	}
+	s, err := New(d, log, func(c *setup.Settings) { c.Callers.DrainMs = 100 })
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	must.NoError(t, s.StartHosts(ctx))
+	must.NoError(t, s.AwaitReady(ctx))
+	_, err = s.ImportTree(ctx)
+	must.NoError(t, err)
+	must.NoError(t, s.StartStands(ctx, nil))
+	must.NoError(t, s.AwaitEndpoints(ctx))
+	return s, ctx
+}
+
+func body(n int) []byte {
+	return fmt.Appendf(nil, `{"Prompt":"flue survey %d"}`, n)
+}
+
+func TestPipelineAnswersWholeAndStreamed(t *testing.T) {
+	s, ctx := startSite(t, Flueshare())
+	key := s.Deployment.Keys["anura"]
+	want, err := stand.Expect(body(1), s.Deployment.Runs("quote"), 40)
+	must.NoError(t, err)
+	for n := range s.Hosts {
+		q := caller.Request{Path: "/v1/pipelines/quote", Key: key, Body: body(1), Priority: "Urgent", Stream: n%2 == 0}
+		r, err := s.Callers.Do(ctx, s.CallerHosts(n), q)
+		must.NoError(t, err)
+		must.Eq(t, core.Completed, r.Outcome, must.Sprint(r.Reason, r.Detail))
+		if q.Stream {
+			must.Eq(t, want, r.Text)
+			must.Eq(t, 40, r.Events)
+		} else {
+			must.True(t, strings.Contains(string(r.Output), want))
+		}
+	}
+}
+
+func TestNonRepeatableCallSentTwiceRunsOnce(t *testing.T) {
+	s, ctx := startSite(t, SawtLoop())
+	key := caller.NewKey(core.Millis(time.Now().UnixMilli()), "order-1")
+	q := caller.Request{
+		Path: "/v1/services/orders/place", Key: s.Deployment.Keys["clinics"], Body: body(7), IdempotencyKey: key,
+	}
+	outputs := map[string]int{}
+	for n := range s.Hosts {
+		r, err := s.Callers.Do(ctx, s.CallerHosts(n), q)
+		must.NoError(t, err)
+		must.Eq(t, core.Completed, r.Outcome, must.Sprint(r.Reason, r.Detail))
+		outputs[string(r.Output)]++
+	}
+	must.MapLen(t, 1, outputs)
+	total := 0
+	for _, x := range s.Stands {
+		for _, n := range x.Runs() {
+			total += n
+		}
+	}
+	must.Eq(t, 1, total)
+}
+
+func TestExpectNamesEveryStage(t *testing.T) {
+	runs := Flueshare().Runs("quote")
+	must.SliceLen(t, 4, runs)
+	must.Eq(t, dial.Run{Kind: core.Encode, Model: "survey-embed", Call: "embed"}, runs[0])
+}
--- /dev/null
+++ b/bench/stand/text.go
@@ -0,0 +1,57 @@
+package stand
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cyclamenford/io/dial"
+)
+
+// seedOf identifies what is asked, so that every stand-in gives the same answer to the same question.
+func seedOf(run dial.Run) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(run.Kind) + "/" + run.Model + "/")
+	_, _ = h.Write(run.Input)
+	for _, name := range slices.Sorted(maps.Keys(run.Context)) {
+		_, _ = h.WriteString("/" + name + "/")
+		_, _ = h.Write(run.Context[name])
+	}
+	return h.Sum64()
+}
+
+// token returns the n-th token of an answer, counted from 1.
+func token(seed uint64, n int) string {
+	return fmt.Sprintf("%08x ", uint32(xxhash.Sum64String(fmt.Sprintf("%d/%d", seed, n))))
+}
+
+// Text returns the whole answer of a generation.
+func Text(run dial.Run, tokens int) string {
+	seed := seedOf(run)
+	var b strings.Builder
+	for n := 1; n <= tokens; n++ {
+		b.WriteString(token(seed, n))
+	}
+	return b.String()
+}
+
+// Expect returns the text that a pipeline of stand-ins generates for an input: the stages before the last, then its text.
+func Expect(input []byte, stages []dial.Run, tokens int) (string, error) {
+	context := map[string]json.RawMessage{}
+	for i, run := range stages {
+		run.Input, run.Context = input, context
+		if i == len(stages)-1 {
+			return Text(run, tokens), nil
+		}
+		raw, err := json.Marshal(map[string]string{string(run.Kind): fmt.Sprintf("%016x", seedOf(run))})
+		if err != nil {
+			return "", fmt.Errorf("encode expected output: %w", err)
+		}
+		context[run.Call] = raw
+	}
+	return "", nil
+}
--- /dev/null
+++ b/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the subcommands of the program: the daemon, the operators' client, the callers' client and the test equipment.
+package cmds
--- /dev/null
+++ b/cmds/equipment.go
@@ -0,0 +1,100 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cyclamenford/bench/site"
+	"cyclamenford/bench/stand"
+)
+
+// standinGrace is how long stand-ins may finish their work after SIGTERM.
+const standinGrace = 10 * time.Second
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name: "standin", Usage: "run the stand-in endpoints of an example (test equipment)",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "Endpoints", Usage: "the `FILE` of endpoints, as example writes it", Required: true},
+			&cli.StringFlag{Name: "Only", Usage: "run the one endpoint with this `NAME`"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			raw, err := os.ReadFile(c.String("Endpoints"))
+			if err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			var list []stand.Options
+			if err := json.Unmarshal(raw, &list); err != nil {
+				return fmt.Errorf("%w: %w", errUsage, err)
+			}
+			return runStands(ctx, c, list)
+		},
+	}
+}
+
+func runStands(ctx context.Context, c *cli.Command, list []stand.Options) error {
+	var servers []*stand.Server
+	for _, o := range list {
+		if only := c.String("Only"); only != "" && only != string(o.ID) {
+			continue
+		}
+		s := stand.New(o)
+		if err := s.Start(ctx); err != nil {
+			return err
+		}
+		servers = append(servers, s)
+	}
+	fmt.Fprintln(c.Root().ErrWriter, len(servers), "stand-ins are running")
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), standinGrace)
+	defer cancel()
+	var errs []error
+	for _, s := range servers {
+		errs = append(errs, s.Stop(stopCtx))
+	}
+	return errors.Join(errs...)
+}
+
+func exampleCommand() *cli.Command {
+	return &cli.Command{
+		Name: "example", Usage: "write the settings files of an example deployment", ArgsUsage: "NAME FOLDER",
+		Action: func(_ context.Context, c *cli.Command) error {
+			name, err := argument(c, 0, "NAME FOLDER")
+			if err != nil {
+				return err
+			}
+			folder, err := argument(c, 1, "NAME FOLDER")
+			if err != nil {
+				return err
+			}
+			d, ok := site.ByName(name)
+			if !ok {
+				return fmt.Errorf("%w: NAME: found %q, expected Flueshare or SawtLoop", errUsage, name)
+			}
+			files, err := d.Files()
+			if err != nil {
+				return err
+			}
+			return writeFiles(folder, files)
+		},
+	}
+}
+
+func writeFiles(folder string, files map[string][]byte) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	for name, data := range files {
+		if err := os.WriteFile(filepath.Join(folder, name), data, 0o644); err != nil {
+			return fmt.Errorf("write %s: %w", name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmds/table.go
@@ -0,0 +1,21 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// printTable prints rows in aligned columns.
+func printTable(w io.Writer, header []string, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("print table: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/endpoint.go
@@ -0,0 +1,99 @@
+package core
+
+import "slices"
+
+// StageKind says what an endpoint does to a request.
+type StageKind string
+
+// The kinds of stage; Plain is a service outside any model pipeline.
+const (
+	Encode   StageKind = "Encode"
+	Retrieve StageKind = "Retrieve"
+	Rerank   StageKind = "Rerank"
+	Generate StageKind = "Generate"
+	Plain    StageKind = "Plain"
+)
+
+// StageKinds lists every kind.
+var StageKinds = []StageKind{Encode, Retrieve, Rerank, Generate, Plain}
+
+// PoolID names the endpoints that can do the same work: a kind with a model or a service's name.
+type PoolID struct {
+	Kind  StageKind
+	Model string
+}
+
+// String returns the pool as kind and model.
+func (p PoolID) String() string {
+	return string(p.Kind) + "/" + p.Model
+}
+
+// Load is an endpoint's own report of its work; it lags behind the truth.
+type Load struct {
+	Running int
+	Queued  int
+	Seq     uint64
+}
+
+// CacheEvent tells that an engine stored or evicted a prompt prefix.
+type CacheEvent struct {
+	Seq     uint64
+	Prefix  uint64
+	Evicted bool
+}
+
+// Announcement is an endpoint's statement of what it is; it acts as a lease that renewals extend.
+type Announcement struct {
+	ID            EndpointID
+	Incarnation   Incarnation
+	Seq           uint64
+	Address       string
+	FailureDomain FailureDomain
+	Kind          StageKind
+	Models        []string
+	Slots         int
+	ChecksFencing bool
+	ChecksIssuer  bool
+	Load          Load
+	CacheEvents   []CacheEvent
+	Goodbye       bool
+}
+
+// Serves reports whether the endpoint belongs to the pool.
+func (a Announcement) Serves(pool PoolID) bool {
+	return a.Kind == pool.Kind && slices.Contains(a.Models, pool.Model)
+}
+
+// WithLoad returns a copy with the given load report.
+func (a Announcement) WithLoad(load Load) Announcement {
+	a.Load = load
+	return a
+}
+
+// WithGoodbye returns a copy that ends the endpoint's incarnation.
+func (a Announcement) WithGoodbye() Announcement {
+	a.Goodbye = true
+	return a
+}
+
+// Check returns an error that names the first field that is missing or out of range.
+func (a Announcement) Check() error {
+	switch {
+	case a.ID == "":
+		return fieldError("ID", "", "a name")
+	case a.Incarnation == 0:
+		return fieldError("Incarnation", 0, "a number above 0")
+	case a.Address == "":
+		return fieldError("Address", "", "IP:PORT")
+	case !slices.Contains(StageKinds, a.Kind):
+		return fieldError("Kind", a.Kind, StageKinds)
+	case len(a.Models) == 0:
+		return fieldError("Models", "none", "at least one")
+	case a.Slots < 1 || a.Slots > MaxSlots:
+		return fieldError("Slots", a.Slots, "1 to 4096")
+	}
+	return nil
+}
+
+// MaxSlots is the largest number of concurrent requests that an endpoint may announce.
+const MaxSlots = 4096
--- /dev/null
+++ b/core/heap/heap.go
@@ -0,0 +1,100 @@
+package heap
+
+// Item is an element that stores its own position for the heap.
+type Item interface {
+	// SetPosition stores the element's position; -1 means that it is in no heap.
+	SetPosition(i int)
+	// Position returns the stored position.
+	Position() int
+}
+
+// Heap keeps its smallest element, by the given order, at the top.
+type Heap[T Item] struct {
+	items []T
+	less  func(a, b T) bool
+}
+
+// New returns an empty heap with the given order.
+func New[T Item](less func(a, b T) bool) *Heap[T] {
+	return &Heap[T]{less: less}
+}
+
+// Len returns the number of elements.
+func (h *Heap[T]) Len() int {
+	return len(h.items)
+}
+
+// Top returns the smallest element; the heap must not be empty.
+func (h *Heap[T]) Top() T {
+	return h.items[0]
+}
+
+// Last returns a leaf, which is never smaller than all others unless it is alone.
+func (h *Heap[T]) Last() T {
+	return h.items[len(h.items)-1]
+}
+
+// Push adds an element.
+func (h *Heap[T]) Push(x T) {
+	x.SetPosition(len(h.items))
+	h.items = append(h.items, x)
+	h.up(len(h.items) - 1)
+}
+
+// Remove takes an element out; it must be in the heap.
+func (h *Heap[T]) Remove(x T) {
+	i := x.Position()
+	last := len(h.items) - 1
+	h.swap(i, last)
+	var zero T
+	h.items[last] = zero
+	h.items = h.items[:last]
+	x.SetPosition(-1)
+	if i < last {
+		h.Fix(h.items[i])
+	}
+}
+
+// Fix restores the order after an element has changed.
+func (h *Heap[T]) Fix(x T) {
+	i := x.Position()
+	if !h.down(i) {
+		h.up(i)
+	}
+}
+
+func (h *Heap[T]) swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].SetPosition(i)
+	h.items[j].SetPosition(j)
+}
+
+func (h *Heap[T]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.less(h.items[i], h.items[parent]) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+func (h *Heap[T]) down(i int) bool {
+	start := i
+	for {
+		child := 2*i + 1
+		if child >= len(h.items) {
+			break
+		}
+		if right := child + 1; right < len(h.items) && h.less(h.items[right], h.items[child]) {
+			child = right
+		}
+		if !h.less(h.items[child], h.items[i]) {
+			break
+		}
+		h.swap(i, child)
+		i = child
+	}
+	return i > start
+}
--- /dev/null
+++ b/core/kernel/doc.go
@@ -0,0 +1,2 @@
+// Package kernel registers services by name and starts and stops them in the order of their dependencies.
+package kernel
--- /dev/null
+++ b/core/ledger/key.go
@@ -0,0 +1,55 @@
+package ledger
+
+import (
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"cyclamenford/core"
+)
+
+const (
+	uuidLength      = 36
+	uuidVersionAt   = 14
+	uuidTimeDigits  = 12
+	minMillisDigits = 13
+	// MaxKeyBytes bounds the length of an idempotency key.
+	MaxKeyBytes = 128
+)
+
+// IssuedAt returns the Unix time in milliseconds that an idempotency key carries.
+//
+// A key is a UUID of version 7, or Unix milliseconds, a hyphen and any text.
+func IssuedAt(key string) (core.Millis, error) {
+	if len(key) > MaxKeyBytes {
+		return 0, core.NewFieldError("Idempotency-Key", len(key), "at most 128 bytes")
+	}
+	if len(key) == uuidLength && key[uuidVersionAt] == '7' {
+		return uuidTime(key)
+	}
+	digits, rest, found := strings.Cut(key, "-")
+	if !found || rest == "" || len(digits) != minMillisDigits {
+		return 0, keyError(key)
+	}
+	ms, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil || ms < 0 {
+		return 0, keyError(key)
+	}
+	return core.Millis(ms), nil
+}
+
+func uuidTime(key string) (core.Millis, error) {
+	raw, err := hex.DecodeString(strings.ReplaceAll(key, "-", ""))
+	if err != nil || len(raw) != 16 {
+		return 0, keyError(key)
+	}
+	ms := int64(0)
+	for _, b := range raw[:uuidTimeDigits/2] {
+		ms = ms<<8 | int64(b)
+	}
+	return core.Millis(ms), nil
+}
+
+func keyError(key string) error {
+	return core.NewFieldError("Idempotency-Key", key, "a UUID of version 7, or UNIXMILLISECONDS-TEXT")
+}
--- /dev/null
+++ b/core/member/doc.go
@@ -0,0 +1,2 @@
+// Package member decides which endpoints are alive from their announcements, renewals and goodbyes.
+package member
--- /dev/null
+++ b/core/plan/doc.go
@@ -0,0 +1,2 @@
+// Package plan learns how long each stage takes and splits a request's deadline over its remaining stages.
+package plan
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,253 @@
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cyclamenford/core"
+	"cyclamenford/core/fair"
+	"cyclamenford/core/route"
+)
+
+const (
+	// queueBound is the number of tickets of one priority that may wait on one host.
+	queueBound = 1024
+	// maxSkips bounds the tickets passed over because no free endpoint suits them.
+	maxSkips = 8
+	// demandMemory is the time constant over which this host's demand is smoothed.
+	demandMemory  = 2 * core.Second
+	minRetryAfter = 200 * core.Millis(1)
+	maxRetryAfter = 30 * core.Second
+	// noEndpointRetry is when a caller should return to a pool without endpoints.
+	noEndpointRetry = core.Second
+)
+
+// headroom is the part of this host's slots that work of each priority leaves free for more urgent work.
+var headroom = [core.PriorityCount]float64{0, 0.02, 0.06}
+
+type running struct {
+	ticket   Ticket
+	endpoint core.EndpointID
+	started  core.Millis
+}
+
+type parked struct {
+	ticket  Ticket
+	arrived core.Millis
+}
+
+// Pool holds one host's decisions about one pool of endpoints.
+type Pool struct {
+	router  *route.Router
+	queue   *fair.Queue
+	waiting map[uint64]parked
+	running map[uint64]running
+	// busy is the summed cost of the running tickets.
+	busy   float64
+	demand float64
+	smooth core.Millis
+	others float64
+}
+
+// New returns a pool without endpoints for a host in the given failure domain.
+func New(domain core.FailureDomain, shares [core.PriorityCount]float64, rng *rand.Rand) *Pool {
+	return &Pool{
+		router: route.New(domain, rng), queue: fair.New(shares, queueBound),
+		waiting: map[uint64]parked{}, running: map[uint64]running{},
+	}
+}
+
+// SetShares replaces the guaranteed shares of the priorities.
+func (p *Pool) SetShares(shares [core.PriorityCount]float64) {
+	p.queue.SetShares(shares)
+}
+
+// Announce adds or renews an endpoint.
+func (p *Pool) Announce(now core.Millis, a core.Announcement) []Action {
+	p.router.Announce(now, a)
+	return p.dispatch(now, nil)
+}
+
+// Leave forgets an endpoint; its running tickets stay until they are finished.
+func (p *Pool) Leave(id core.EndpointID) {
+	p.router.Leave(id)
+}
+
+// SetDrained stops or resumes new work to an endpoint.
+func (p *Pool) SetDrained(now core.Millis, id core.EndpointID, drained bool) {
+	p.router.SetDrained(now, id, drained)
+}
+
+// SetOthers tells the pool the summed demand of the other hosts in milliseconds of slots.
+func (p *Pool) SetOthers(cost float64) {
+	p.others = cost
+}
+
+// Charge counts cost that another host served for an organisation.
+func (p *Pool) Charge(priority core.Priority, org core.OrganisationID, weight, cost float64) {
+	p.queue.Charge(priority, org, weight, cost)
+}
+
+// Demand returns this host's smoothed demand in milliseconds of slots.
+func (p *Pool) Demand(now core.Millis) float64 {
+	p.smoothDemand(now)
+	return p.demand
+}
+
+// Depth returns the numbers of waiting and running tickets.
+func (p *Pool) Depth() (waiting, active int) {
+	return len(p.waiting), len(p.running)
+}
+
+// Endpoints returns the number of endpoints known.
+func (p *Pool) Endpoints() int {
+	return p.router.Len()
+}
+
+// Arrive takes in a ticket and returns what was decided, about it or others.
+func (p *Pool) Arrive(now core.Millis, t Ticket) []Action {
+	if p.router.Len() == 0 {
+		return []Action{p.refuse(t, core.ReasonNoEndpoint, noEndpointRetry)}
+	}
+	wait := p.expectedWait(t)
+	if now+core.Millis(wait) > t.StartBy {
+		return []Action{p.refuse(t, core.ReasonDeadlineInfeasible, p.retryAfter(t))}
+	}
+	var actions []Action
+	p.waiting[t.ID] = parked{ticket: t, arrived: now}
+	for _, shed := range p.queue.Push(now, t.item()) {
+		actions = append(actions, p.drop(shed.ID, core.ReasonQueueFull))
+	}
+	return p.dispatch(now, actions)
+}
+
+// Finish ends a dispatched ticket and returns what can run now.
+func (p *Pool) Finish(now core.Millis, id uint64, v Verdict) []Action {
+	r, ok := p.running[id]
+	if !ok {
+		return nil
+	}
+	delete(p.running, id)
+	p.busy = max(0, p.busy-r.ticket.Cost)
+	if v == Withdrawn {
+		p.router.Release(now, r.endpoint, r.ticket.request())
+	} else {
+		took := float64(now - r.started)
+		p.router.Done(now, r.endpoint, r.ticket.request(), v == Succeeded, r.ticket.Cost, took)
+	}
+	return p.dispatch(now, nil)
+}
+
+// Cancel withdraws a ticket that waits or runs and returns what can run now.
+func (p *Pool) Cancel(now core.Millis, id uint64) []Action {
+	if p.queue.Remove(id) {
+		delete(p.waiting, id)
+		return nil
+	}
+	return p.Finish(now, id, Withdrawn)
+}
+
+// Tick refuses the tickets that can no longer be in time and dispatches what has become possible.
+func (p *Pool) Tick(now core.Millis) []Action {
+	p.router.Tick(now)
+	p.smoothDemand(now)
+	return p.dispatch(now, nil)
+}
+
+func (p *Pool) dispatch(now core.Millis, actions []Action) []Action {
+	for _, late := range p.queue.Expire(now) {
+		actions = append(actions, p.drop(late.ID, core.ReasonDeadlineInfeasible))
+	}
+	var skipped []uint64
+	for len(skipped) < maxSkips && p.router.Available() {
+		item, order, ok := p.queue.Pop(now, p.mayRun)
+		if !ok {
+			break
+		}
+		a, ok := p.start(now, item.ID, order)
+		if !ok {
+			skipped = append(skipped, item.ID)
+			continue
+		}
+		actions = append(actions, a)
+	}
+	for _, id := range skipped {
+		p.queue.Push(now, p.waiting[id].ticket.item())
+	}
+	return actions
+}
+
+func (p *Pool) start(now core.Millis, id uint64, order fair.Why) (Action, bool) {
+	w := p.waiting[id]
+	endpoint, why, ok := p.router.Pick(now, w.ticket.request())
+	if !ok {
+		return Action{}, false
+	}
+	delete(p.waiting, id)
+	p.running[id] = running{ticket: w.ticket, endpoint: endpoint, started: now}
+	p.busy += w.ticket.Cost
+	return Action{Ticket: id, Endpoint: endpoint, Order: order, Route: why, Waited: now - w.arrived}, true
+}
+
+// mayRun reports whether this host has a slot for work of the priority.
+func (p *Pool) mayRun(priority core.Priority) bool {
+	slots := p.allowance()
+	reserved := int(headroom[priority] * float64(slots))
+	return len(p.running) < slots-reserved
+}
+
+// allowance returns this host's part of the pool's slots, by its demand relative to the other hosts'.
+func (p *Pool) allowance() int {
+	own := p.ownDemand()
+	share := 1.0
+	if p.others > 0 {
+		share = own / (own + p.others)
+	}
+	return max(1, int(math.Ceil(share*float64(p.router.Slots()))))
+}
+
+// ownDemand is at least the work at hand, so that a burst claims its part at once.
+func (p *Pool) ownDemand() float64 {
+	return max(p.demand, p.work())
+}
+
+func (p *Pool) work() float64 {
+	return p.queue.Cost() + p.busy
+}
+
+func (p *Pool) smoothDemand(now core.Millis) {
+	if now <= p.smooth {
+		return
+	}
+	f := math.Exp(-float64(now-p.smooth) / float64(demandMemory))
+	p.demand = p.demand*f + p.work()*(1-f)
+	p.smooth = now
+}
+
+// expectedWait estimates the time in milliseconds until fair order reaches the ticket.
+func (p *Pool) expectedWait(t Ticket) float64 {
+	if p.queue.Len() == 0 {
+		return 0
+	}
+	return p.queue.CostAhead(t.Priority, t.Organisation) / float64(p.allowance())
+}
+
+func (p *Pool) drop(id uint64, reason core.Reason) Action {
+	t := p.waiting[id].ticket
+	delete(p.waiting, id)
+	return p.refuse(t, reason, p.retryAfter(t))
+}
+
+func (p *Pool) refuse(t Ticket, reason core.Reason, after core.Millis) Action {
+	return Action{Ticket: t.ID, Reason: reason, RetryAfter: after}
+}
+
+// retryAfter spreads the callers' return by organisation over the time in which the queue drains.
+func (p *Pool) retryAfter(t Ticket) core.Millis {
+	drain := core.Millis(p.queue.CostAhead(t.Priority, t.Organisation) / float64(p.allowance()))
+	base := min(max(drain, minRetryAfter), maxRetryAfter)
+	spread := xxhash.Sum64String(string(t.Organisation)) % uint64(base)
+	return base + core.Millis(spread/2)
+}
--- /dev/null
+++ b/core/route/endpoint.go
@@ -0,0 +1,100 @@
+package route
+
+import (
+	"cyclamenford/core"
+)
+
+const (
+	// rampTime is how long a new endpoint takes to reach its full share of work.
+	rampTime = 5 * core.Second
+	// rampStart is the part of its slots that a new endpoint gets at once.
+	rampStart = 0.25
+	// slowThreshold is the ratio to its kin above which an endpoint counts as slow.
+	slowThreshold = 2.0
+	// breakerFailures is the number of failures in a row that opens an endpoint's breaker.
+	breakerFailures = 3
+	breakerBase     = 500 * core.Millis(1)
+	breakerMax      = 8 * core.Second
+	speedGain       = 0.2
+)
+
+// endpoint is what one host knows of one endpoint.
+type endpoint struct {
+	announced core.Announcement
+	joined    core.Millis
+	own       int
+	others    int
+	slowness  float64
+	failures  int
+	openUntil core.Millis
+	opened    int
+	probing   bool
+	drained   bool
+	alone     int
+	cacheSeq  uint64
+	prefixes  map[uint64]struct{}
+	freeAt    int
+}
+
+// limit returns how many requests of all hosts the endpoint should have at once.
+func (e *endpoint) limit(now core.Millis) int {
+	if e.drained || now < e.openUntil {
+		return 0
+	}
+	if e.openUntil > 0 {
+		return 1
+	}
+	l := float64(e.announced.Slots)
+	if age := now - e.joined; age < rampTime {
+		l *= rampStart + (1-rampStart)*float64(age)/float64(rampTime)
+	}
+	if e.slowness > slowThreshold {
+		l /= e.slowness
+	}
+	return max(1, int(l))
+}
+
+// free reports whether the endpoint can take another request from this host.
+func (e *endpoint) free(now core.Millis) bool {
+	if e.probing || e.alone > 0 {
+		return false
+	}
+	return e.own+e.others < e.limit(now)
+}
+
+// load returns the expected occupation after one more request, relative to the limit.
+func (e *endpoint) load(now core.Millis) float64 {
+	l := e.limit(now)
+	if l == 0 {
+		return 1
+	}
+	return float64(e.own+e.others+1) / float64(l)
+}
+
+// report corrects the estimate of other hosts' work by a load report.
+func (e *endpoint) report(l core.Load) {
+	if l.Seq <= e.announced.Load.Seq && e.announced.Load.Seq > 0 {
+		return
+	}
+	e.others = max(0, l.Running+l.Queued-e.own)
+}
+
+// fail counts a failure and opens the breaker after several in a row.
+func (e *endpoint) fail(now core.Millis) {
+	e.failures++
+	if e.failures < breakerFailures && !e.probing {
+		return
+	}
+	wait := min(breakerMax, breakerBase<<min(e.opened, 4))
+	e.opened++
+	e.openUntil = now + wait
+}
+
+// succeed closes the breaker and updates the observed slowness relative to the pool.
+func (e *endpoint) succeed(now core.Millis, relative float64) {
+	if e.openUntil > 0 {
+		e.joined = now
+	}
+	e.failures, e.openUntil, e.opened = 0, 0, 0
+	e.slowness += speedGain * (relative - e.slowness)
+}
--- /dev/null
+++ b/core/state/machine.go
@@ -0,0 +1,327 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cyclamenford/core"
+	"cyclamenford/core/ledger"
+	"cyclamenford/core/poison"
+)
+
+const (
+	// OpRetention is the number of operators' changes whose replies are remembered for resends.
+	OpRetention = 10_000
+	// historyLength is the number of former versions kept of each subtree.
+	historyLength = 100
+	// deltaLength is the number of published changes kept for followers; one further behind gets the whole image.
+	deltaLength = 4096
+)
+
+// Machine applies committed commands in their order; equal commands give equal states everywhere.
+type Machine struct {
+	applied  uint64
+	unix     core.Millis
+	image    Image
+	deltas   []Delta
+	history  map[string][]Subtree
+	ops      map[string]Reply
+	opOrder  []string
+	calls    *ledger.Ledger
+	suspects *poison.Book
+	orders   map[uint64]Order
+}
+
+// New returns the machine before the first command.
+func New() *Machine {
+	return &Machine{
+		image: EmptyImage(), history: map[string][]Subtree{}, ops: map[string]Reply{},
+		calls: ledger.New(), suspects: poison.New(), orders: map[uint64]Order{},
+	}
+}
+
+// Applied returns the log index of the last command applied.
+func (m *Machine) Applied() uint64 {
+	return m.applied
+}
+
+// Image returns the published image.
+func (m *Machine) Image() Image {
+	return m.image
+}
+
+// Since returns the published changes after a revision, or false when they are no longer all kept.
+func (m *Machine) Since(revision uint64) ([]Delta, bool) {
+	if revision >= m.image.Revision {
+		return nil, true
+	}
+	i, _ := slices.BinarySearchFunc(m.deltas, revision+1, func(d Delta, r uint64) int {
+		return int(int64(d.Revision) - int64(r))
+	})
+	if i == len(m.deltas) || m.deltas[i].Revision != revision+1 {
+		return nil, false
+	}
+	return m.deltas[i:], true
+}
+
+// History returns the former and the present versions of a subtree, oldest first.
+func (m *Machine) History(path string) []Subtree {
+	return slices.Clone(m.history[path])
+}
+
+// Call returns what the ledger knows of a non-repeatable call.
+func (m *Machine) Call(k ledger.Key) (ledger.Entry, bool) {
+	return m.calls.Get(k)
+}
+
+// LedgerLen returns the number of non-repeatable calls remembered.
+func (m *Machine) LedgerLen() int {
+	return m.calls.Len()
+}
+
+// Apply applies the command at a log index and returns the reply for its proposer.
+func (m *Machine) Apply(index uint64, c Command) Reply {
+	m.applied = index
+	m.unix = max(m.unix, c.Unix)
+	if c.OpID != "" {
+		if earlier, ok := m.ops[c.OpID]; ok {
+			return earlier
+		}
+	}
+	reply := m.dispatch(c)
+	if reply.Revision == 0 {
+		reply.Revision = m.image.Revision
+	}
+	if c.OpID != "" {
+		m.remember(c.OpID, reply)
+	}
+	return reply
+}
+
+func (m *Machine) dispatch(c Command) Reply {
+	switch {
+	case c.SetSettings != nil:
+		return m.setSettings(*c.SetSettings)
+	case c.JoinHost != nil:
+		return m.joinHost(c.JoinHost.Host)
+	case c.ExpireHost != nil:
+		return m.expireHost(c.ExpireHost.Holder)
+	case c.Drain != nil:
+		return m.drain(*c.Drain)
+	case c.Reserve != nil:
+		return m.reserve(*c.Reserve)
+	case c.Finish != nil:
+		return result(m.calls.Finish(c.Finish.Key, c.Finish.Holder, c.Finish.Answer))
+	case c.Release != nil:
+		return result(m.calls.Release(c.Release.Key, c.Release.Holder))
+	case c.Resolve != nil:
+		return result(m.calls.Resolve(c.Resolve.Key, c.Resolve.Answer))
+	case c.Suspect != nil:
+		return m.suspect(*c.Suspect)
+	case c.BeginTrial != nil:
+		return m.beginTrial(*c.BeginTrial)
+	case c.EndTrial != nil:
+		return m.endTrial(*c.EndTrial)
+	case c.Pardon != nil:
+		return m.pardon(c.Pardon.Content)
+	case c.PlaceOrder != nil:
+		return m.placeOrder(*c.PlaceOrder)
+	case c.FinishOrder != nil:
+		return m.finishOrder(*c.FinishOrder)
+	case c.PurgeExpired != nil:
+		m.calls.Purge(m.unix)
+		m.suspects.Purge(m.unix)
+		m.purgeOrders()
+		return Reply{Result: Accepted}
+	}
+	return Reply{Result: Refused, Detail: "the command has no part that this version knows"}
+}
+
+func result(ok bool) Reply {
+	if ok {
+		return Reply{Result: Accepted}
+	}
+	return Reply{Result: Refused}
+}
+
+func (m *Machine) remember(id string, r Reply) {
+	m.ops[id] = r
+	m.opOrder = append(m.opOrder, id)
+	if len(m.opOrder) > OpRetention {
+		delete(m.ops, m.opOrder[0])
+		m.opOrder = m.opOrder[1:]
+	}
+}
+
+// publish adds a change to the image and to the changes kept for followers.
+func (m *Machine) publish(key string, value any) error {
+	d := Delta{Revision: m.image.Revision + 1, Key: key}
+	if value != nil {
+		raw, err := cbor.Marshal(value)
+		if err != nil {
+			return fmt.Errorf("encode %s: %w", key, err)
+		}
+		d.Value = raw
+	}
+	next, err := m.image.With([]Delta{d})
+	if err != nil {
+		return err
+	}
+	m.image = next
+	m.deltas = append(m.deltas, d)
+	if len(m.deltas) > deltaLength {
+		m.deltas = slices.Clone(m.deltas[len(m.deltas)-deltaLength/2:])
+	}
+	return nil
+}
+
+func (m *Machine) setSettings(c SetSettings) Reply {
+	present, _ := m.image.Subtree(c.Path)
+	if m.versionOf(c.Path) != c.Version {
+		return Reply{Result: Conflict, Version: m.versionOf(c.Path), Detail: fmt.Sprintf(
+			"%s: found version %d, expected %d", c.Path, m.versionOf(c.Path), c.Version)}
+	}
+	next, err := m.image.Tree.With(c.Path, c.Doc)
+	if err == nil {
+		err = next.Check()
+	}
+	if err != nil {
+		return Reply{Result: Invalid, Version: present.Version, Detail: err.Error()}
+	}
+	s := Subtree{Version: c.Version + 1, Revision: m.image.Revision + 1, Doc: c.Doc, Author: c.Author, Unix: m.unix}
+	if len(c.Doc) == 0 {
+		err = m.publish(settingsPrefix+c.Path, nil)
+	} else {
+		err = m.publish(settingsPrefix+c.Path, s)
+	}
+	if err != nil {
+		return Reply{Result: Invalid, Detail: err.Error()}
+	}
+	m.addHistory(c.Path, s)
+	return Reply{Result: Accepted, Version: s.Version}
+}
+
+// versionOf returns the last version a path has had, so that a removed subtree does not start again at 0.
+func (m *Machine) versionOf(path string) uint64 {
+	h := m.history[path]
+	if len(h) == 0 {
+		return 0
+	}
+	return h[len(h)-1].Version
+}
+
+func (m *Machine) addHistory(path string, s Subtree) {
+	h := append(m.history[path], s)
+	if len(h) > historyLength {
+		h = slices.Clone(h[len(h)-historyLength:])
+	}
+	m.history[path] = h
+}
+
+func (m *Machine) joinHost(h Host) Reply {
+	known, ok := m.image.Hosts[h.ID]
+	if ok && known.Incarnation > h.Incarnation {
+		return Reply{Result: Refused, Version: uint64(known.Incarnation), Detail: "a later life of the host has joined"}
+	}
+	if ok && known == h {
+		return Reply{Result: Accepted}
+	}
+	lost := 0
+	if ok && known.Incarnation < h.Incarnation {
+		lost = m.calls.LoseHost(h.ID, h.Incarnation-1)
+	}
+	h.Expired = false
+	if err := m.publish(hostPrefix+string(h.ID), h); err != nil {
+		return Reply{Result: Refused, Detail: err.Error()}
+	}
+	return Reply{Result: Accepted, Lost: lost}
+}
+
+func (m *Machine) expireHost(holder ledger.Holder) Reply {
+	h, ok := m.image.Hosts[holder.Host]
+	if !ok || h.Incarnation != holder.Incarnation || h.Expired {
+		return Reply{Result: Refused}
+	}
+	h.Expired = true
+	if err := m.publish(hostPrefix+string(h.ID), h); err != nil {
+		return Reply{Result: Refused, Detail: err.Error()}
+	}
+	return Reply{Result: Accepted, Lost: m.calls.LoseHost(h.ID, h.Incarnation)}
+}
+
+func (m *Machine) drain(c Drain) Reply {
+	var value any
+	if c.On {
+		value = true
+	}
+	if m.image.Drained[c.Endpoint] == c.On {
+		return Reply{Result: Accepted}
+	}
+	if err := m.publish(drainPrefix+string(c.Endpoint), value); err != nil {
+		return Reply{Result: Refused, Detail: err.Error()}
+	}
+	return Reply{Result: Accepted}
+}
+
+func (m *Machine) reserve(c Reserve) Reply {
+	if h, ok := m.image.Hosts[c.Holder.Host]; !ok || h.Incarnation != c.Holder.Incarnation || h.Expired {
+		return Reply{Result: Refused, Detail: "the host's life has ended"}
+	}
+	verdict, e := m.calls.Reserve(m.unix, c.Key, c.IssuedAt, c.BodyHash, c.Holder)
+	return Reply{Result: Accepted, Verdict: verdict, Entry: &e}
+}
+
+func poisonKey(c poison.Content) string {
+	return poisonPrefix + strconv.FormatUint(uint64(c), 16)
+}
+
+func (m *Machine) suspect(c Suspect) Reply {
+	reply := Reply{Result: Accepted}
+	for i, content := range c.Contents {
+		e := m.suspects.Suspect(m.unix, content, c.Organisation[i], c.Endpoint)
+		if err := m.publish(poisonKey(content), e); err != nil {
+			return Reply{Result: Refused, Detail: err.Error()}
+		}
+		reply.Suspect = append(reply.Suspect, e)
+	}
+	return reply
+}
+
+func (m *Machine) beginTrial(c BeginTrial) Reply {
+	if !m.suspects.Begin(m.unix, c.Content, c.Endpoint) {
+		return Reply{Result: Refused, Suspect: []poison.Entry{m.suspects.Get(c.Content)}}
+	}
+	return m.publishSuspect(c.Content)
+}
+
+func (m *Machine) endTrial(c EndTrial) Reply {
+	m.suspects.End(c.Content, c.Endpoint, c.Well)
+	return m.publishSuspect(c.Content)
+}
+
+func (m *Machine) pardon(c poison.Content) Reply {
+	if !m.suspects.Release(c) {
+		return Reply{Result: Refused, Detail: "the request is not in quarantine"}
+	}
+	return m.publishSuspect(c)
+}
+
+func (m *Machine) publishSuspect(c poison.Content) Reply {
+	e := m.suspects.Get(c)
+	var value any = e
+	if e.Standing == poison.Clear {
+		value = nil
+	}
+	if err := m.publish(poisonKey(c), value); err != nil {
+		return Reply{Result: Refused, Detail: err.Error()}
+	}
+	return Reply{Result: Accepted, Suspect: []poison.Entry{e}}
+}
+
+func sortedKeys[K interface{ ~uint64 | ~string }, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/core/state/orders.go
@@ -0,0 +1,94 @@
+package state
+
+import (
+	"cyclamenford/core"
+)
+
+// OrderKind says what an endpoint is told to do.
+type OrderKind string
+
+// The kinds of order.
+const (
+	LoadModel   OrderKind = "LoadModel"
+	LoadAdapter OrderKind = "LoadAdapter"
+	ChangeRole  OrderKind = "ChangeRole"
+	DrainOrder  OrderKind = "Drain"
+)
+
+// OrderKinds lists every kind of order.
+var OrderKinds = []OrderKind{LoadModel, LoadAdapter, ChangeRole, DrainOrder}
+
+// OrderPhase says how far an order has come.
+type OrderPhase string
+
+// The phases of an order.
+const (
+	OrderOpen   OrderPhase = "Open"
+	OrderDone   OrderPhase = "Done"
+	OrderFailed OrderPhase = "Failed"
+)
+
+// PlaceOrder asks for an order to an endpoint.
+type PlaceOrder struct {
+	Endpoint core.EndpointID
+	Kind     OrderKind
+	// Target is the model, adapter or role.
+	Target   string
+	Version  string
+	Bytes    int64
+	Priority core.Priority
+}
+
+// Order is a durable instruction to an endpoint.
+type Order struct {
+	// Fence is the order's fencing number, larger for each later order.
+	Fence    uint64
+	Place    PlaceOrder
+	Phase    OrderPhase
+	Detail   string
+	PlacedAt core.Millis
+	EndedAt  core.Millis
+}
+
+// FinishOrder keeps what an endpoint has answered.
+type FinishOrder struct {
+	Fence  uint64
+	Phase  OrderPhase
+	Detail string
+}
+
+// orderRetention is how long a finished order is listed.
+const orderRetention = 24 * 60 * 60 * core.Second
+
+func (m *Machine) placeOrder(c PlaceOrder) Reply {
+	o := Order{Fence: m.applied, Place: c, Phase: OrderOpen, PlacedAt: m.unix}
+	m.orders[o.Fence] = o
+	return Reply{Result: Accepted, Order: &o}
+}
+
+func (m *Machine) finishOrder(c FinishOrder) Reply {
+	o, ok := m.orders[c.Fence]
+	if !ok || o.Phase != OrderOpen {
+		return Reply{Result: Refused, Detail: "the order is not open"}
+	}
+	o.Phase, o.Detail, o.EndedAt = c.Phase, c.Detail, m.unix
+	m.orders[c.Fence] = o
+	return Reply{Result: Accepted, Order: &o}
+}
+
+// Orders returns all orders, oldest first.
+func (m *Machine) Orders() []Order {
+	var list []Order
+	for _, fence := range sortedKeys(m.orders) {
+		list = append(list, m.orders[fence])
+	}
+	return list
+}
+
+func (m *Machine) purgeOrders() {
+	for fence, o := range m.orders {
+		if o.Phase != OrderOpen && o.EndedAt < m.unix-orderRetention {
+			delete(m.orders, fence)
+		}
+	}
+}
--- /dev/null
+++ b/core/state/snapshot.go
@@ -0,0 +1,89 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cyclamenford/core"
+	"cyclamenford/core/ledger"
+	"cyclamenford/core/poison"
+)
+
+// formatVersion is the version of the snapshot's encoding.
+const formatVersion = 1
+
+type pathHistory struct {
+	Path     string
+	Versions []Subtree
+}
+
+type opReply struct {
+	ID    string
+	Reply Reply
+}
+
+type snapshot struct {
+	Format   int
+	Applied  uint64
+	Unix     core.Millis
+	Revision uint64
+	Image    []Delta
+	Deltas   []Delta
+	History  []pathHistory
+	Ops      []opReply
+	Calls    []ledger.Record
+	Suspects []poison.Entry
+	Orders   []Order
+}
+
+// Snapshot returns the whole state as CBOR; equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := snapshot{
+		Format: formatVersion, Applied: m.applied, Unix: m.unix, Revision: m.image.Revision,
+		Image: m.image.Deltas(), Deltas: m.deltas, Calls: m.calls.Records(),
+		Suspects: m.suspects.Entries(), Orders: m.Orders(),
+	}
+	for _, path := range sortedKeys(m.history) {
+		s.History = append(s.History, pathHistory{Path: path, Versions: m.history[path]})
+	}
+	for _, id := range m.opOrder {
+		s.Ops = append(s.Ops, opReply{ID: id, Reply: m.ops[id]})
+	}
+	raw, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return raw, nil
+}
+
+// Restore returns the machine that a snapshot was taken of.
+func Restore(raw []byte) (*Machine, error) {
+	var s snapshot
+	if err := cbor.Unmarshal(raw, &s); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	if s.Format != formatVersion {
+		return nil, core.NewFieldError("snapshot Format", s.Format, formatVersion)
+	}
+	m := New()
+	image, err := EmptyImage().With(s.Image)
+	if err != nil {
+		return nil, fmt.Errorf("restore image: %w", err)
+	}
+	image.Revision = s.Revision
+	m.image = image
+	m.applied, m.unix, m.deltas = s.Applied, s.Unix, s.Deltas
+	for _, h := range s.History {
+		m.history[h.Path] = h.Versions
+	}
+	for _, o := range s.Ops {
+		m.remember(o.ID, o.Reply)
+	}
+	m.calls = ledger.Restore(s.Calls)
+	m.suspects = poison.Restore(s.Suspects)
+	for _, o := range s.Orders {
+		m.orders[o.Fence] = o
+	}
+	return m, nil
+}
--- /dev/null
+++ b/io/admin/settings.go
@@ -0,0 +1,143 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	stdio "io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cyclamenford/core"
+	"cyclamenford/core/state"
+	"cyclamenford/io"
+)
+
+// Subtree is a part of the settings tree as operators see it.
+type Subtree struct {
+	Path     string
+	Version  uint64
+	Revision uint64
+	Author   string
+	UnixMs   core.Millis
+	Doc      json.RawMessage `json:",omitempty"`
+}
+
+// Accepted is the answer to a change.
+type Accepted struct {
+	Result   state.Result
+	Revision uint64
+	Version  uint64
+	Detail   string `json:",omitempty"`
+}
+
+// InForce is the answer to a wait.
+type InForce struct {
+	InForce bool
+	Behind  []core.HostID
+}
+
+func viewOf(path string, s state.Subtree) Subtree {
+	return Subtree{
+		Path: path, Version: s.Version, Revision: s.Revision, Author: s.Author, UnixMs: s.Unix, Doc: s.Doc,
+	}
+}
+
+func (a *Admin) listSettings(string, *http.Request) (any, error) {
+	image := a.control.Image()
+	list := []Subtree{}
+	for _, path := range image.Paths() {
+		s, _ := image.Subtree(path)
+		v := viewOf(path, s)
+		v.Doc = nil
+		list = append(list, v)
+	}
+	return list, nil
+}
+
+func (a *Admin) getSettings(_ string, r *http.Request) (any, error) {
+	path := r.PathValue("path")
+	s, ok := a.control.Image().Subtree(path)
+	if !ok {
+		return nil, &statusError{status: http.StatusNotFound, err: fmt.Errorf("no subtree at %q", path)}
+	}
+	return viewOf(path, s), nil
+}
+
+func (a *Admin) history(_ string, r *http.Request) (any, error) {
+	path := r.PathValue("path")
+	answer, err := a.control.Query(r.Context(), io.Query{Path: path})
+	if err != nil {
+		return nil, err
+	}
+	list := []Subtree{}
+	for _, s := range answer.History {
+		list = append(list, viewOf(path, s))
+	}
+	return list, nil
+}
+
+// setSettings replaces or removes a subtree if the Version header names its present version.
+func (a *Admin) setSettings(author string, r *http.Request) (any, error) {
+	version, err := strconv.ParseUint(r.Header.Get("Version"), 10, 64)
+	if err != nil {
+		return nil, badRequest("header Version: found %q, expected the present version, 0 for a new subtree", r.Header.Get("Version"))
+	}
+	opID := r.Header.Get("Operation-Id")
+	if opID == "" {
+		return nil, badRequest("header Operation-Id: found none, expected a text that is used for this change alone")
+	}
+	doc, err := stdio.ReadAll(r.Body)
+	if err != nil {
+		return nil, badRequest("read body: %w", err)
+	}
+	if r.Method == http.MethodDelete {
+		doc = nil
+	} else if len(doc) == 0 {
+		return nil, badRequest("the body is empty, expected the subtree as JSON")
+	}
+	reply, err := a.control.Propose(r.Context(), state.Command{
+		OpID:        author + "/" + opID,
+		SetSettings: &state.SetSettings{Path: r.PathValue("path"), Version: version, Doc: doc, Author: author},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return acceptedOf(reply)
+}
+
+func acceptedOf(reply state.Reply) (any, error) {
+	switch reply.Result {
+	case state.Accepted:
+		return Accepted{Result: reply.Result, Revision: reply.Revision, Version: reply.Version}, nil
+	case state.Conflict:
+		return nil, &statusError{status: http.StatusConflict, err: errors.New(reply.Detail)}
+	}
+	return nil, &statusError{status: http.StatusUnprocessableEntity, err: errors.New(reply.Detail)}
+}
+
+// waitPoll is how often the leader is asked whether a revision is in force.
+const waitPoll = 50 * time.Millisecond
+
+// wait returns once every serving host has applied a revision, or when the caller gives up.
+func (a *Admin) wait(_ string, r *http.Request) (any, error) {
+	revision, err := strconv.ParseUint(r.PathValue("revision"), 10, 64)
+	if err != nil || revision == 0 {
+		return nil, badRequest("revision: found %q, expected a number above 0", r.PathValue("revision"))
+	}
+	for {
+		answer, err := a.control.Query(r.Context(), io.Query{AppliedBy: revision})
+		if err != nil {
+			return nil, err
+		}
+		if answer.InForce {
+			return InForce{InForce: true}, nil
+		}
+		select {
+		case <-r.Context().Done():
+			return InForce{Behind: answer.Behind}, nil
+		case <-time.After(waitPoll):
+		}
+	}
+}
--- /dev/null
+++ b/io/admin/views.go
@@ -0,0 +1,184 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"cyclamenford/core"
+	"cyclamenford/core/ledger"
+	"cyclamenford/core/poison"
+	"cyclamenford/core/state"
+	"cyclamenford/io"
+)
+
+// Host is a host as operators see it.
+type Host struct {
+	ID            core.HostID
+	FailureDomain core.FailureDomain
+	Incarnation   core.Incarnation
+	Keeper        string `json:",omitempty"`
+	Expired       bool
+}
+
+// Endpoint is an endpoint as one host sees it.
+type Endpoint struct {
+	core.Announcement
+	Drained bool
+}
+
+// Suspect is a request in quarantine or under suspicion.
+type Suspect struct {
+	Content      string
+	Organisation core.OrganisationID
+	Convicted    bool
+	Crashes      int
+	Trial        core.EndpointID `json:",omitempty"`
+}
+
+// Pool is the work of one pool at the asked host.
+type Pool struct {
+	Pool                        string
+	Waiting, Running, Endpoints int
+}
+
+func (a *Admin) status(_ string, r *http.Request) (any, error) {
+	answer, err := a.control.Query(r.Context(), io.Query{Status: true})
+	if err != nil {
+		return nil, err
+	}
+	return answer.Status, nil
+}
+
+func (a *Admin) hosts(string, *http.Request) (any, error) {
+	list := []Host{}
+	hosts := a.control.Image().Hosts
+	for _, id := range slices.Sorted(maps.Keys(hosts)) {
+		h := hosts[id]
+		list = append(list, Host{
+			ID: h.ID, FailureDomain: h.FailureDomain, Incarnation: h.Incarnation, Keeper: h.Keeper, Expired: h.Expired,
+		})
+	}
+	return list, nil
+}
+
+func (a *Admin) endpoints(string, *http.Request) (any, error) {
+	list := []Endpoint{}
+	drained := a.control.Image().Drained
+	for _, e := range a.desk.Endpoints() {
+		e.CacheEvents = nil
+		list = append(list, Endpoint{Announcement: e, Drained: drained[e.ID]})
+	}
+	return list, nil
+}
+
+func (a *Admin) pools(string, *http.Request) (any, error) {
+	list := []Pool{}
+	for _, d := range a.desk.Depths() {
+		list = append(list, Pool{Pool: d.Pool.String(), Waiting: d.Waiting, Running: d.Running, Endpoints: d.Endpoints})
+	}
+	return list, nil
+}
+
+func (a *Admin) decisions(_ string, r *http.Request) (any, error) {
+	list := a.desk.Explain(core.RequestID(r.PathValue("request")))
+	if len(list) == 0 {
+		return nil, &statusError{status: http.StatusNotFound, err: errors.New("this host remembers no decision about the request")}
+	}
+	return list, nil
+}
+
+func (a *Admin) drain(author string, r *http.Request) (any, error) {
+	on := r.Method == http.MethodPut
+	endpoint := core.EndpointID(r.PathValue("endpoint"))
+	reply, err := a.control.Propose(r.Context(), state.Command{Drain: &state.Drain{Endpoint: endpoint, On: on}})
+	if err != nil {
+		return nil, err
+	}
+	a.log.Info("drain", "endpoint", endpoint, "on", on, "author", author)
+	return acceptedOf(reply)
+}
+
+func (a *Admin) quarantine(string, *http.Request) (any, error) {
+	list := []Suspect{}
+	entries := a.control.Image().Poison
+	for _, content := range slices.Sorted(maps.Keys(entries)) {
+		e := entries[content]
+		list = append(list, Suspect{
+			Content: fmt.Sprintf("%016x", uint64(content)), Organisation: e.Organisation,
+			Convicted: e.Standing == poison.Convicted, Crashes: e.Crashes, Trial: e.Trial,
+		})
+	}
+	return list, nil
+}
+
+func (a *Admin) pardon(author string, r *http.Request) (any, error) {
+	content, err := strconv.ParseUint(r.PathValue("content"), 16, 64)
+	if err != nil {
+		return nil, badRequest("content: found %q, expected 16 hexadecimal digits", r.PathValue("content"))
+	}
+	reply, err := a.control.Propose(r.Context(), state.Command{Pardon: &state.Pardon{Content: poison.Content(content)}})
+	if err != nil {
+		return nil, err
+	}
+	a.log.Info("released from quarantine", "content", r.PathValue("content"), "author", author)
+	return acceptedOf(reply)
+}
+
+func (a *Admin) orders(_ string, r *http.Request) (any, error) {
+	answer, err := a.control.Query(r.Context(), io.Query{Orders: true})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Orders == nil {
+		return []state.Order{}, nil
+	}
+	return answer.Orders, nil
+}
+
+func (a *Admin) placeOrder(author string, r *http.Request) (any, error) {
+	opID := r.Header.Get("Operation-Id")
+	if opID == "" {
+		return nil, badRequest("header Operation-Id: found none, expected a text that is used for this order alone")
+	}
+	var p state.PlaceOrder
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+		return nil, badRequest("decode order: %w", err)
+	}
+	if !slices.Contains(state.OrderKinds, p.Kind) {
+		return nil, badRequest("Kind: found %q, expected one of %v", p.Kind, state.OrderKinds)
+	}
+	if p.Endpoint == "" {
+		return nil, badRequest("Endpoint: found none, expected an endpoint's name")
+	}
+	reply, err := a.control.Propose(r.Context(), state.Command{OpID: author + "/" + opID, PlaceOrder: &p})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Order, nil
+}
+
+// Call is what the ledger knows of a non-repeatable call.
+type Call struct {
+	Phase    ledger.Phase
+	Outcome  core.Outcome    `json:",omitempty"`
+	Host     core.HostID     `json:",omitempty"`
+	Endpoint core.EndpointID `json:",omitempty"`
+}
+
+func (a *Admin) call(_ string, r *http.Request) (any, error) {
+	key := ledger.Key{Organisation: core.OrganisationID(r.PathValue("organisation")), Text: r.PathValue("key")}
+	answer, err := a.control.Query(r.Context(), io.Query{Call: &key})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Call == nil {
+		return nil, &statusError{status: http.StatusNotFound, err: errors.New("the ledger does not know this key")}
+	}
+	c := answer.Call
+	return Call{Phase: c.Phase, Outcome: c.Answer.Outcome, Host: c.Holder.Host, Endpoint: c.Answer.Endpoint}, nil
+}
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,287 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cyclamenford/core"
+)
+
+const (
+	maxLineBytes   = 1 << 20
+	maxAnswerBytes = 16 << 20
+	idlePerHost    = 256
+	maxResumes     = 8
+	resumePause    = 50 * time.Millisecond
+)
+
+// ErrIncomplete means that a stream's count or checksum does not cover what was read.
+var ErrIncomplete = errors.New("the stream is not whole")
+
+// Request is one request of a caller.
+type Request struct {
+	// Path is /v1/pipelines/NAME or /v1/services/NAME/CALL.
+	Path           string
+	Key            string
+	Body           []byte
+	Priority       string
+	DeadlineMs     core.Millis
+	IdempotencyKey string
+	Stream         bool
+}
+
+// Reply is what became of a request.
+type Reply struct {
+	Outcome   core.Outcome
+	Reason    core.Reason
+	Detail    string
+	Status    int
+	RequestID core.RequestID
+	Output    json.RawMessage
+	Stages    json.RawMessage
+	// Text, Events and Resumes describe a streamed answer.
+	Text    string
+	Events  uint64
+	Resumes int
+	// First and Took are the times to the first event and to the end.
+	First, Took time.Duration
+	// Gaps are the times between events.
+	Gaps         []time.Duration
+	RetryAfterMs core.Millis
+}
+
+// Client sends requests to hosts.
+type Client struct {
+	http *http.Client
+	// OnText is called with each piece of a streamed answer; nil for none.
+	OnText func(string)
+}
+
+// New returns a client.
+func New() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idlePerHost, ResponseHeaderTimeout: 0, IdleConnTimeout: 10 * time.Second,
+	}}}
+}
+
+// Do sends the request to the first host and resumes a cut stream at the following ones.
+func (c *Client) Do(ctx context.Context, hosts []string, q Request) (Reply, error) {
+	began := time.Now()
+	resp, err := c.send(ctx, hosts[0], q)
+	if err != nil {
+		return Reply{}, fmt.Errorf("send to %s: %w", hosts[0], err)
+	}
+	defer resp.Body.Close()
+	r := Reply{Status: resp.StatusCode, RequestID: core.RequestID(resp.Header.Get("Request-Id"))}
+	if resp.StatusCode != http.StatusOK {
+		err = readProblem(resp.Body, &r)
+	} else if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		err = c.readStream(ctx, hosts, q, resp, &r, began)
+	} else {
+		err = readWhole(resp.Body, &r)
+		r.First = time.Since(began)
+	}
+	r.Took = time.Since(began)
+	return r, err
+}
+
+func (c *Client) send(ctx context.Context, host string, q Request) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base(host)+q.Path, bytes.NewReader(q.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+q.Key)
+	if q.Priority != "" {
+		req.Header.Set("Priority", q.Priority)
+	}
+	if q.DeadlineMs != 0 {
+		req.Header.Set("Deadline-Ms", strconv.FormatInt(int64(q.DeadlineMs), 10))
+	}
+	if q.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", q.IdempotencyKey)
+	}
+	if q.Stream {
+		req.Header.Set("Accept", "text/event-stream")
+	}
+	return c.http.Do(req)
+}
+
+func base(host string) string {
+	if strings.Contains(host, "://") {
+		return host
+	}
+	return "http://" + host
+}
+
+func readProblem(body io.Reader, r *Reply) error {
+	var p struct {
+		Outcome      core.Outcome `json:"outcome"`
+		Reason       core.Reason  `json:"reason"`
+		Detail       string       `json:"detail"`
+		RetryAfterMs core.Millis  `json:"retryAfterMs"`
+	}
+	if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&p); err != nil {
+		return fmt.Errorf("decode problem: %w", err)
+	}
+	r.Outcome, r.Reason, r.Detail, r.RetryAfterMs = p.Outcome, p.Reason, p.Detail, p.RetryAfterMs
+	return nil
+}
+
+func readWhole(body io.Reader, r *Reply) error {
+	var a struct {
+		RequestID core.RequestID
+		Outcome   core.Outcome
+		Output    json.RawMessage
+		Stages    json.RawMessage
+	}
+	if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&a); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	r.RequestID, r.Outcome, r.Output, r.Stages = a.RequestID, a.Outcome, a.Output, a.Stages
+	return nil
+}
+
+// streamState is what has been read of a stream over all its connections.
+type streamState struct {
+	token string
+	next  uint64
+	hash  *xxhash.Digest
+	text  strings.Builder
+	last  time.Time
+	ended bool
+}
+
+func (c *Client) readStream(ctx context.Context, hosts []string, q Request, resp *http.Response, r *Reply, began time.Time) error {
+	s := &streamState{next: 1, hash: xxhash.New()}
+	err := c.readEvents(resp.Body, s, r, began)
+	for try := 1; err != nil && !s.ended && s.token != "" && try <= maxResumes && len(hosts) > 1; try++ {
+		time.Sleep(resumePause)
+		again, sendErr := c.resume(ctx, hosts[try%len(hosts)], q.Key, s)
+		if sendErr != nil {
+			err = sendErr
+			continue
+		}
+		r.Resumes++
+		err = c.readEvents(again.Body, s, r, began)
+		_ = again.Body.Close()
+	}
+	r.Text, r.Events = s.text.String(), s.next-1
+	return err
+}
+
+func (c *Client) resume(ctx context.Context, host, key string, s *streamState) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base(host)+"/v1/streams/"+s.token, nil)
+	if err != nil {
+		return nil, fmt.Errorf("make resume: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Last-Event-ID", strconv.FormatUint(s.next-1, 10))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("resume at %s: %w", host, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		var r Reply
+		return nil, fmt.Errorf("resume at %s: status %d: %w", host, resp.StatusCode, errors.Join(readProblem(resp.Body, &r), errors.New(r.Detail)))
+	}
+	return resp, nil
+}
+
+// readEvents reads until the closing event, or returns an error when the connection ends before it.
+func (c *Client) readEvents(body io.Reader, s *streamState, r *Reply, began time.Time) error {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	var name, id string
+	for scanner.Scan() {
+		line := scanner.Text()
+		switch {
+		case strings.HasPrefix(line, "event: "):
+			name = line[len("event: "):]
+		case strings.HasPrefix(line, "id: "):
+			id = line[len("id: "):]
+		case strings.HasPrefix(line, "data: "):
+			if err := c.takeEvent(s, r, name, id, line[len("data: "):], began); err != nil || s.ended {
+				return err
+			}
+			name, id = "", ""
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("read stream: %w", err)
+	}
+	return fmt.Errorf("read stream: %w", io.ErrUnexpectedEOF)
+}
+
+func (c *Client) takeEvent(s *streamState, r *Reply, name, id, data string, began time.Time) error {
+	var e struct {
+		Resume   string
+		Text     string
+		Outcome  core.Outcome
+		Count    uint64
+		Checksum string
+	}
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		return fmt.Errorf("decode event: %w", err)
+	}
+	switch name {
+	case "start":
+		s.token = e.Resume
+		return nil
+	case "problem":
+		s.ended = true
+		return readProblem(strings.NewReader(data), r)
+	case "done":
+		s.ended = true
+		r.Outcome = e.Outcome
+		if e.Count != s.next-1 || e.Checksum != fmt.Sprintf("%016x", s.hash.Sum64()) {
+			return ErrIncomplete
+		}
+		return nil
+	}
+	return c.takeText(s, r, id, e.Text, began)
+}
+
+func (c *Client) takeText(s *streamState, r *Reply, id, text string, began time.Time) error {
+	seq, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return fmt.Errorf("event number: %w", err)
+	}
+	if seq < s.next {
+		return nil
+	}
+	if seq > s.next {
+		return fmt.Errorf("found event %d, expected %d: %w", seq, s.next, ErrIncomplete)
+	}
+	now := time.Now()
+	if s.next == 1 {
+		r.First = now.Sub(began)
+	} else {
+		r.Gaps = append(r.Gaps, now.Sub(s.last))
+	}
+	s.last = now
+	s.next++
+	s.text.WriteString(text)
+	_, _ = s.hash.WriteString(text)
+	if c.OnText != nil {
+		c.OnText(text)
+	}
+	return nil
+}
+
+// NewKey returns an idempotency key that was issued at the given Unix time.
+func NewKey(issued core.Millis, text string) string {
+	return strconv.FormatInt(int64(issued), 10) + "-" + text
+}
--- /dev/null
+++ b/io/dial/doc.go
@@ -0,0 +1,2 @@
+// Package dial speaks the endpoints' protocol as docs/endpoints.md describes it.
+package dial
--- /dev/null
+++ b/io/dial/stream.go
@@ -0,0 +1,116 @@
+package dial
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"cyclamenford/core"
+)
+
+// ErrCut means that a stream ended before its closing event.
+var ErrCut = errors.New("the stream ended before its closing event")
+
+const maxLineBytes = 1 << 20
+
+// Stream reads the events of one attempt.
+type Stream struct {
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+}
+
+// Stream starts streamed work.
+func (c *Client) Stream(ctx context.Context, address string, run Run) (*Stream, error) {
+	run.Stream = true
+	resp, connected, err := c.post(ctx, c.pooled, address, run)
+	if err != nil {
+		return nil, failure(err, connected)
+	}
+	return newStream(resp, run.AttemptID)
+}
+
+// Resume goes on reading a stream from the event with the given number.
+func (c *Client) Resume(ctx context.Context, address string, attempt core.AttemptID, from uint64) (*Stream, error) {
+	path := "/v1/resume/" + string(attempt) + "?From=" + strconv.FormatUint(from, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(address, path), nil)
+	if err != nil {
+		return nil, fmt.Errorf("make resume: %w", err)
+	}
+	resp, err := c.pooled.Do(req)
+	if err != nil {
+		return nil, failure(err, true)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, refusalError(resp)
+	}
+	return newStream(resp, attempt)
+}
+
+func newStream(resp *http.Response, attempt core.AttemptID) (*Stream, error) {
+	if got := resp.Header.Get("Attempt-Id"); got != string(attempt) {
+		return nil, errors.Join(
+			&Error{Outcome: core.Unknown, Reason: core.ReasonBadAnswer, Err: ErrAttempt}, resp.Body.Close())
+	}
+	s := &Stream{body: resp.Body, scanner: bufio.NewScanner(resp.Body)}
+	s.scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	return s, nil
+}
+
+// Next returns the next event, or an Error when the stream is cut.
+func (s *Stream) Next() (Event, error) {
+	var e Event
+	var data string
+	for s.scanner.Scan() {
+		line := s.scanner.Text()
+		switch {
+		case line == "" && data != "":
+			return finishEvent(e, data)
+		case strings.HasPrefix(line, "id: "):
+			seq, err := strconv.ParseUint(line[len("id: "):], 10, 64)
+			if err != nil {
+				return Event{}, badStream(fmt.Errorf("event number: %w", err))
+			}
+			e.Seq = seq
+		case line == "event: done":
+			e.Done = true
+		case line == "event: failed":
+			return Event{}, &Error{Outcome: core.Failed, Reason: core.ReasonEndpointFailed, Refused: true, Err: ErrCut}
+		case strings.HasPrefix(line, "data: "):
+			data = line[len("data: "):]
+		}
+	}
+	err := s.scanner.Err()
+	if err == nil {
+		err = ErrCut
+	}
+	return Event{}, &Error{Outcome: core.Unknown, Reason: core.ReasonConnectionLost, Broken: true, Err: err}
+}
+
+func finishEvent(e Event, data string) (Event, error) {
+	var body struct {
+		Text     string
+		Count    uint64
+		Checksum string
+	}
+	if err := json.Unmarshal([]byte(data), &body); err != nil {
+		return Event{}, badStream(fmt.Errorf("event body: %w", err))
+	}
+	e.Text, e.Count, e.Checksum = body.Text, body.Count, body.Checksum
+	return e, nil
+}
+
+func badStream(err error) error {
+	return &Error{Outcome: core.Failed, Reason: core.ReasonBadAnswer, Err: err}
+}
+
+// Close ends the reading; the engine keeps the stream for its resume grace.
+func (s *Stream) Close() {
+	_ = s.body.Close()
+}
--- /dev/null
+++ b/io/disk/folder.go
@@ -0,0 +1,144 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+)
+
+// Folder is the part of a file system that the store needs; tests replace it to make writes fail.
+type Folder interface {
+	// List returns the names of the files in order.
+	List() ([]string, error)
+	// Read returns a whole file.
+	Read(name string) ([]byte, error)
+	// Append opens a file for writing at its end, making it if needed.
+	Append(name string) (File, error)
+	// Replace writes a whole file so that after a crash either the old or the new one is there.
+	Replace(name string, data []byte) error
+	// Truncate cuts a file to a size and syncs it.
+	Truncate(name string, size int64) error
+	// Remove deletes a file.
+	Remove(name string) error
+}
+
+// File is a file that is written at its end.
+type File interface {
+	Write(p []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+const (
+	folderMode = 0o750
+	fileMode   = 0o640
+)
+
+type osFolder string
+
+// OpenFolder returns the folder at path, making it if needed.
+func OpenFolder(path string) (Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, fmt.Errorf("make data folder: %w", err)
+	}
+	return osFolder(path), nil
+}
+
+func (f osFolder) path(name string) string {
+	return filepath.Join(string(f), name)
+}
+
+func (f osFolder) List() ([]string, error) {
+	entries, err := os.ReadDir(string(f))
+	if err != nil {
+		return nil, fmt.Errorf("list data folder: %w", err)
+	}
+	var names []string
+	for _, e := range entries {
+		if !e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (f osFolder) Read(name string) ([]byte, error) {
+	data, err := os.ReadFile(f.path(name))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", name, err)
+	}
+	return data, nil
+}
+
+func (f osFolder) Append(name string) (File, error) {
+	_, statErr := os.Stat(f.path(name))
+	file, err := os.OpenFile(f.path(name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("open %s: %w", name, err)
+	}
+	if errors.Is(statErr, os.ErrNotExist) {
+		if err := f.syncFolder(); err != nil {
+			return nil, errors.Join(err, file.Close())
+		}
+	}
+	return file, nil
+}
+
+func (f osFolder) Replace(name string, data []byte) error {
+	temporary := f.path(name + ".tmp")
+	if err := writeSynced(temporary, data); err != nil {
+		return fmt.Errorf("write %s: %w", name, err)
+	}
+	if err := os.Rename(temporary, f.path(name)); err != nil {
+		return fmt.Errorf("rename %s: %w", name, err)
+	}
+	return f.syncFolder()
+}
+
+func writeSynced(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	return errors.Join(err, file.Close())
+}
+
+func (f osFolder) Truncate(name string, size int64) error {
+	file, err := os.OpenFile(f.path(name), os.O_WRONLY, fileMode)
+	if err != nil {
+		return fmt.Errorf("open %s: %w", name, err)
+	}
+	err = file.Truncate(size)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.Join(err, file.Close()); err != nil {
+		return fmt.Errorf("truncate %s: %w", name, err)
+	}
+	return nil
+}
+
+func (f osFolder) Remove(name string) error {
+	if err := os.Remove(f.path(name)); err != nil {
+		return fmt.Errorf("remove %s: %w", name, err)
+	}
+	return nil
+}
+
+func (f osFolder) syncFolder() error {
+	d, err := os.Open(string(f))
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	if err := errors.Join(d.Sync(), d.Close()); err != nil {
+		return fmt.Errorf("sync data folder: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/flow/record.go
@@ -0,0 +1,64 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"cyclamenford/core"
+	"cyclamenford/core/state"
+	"cyclamenford/io"
+)
+
+const (
+	recordTimeout = 5 * time.Second
+	recordPause   = 200 * core.Millis(1)
+)
+
+// recorder commits outcomes in the background until each is recorded.
+type recorder struct {
+	control io.Control
+	log     *slog.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+func newRecorder(control io.Control, log *slog.Logger) *recorder {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &recorder{control: control, log: log, ctx: ctx, cancel: cancel}
+}
+
+// record commits a command, again and again while there is no quorum.
+func (r *recorder) record(c state.Command) {
+	r.wg.Go(func() {
+		for r.ctx.Err() == nil {
+			ctx, cancel := context.WithTimeout(r.ctx, recordTimeout)
+			_, err := r.control.Propose(ctx, c)
+			cancel()
+			if err == nil {
+				return
+			}
+			r.log.Warn("outcome not recorded yet", "err", err)
+			wait(r.ctx, recordPause)
+		}
+	})
+}
+
+// stop waits for the outcomes to be recorded.
+func (r *recorder) stop(ctx context.Context) error {
+	defer r.cancel()
+	idle := make(chan struct{})
+	go func() {
+		r.wg.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return errors.New("outcomes were still to be recorded at the end of the shutdown time")
+	}
+}
--- /dev/null
+++ b/io/flow/resume.go
@@ -0,0 +1,108 @@
+package flow
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cyclamenford/core"
+	"cyclamenford/io/dial"
+)
+
+// ErrToken means that a resume token was not issued by this deployment to this organisation.
+var ErrToken = errors.New("the resume token is not valid")
+
+// resumePoint is what a token carries.
+type resumePoint struct {
+	Request      core.RequestID
+	Attempt      core.AttemptID
+	Endpoint     core.EndpointID
+	Address      string
+	Organisation core.OrganisationID
+}
+
+func hexSum(h *xxhash.Digest) string {
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// token returns text with which the same organisation can resume the stream at any host.
+func (r *Runner) token(q Request, attempt core.AttemptID, on core.Announcement) string {
+	raw, err := json.Marshal(resumePoint{
+		Request: q.ID, Attempt: attempt, Endpoint: on.ID, Address: on.Address, Organisation: q.Settings.Organisation,
+	})
+	if err != nil {
+		return ""
+	}
+	return base64.RawURLEncoding.EncodeToString(raw) + "." + r.sign(raw)
+}
+
+func (r *Runner) sign(raw []byte) string {
+	mac := hmac.New(sha256.New, r.options.TokenKey)
+	mac.Write(raw)
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+func (r *Runner) parseToken(token string, org core.OrganisationID) (resumePoint, error) {
+	var p resumePoint
+	body, signature, _ := strings.Cut(token, ".")
+	raw, err := base64.RawURLEncoding.DecodeString(body)
+	if err != nil {
+		return p, ErrToken
+	}
+	if !hmac.Equal([]byte(signature), []byte(r.sign(raw))) {
+		return p, ErrToken
+	}
+	if err := json.Unmarshal(raw, &p); err != nil || p.Organisation != org {
+		return p, ErrToken
+	}
+	return p, nil
+}
+
+// Resume sends the rest of a stream after the event with the given number.
+func (r *Runner) Resume(ctx context.Context, q Request, token string, after uint64) (Answer, *core.Problem) {
+	r.active.Add(1)
+	defer r.active.Done()
+	p, err := r.parseToken(token, q.Settings.Organisation)
+	if err != nil {
+		return Answer{}, core.NewProblem(http.StatusForbidden, core.NotRun, core.ReasonForbidden, "%v", err)
+	}
+	stream, err := r.dial.Resume(ctx, p.Address, p.Attempt, after+1)
+	if err != nil {
+		return Answer{}, core.NewProblem(http.StatusGone, core.Failed, core.ReasonUnknownStream,
+			"the engine no longer has the stream: %v", err)
+	}
+	defer stream.Close()
+	if err := q.Sink.Start(token); err != nil {
+		return Answer{}, core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")
+	}
+	return r.forwardRest(stream, q.Sink, after+1)
+}
+
+func (r *Runner) forwardRest(stream *dial.Stream, sink Sink, next uint64) (Answer, *core.Problem) {
+	for {
+		e, err := stream.Next()
+		switch {
+		case err != nil:
+			return Answer{}, core.NewProblem(http.StatusBadGateway, core.Failed, core.ReasonConnectionLost, "%v", err)
+		case e.Done && e.Count == next-1:
+			return Answer{Count: e.Count, Checksum: e.Checksum}, nil
+		case e.Done || e.Seq > next:
+			return Answer{}, core.NewProblem(http.StatusBadGateway, core.Failed, core.ReasonBadAnswer, "the stream has a gap")
+		case e.Seq < next:
+			continue
+		}
+		next++
+		if err := sink.Event(e.Seq, e.Text); err != nil {
+			return Answer{}, core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")
+		}
+	}
+}
--- /dev/null
+++ b/io/flow/runner.go
@@ -0,0 +1,177 @@
+package flow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"cyclamenford/core"
+	"cyclamenford/core/plan"
+	"cyclamenford/core/tree"
+	"cyclamenford/io"
+	"cyclamenford/io/desk"
+	"cyclamenford/io/dial"
+	"cyclamenford/io/meter"
+	"cyclamenford/io/trace"
+)
+
+// Options are the runner's settings.
+type Options struct {
+	Host core.HostID
+	// TokenKey signs the tokens with which callers resume streams.
+	TokenKey []byte
+	// ResumeGrace is how long an engine keeps a stream that nobody reads.
+	ResumeGrace core.Millis
+}
+
+// Runner runs admitted requests.
+type Runner struct {
+	options  Options
+	control  io.Control
+	desk     *desk.Desk
+	dial     *dial.Client
+	clock    core.Clock
+	meter    *meter.Meter
+	trace    *trace.Service
+	log      *slog.Logger
+	recorder *recorder
+	active   sync.WaitGroup
+}
+
+// New returns a runner.
+func New(o Options, control io.Control, d *desk.Desk, client *dial.Client, clock core.Clock, m *meter.Meter, t *trace.Service, log *slog.Logger) *Runner {
+	return &Runner{
+		options: o, control: control, desk: d, dial: client, clock: clock, meter: m, trace: t, log: log,
+		recorder: newRecorder(control, log),
+	}
+}
+
+// Start does nothing; requests come from the front.
+func (r *Runner) Start(context.Context) error {
+	return nil
+}
+
+// Stop waits for the requests in flight and the outcomes still to be recorded.
+func (r *Runner) Stop(ctx context.Context) error {
+	idle := make(chan struct{})
+	go func() {
+		r.active.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return errors.New("requests were still running at the end of the shutdown time")
+	}
+	return r.recorder.stop(ctx)
+}
+
+// progress is what has become of one pipeline request so far.
+type progress struct {
+	request Request
+	target  string
+	keys    []plan.Key
+	stages  []tree.Stage
+	outputs map[string]json.RawMessage
+	times   []StageTime
+	prefix  uint64
+	// ran tells that an endpoint may have seen the request.
+	ran atomic.Bool
+}
+
+func (g *progress) markRan() {
+	g.ran.Store(true)
+}
+
+// Pipeline runs every stage and returns the last one's output.
+func (r *Runner) Pipeline(ctx context.Context, q Request, p tree.Pipeline) (Answer, *core.Problem) {
+	r.active.Add(1)
+	defer r.active.Done()
+	ctx, cancel := context.WithTimeout(ctx, (q.DeadlineAt - r.clock.Now()).Duration())
+	defer cancel()
+	g := &progress{
+		request: q, target: p.Name, keys: keysOf(p), stages: p.Stages, outputs: map[string]json.RawMessage{},
+		prefix: prefixOf(q.Settings.Organisation, q.Body),
+	}
+	if problem := r.checkFeasible(g); problem != nil {
+		return Answer{}, problem
+	}
+	for i := range p.Stages {
+		if problem := r.checkConvicted(g, i); problem != nil {
+			return Answer{}, problem
+		}
+	}
+	var answer Answer
+	for i, s := range p.Stages {
+		a, problem := r.runStage(ctx, g, i)
+		if problem != nil {
+			return Answer{}, g.truth(ctx, problem)
+		}
+		g.outputs[s.Name] = a.Output
+		answer = a
+	}
+	answer.Stages = g.times
+	return answer, nil
+}
+
+// checkFeasible refuses a request whose stages would take longer than its deadline leaves.
+func (r *Runner) checkFeasible(g *progress) *core.Problem {
+	left := g.request.DeadlineAt - r.clock.Now()
+	if need := r.desk.Reserve(g.keys); need > left {
+		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonDeadlineInfeasible,
+			"the stages take about %d ms and %d ms are left", need, left).WithRetryAfter(core.Second)
+	}
+	return nil
+}
+
+// truth turns a stage's problem into the request's: what an endpoint may have seen is never called NotRun.
+func (g *progress) truth(ctx context.Context, p *core.Problem) *core.Problem {
+	c := *p
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.Reason, c.Status = core.ReasonDeadlineExceeded, http.StatusGatewayTimeout
+	}
+	if g.ran.Load() && c.Outcome == core.NotRun {
+		c.Outcome = core.Failed
+	}
+	return &c
+}
+
+func (r *Runner) runStage(ctx context.Context, g *progress, i int) (Answer, *core.Problem) {
+	s := g.stages[i]
+	ctx, span := r.trace.Span(ctx, "stage", "stage", s.Name, "kind", string(s.Kind), "request", string(g.request.ID))
+	defer span.End()
+	if g.request.Sink != nil && i == len(g.stages)-1 && s.Kind == core.Generate {
+		return r.streamStage(ctx, g, i)
+	}
+	return r.wholeStage(ctx, g, i)
+}
+
+// run builds the endpoint's request for a stage.
+func (r *Runner) run(g *progress, i int) dial.Run {
+	s := g.stages[i]
+	return dial.Run{
+		RequestID: g.request.ID, AttemptID: newAttemptID(g.request.ID, s.Name),
+		Kind: s.Kind, Model: s.Model, Input: g.request.Body, Context: g.outputs, MaxTokens: s.MaxTokens,
+		DeadlineMs: g.request.DeadlineAt - r.clock.Now(), Priority: g.request.Priority,
+		ResumeGraceMs: r.options.ResumeGrace, Prefix: g.stagePrefix(i),
+	}
+}
+
+func (g *progress) stagePrefix(i int) uint64 {
+	if g.stages[i].Kind != core.Generate {
+		return 0
+	}
+	return g.prefix
+}
+
+func (r *Runner) ask(g *progress, i int, avoid []core.EndpointID, alone bool) desk.Ask {
+	return desk.Ask{
+		Request: g.request.ID, Organisation: g.request.Settings.Organisation, Weight: g.request.Settings.Weight,
+		Priority: g.request.Priority, Stages: g.keys[i:], DeadlineAt: g.request.DeadlineAt,
+		Prefix: g.stagePrefix(i), Avoid: avoid, Alone: alone,
+	}
+}
--- /dev/null
+++ b/io/follow/follower.go
@@ -0,0 +1,248 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"cyclamenford/core"
+	"cyclamenford/core/ledger"
+	"cyclamenford/core/state"
+	"cyclamenford/io"
+	"cyclamenford/io/keeper"
+	"cyclamenford/io/peer"
+)
+
+const (
+	followWait    = 500 * core.Millis(1)
+	followTimeout = 800 * time.Millisecond
+	callTimeout   = 2 * time.Second
+	retryPause    = 50 * time.Millisecond
+	endedPause    = time.Second
+)
+
+// Follower is one host's link to the control state.
+type Follower struct {
+	client  *peer.Client
+	clock   core.Clock
+	log     *slog.Logger
+	locator *locator
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu         sync.Mutex
+	self       state.Host
+	image      state.Image
+	changed    chan struct{}
+	leaseUntil core.Millis
+	joined     bool
+}
+
+// New returns a follower for this host that finds the keepers through the given addresses.
+func New(self state.Host, join []string, client *peer.Client, clock core.Clock, log *slog.Logger) *Follower {
+	return &Follower{
+		client: client, clock: clock, log: log, locator: newLocator(join),
+		self: self, image: state.EmptyImage(), changed: make(chan struct{}),
+	}
+}
+
+// Start follows the control state in the background.
+func (f *Follower) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.wg.Go(func() { f.run(ctx) })
+	return nil
+}
+
+// Stop ends the following.
+func (f *Follower) Stop(context.Context) error {
+	f.cancel()
+	f.wg.Wait()
+	return nil
+}
+
+// Image returns the newest published image that this host has applied.
+func (f *Follower) Image() state.Image {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.image
+}
+
+// Changed returns a channel that is closed at the next change of the image.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Serving reports whether this host holds its serving lease.
+func (f *Follower) Serving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.joined && f.clock.Now() < f.leaseUntil
+}
+
+// Holder returns this life of the host.
+func (f *Follower) Holder() ledger.Holder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return ledger.Holder{Host: f.self.ID, Incarnation: f.self.Incarnation}
+}
+
+func (f *Follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !f.isJoined() {
+			f.join(ctx)
+			continue
+		}
+		f.followOnce(ctx)
+	}
+}
+
+func (f *Follower) isJoined() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.joined
+}
+
+// join makes this life of the host known; a later life on record moves the incarnation past it.
+func (f *Follower) join(ctx context.Context) {
+	f.mu.Lock()
+	self := f.self
+	f.mu.Unlock()
+	reply, err := f.Propose(ctx, state.Command{JoinHost: &state.JoinHost{Host: self}})
+	if err != nil {
+		f.log.Debug("join", "err", err)
+		pause(ctx, retryPause)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reply.Result == state.Accepted {
+		f.joined = true
+		return
+	}
+	f.self.Incarnation = max(f.self.Incarnation, core.Incarnation(reply.Version)) + 1
+}
+
+func (f *Follower) followOnce(ctx context.Context) {
+	f.mu.Lock()
+	args := keeper.FollowArgs{
+		Host: f.self.ID, Incarnation: f.self.Incarnation, Revision: f.image.Revision, WaitMs: followWait,
+	}
+	if f.clock.Now() >= f.leaseUntil {
+		args.WaitMs = 0
+	}
+	f.mu.Unlock()
+	sent := f.clock.Now()
+	address := f.locator.address()
+	var reply keeper.FollowReply
+	callCtx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	err := f.client.Call(callCtx, address, keeper.ControlService+".Follow", args, &reply)
+	if err != nil || !reply.Leading {
+		f.locator.failed(address, reply.LeaderAddress)
+		pause(ctx, retryPause)
+		return
+	}
+	f.locator.found(address)
+	if reply.Ended {
+		f.log.Error("another process runs as this host; this one stops taking work", "host", args.Host)
+		pause(ctx, endedPause)
+		return
+	}
+	if err := f.apply(reply, sent); err != nil {
+		f.log.Error("apply control state", "err", err)
+		pause(ctx, retryPause)
+	}
+}
+
+// apply takes in changes, and only then renews the serving lease.
+func (f *Follower) apply(reply keeper.FollowReply, sent core.Millis) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	base := f.image
+	if reply.Whole {
+		base = state.EmptyImage()
+	}
+	next, err := base.With(reply.Deltas)
+	if err != nil {
+		return fmt.Errorf("revision %d: %w", reply.Revision, err)
+	}
+	next.Revision = reply.Revision
+	if next.Revision < f.image.Revision {
+		return fmt.Errorf("revision %d is older than %d in force here", next.Revision, f.image.Revision)
+	}
+	if next.Revision != f.image.Revision {
+		f.image = next
+		close(f.changed)
+		f.changed = make(chan struct{})
+		f.locator.learn(next.Hosts)
+	}
+	if known, ok := next.Hosts[f.self.ID]; ok && known.Expired && known.Incarnation == f.self.Incarnation {
+		f.joined = false
+		return nil
+	}
+	if reply.LeaseMs > 0 {
+		f.leaseUntil = max(f.leaseUntil, sent+reply.LeaseMs)
+	}
+	return nil
+}
+
+// Propose commits a command, at whichever keeper leads, and returns its reply.
+//
+// It may send a command twice; commands carry what makes a second one harmless.
+func (f *Follower) Propose(ctx context.Context, c state.Command) (state.Reply, error) {
+	raw, err := c.Encode()
+	if err != nil {
+		return state.Reply{}, err
+	}
+	var reply keeper.ProposeReply
+	err = f.callLeader(ctx, "Propose", keeper.ProposeArgs{Command: raw}, func() (any, *keeper.Located) {
+		reply = keeper.ProposeReply{}
+		return &reply, &reply.Located
+	})
+	return reply.Reply, err
+}
+
+// Query reads the control state as of now.
+func (f *Follower) Query(ctx context.Context, q io.Query) (io.Answer, error) {
+	var reply keeper.QueryReply
+	err := f.callLeader(ctx, "Query", keeper.QueryArgs{Query: q}, func() (any, *keeper.Located) {
+		reply = keeper.QueryReply{}
+		return &reply, &reply.Located
+	})
+	return reply.Answer, err
+}
+
+// callLeader repeats a call until the leader has answered it or ctx ends.
+func (f *Follower) callLeader(ctx context.Context, method string, args any, fresh func() (any, *keeper.Located)) error {
+	for {
+		address := f.locator.address()
+		reply, located := fresh()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := f.client.Call(callCtx, address, keeper.ControlService+"."+method, args, reply)
+		cancel()
+		if err == nil && located.Leading {
+			f.locator.found(address)
+			return nil
+		}
+		f.locator.failed(address, located.LeaderAddress)
+		if ctx.Err() != nil {
+			return fmt.Errorf("%s: %w", method, errors.Join(io.ErrNoQuorum, err))
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/front/keyring.go
@@ -0,0 +1,59 @@
+package front
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync"
+
+	"cyclamenford/core"
+	"cyclamenford/core/state"
+	"cyclamenford/core/tree"
+)
+
+// keyring finds the team of a bearer key; it is rebuilt when the settings change.
+type keyring struct {
+	mu       sync.Mutex
+	revision uint64
+	built    bool
+	teams    map[string]core.TeamID
+}
+
+func (k *keyring) find(image state.Image, hash string) (core.TeamID, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.built || k.revision != image.Revision {
+		k.teams = map[string]core.TeamID{}
+		for id, team := range image.Tree.Teams {
+			for _, key := range team.Keys {
+				k.teams[strings.ToLower(key.Sha256)] = id
+			}
+		}
+		k.revision, k.built = image.Revision, true
+	}
+	id, ok := k.teams[hash]
+	return id, ok
+}
+
+// HashKey returns the stored form of a bearer key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// identify returns the team whose bearer key the request carries.
+func (f *Front) identify(h http.Header) (core.TeamID, tree.Team, *core.Problem) {
+	image := f.control.Image()
+	key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return "", tree.Team{}, core.NewProblem(http.StatusUnauthorized, core.NotRun, core.ReasonUnauthenticated,
+			"Authorization: expected Bearer KEY")
+	}
+	id, ok := f.keys.find(image, HashKey(key))
+	if !ok {
+		return "", tree.Team{}, core.NewProblem(http.StatusUnauthorized, core.NotRun, core.ReasonUnauthenticated,
+			"the bearer key belongs to no team")
+	}
+	return id, image.Tree.Teams[id], nil
+}
--- /dev/null
+++ b/io/greet/doc.go
@@ -0,0 +1,2 @@
+// Package greet takes endpoints' announcements over HTTP.
+package greet
--- /dev/null
+++ b/io/keeper/outbox.go
@@ -0,0 +1,118 @@
+package keeper
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"cyclamenford/core/quorum"
+	"cyclamenford/io/peer"
+)
+
+const (
+	outboxLength   = 256
+	deliverTimeout = 500 * time.Millisecond
+	drainTimeout   = 300 * time.Millisecond
+)
+
+// outbox sends messages to each member in order, and drops them when a member is too slow.
+type outbox struct {
+	client    *peer.Client
+	addressOf func(quorum.Member) string
+	log       *slog.Logger
+	ctx       context.Context
+	cancel    context.CancelFunc
+	queues    map[quorum.Member]chan quorum.Message
+	mu        sync.Mutex
+	pending   sync.WaitGroup
+	wg        sync.WaitGroup
+}
+
+func newOutbox(client *peer.Client, addressOf func(quorum.Member) string, log *slog.Logger) *outbox {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &outbox{
+		client: client, addressOf: addressOf, log: log, ctx: ctx, cancel: cancel,
+		queues: map[quorum.Member]chan quorum.Message{},
+	}
+}
+
+func (o *outbox) send(messages []quorum.Message) {
+	for _, m := range messages {
+		o.pending.Add(1)
+		select {
+		case o.queue(m.To) <- m:
+		default:
+			o.pending.Done()
+		}
+	}
+}
+
+func (o *outbox) queue(to quorum.Member) chan quorum.Message {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q, ok := o.queues[to]
+	if !ok {
+		q = make(chan quorum.Message, outboxLength)
+		o.queues[to] = q
+		o.wg.Go(func() { o.run(to, q) })
+	}
+	return q
+}
+
+func (o *outbox) run(to quorum.Member, q chan quorum.Message) {
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case m := <-q:
+			batch := collect(m, q)
+			o.deliver(to, batch)
+			o.pending.Add(-len(batch))
+		}
+	}
+}
+
+func collect(first quorum.Message, q chan quorum.Message) []quorum.Message {
+	batch := []quorum.Message{first}
+	for len(batch) < outboxLength {
+		select {
+		case m := <-q:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (o *outbox) deliver(to quorum.Member, batch []quorum.Message) {
+	address := o.addressOf(to)
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, deliverTimeout)
+	defer cancel()
+	if err := o.client.Call(ctx, address, QuorumService+".Deliver", Batch{Messages: batch}, &struct{}{}); err != nil {
+		o.log.Debug("message to keeper not delivered", "to", to, "err", err)
+	}
+}
+
+// drain waits a little for the queues to empty.
+func (o *outbox) drain(ctx context.Context) {
+	empty := make(chan struct{})
+	go func() {
+		o.pending.Wait()
+		close(empty)
+	}()
+	select {
+	case <-empty:
+	case <-ctx.Done():
+	case <-time.After(drainTimeout):
+	}
+}
+
+func (o *outbox) stop() {
+	o.cancel()
+	o.wg.Wait()
+}
--- /dev/null
+++ b/io/keeper/serve.go
@@ -0,0 +1,227 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cyclamenford/core"
+	"cyclamenford/core/lease"
+	"cyclamenford/core/quorum"
+	"cyclamenford/core/state"
+	"cyclamenford/io"
+)
+
+// maxFollowWait bounds how long a Follow call is held.
+const maxFollowWait = core.Second
+
+type quorumCalls struct{ k *Keeper }
+
+// Deliver takes in messages of the replicated log.
+func (c *quorumCalls) Deliver(args Batch, _ *struct{}) error {
+	for _, m := range args.Messages {
+		select {
+		case c.k.inbox <- m:
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+type controlCalls struct{ k *Keeper }
+
+// Meet tells which disk this is and whether it belongs to a deployment.
+func (c *controlCalls) Meet(_ MeetArgs, reply *MeetReply) error {
+	id := c.k.store.Identity()
+	*reply = MeetReply{Member: id.Member(), Founded: id.Founded}
+	return nil
+}
+
+// Propose commits a command if this keeper leads.
+func (c *controlCalls) Propose(args ProposeArgs, reply *ProposeReply) error {
+	located := c.k.locate()
+	reply.Located = located
+	if !located.Leading {
+		return nil
+	}
+	command, err := state.DecodeCommand(args.Command)
+	if err != nil {
+		reply.Reply = state.Reply{Result: state.Refused, Detail: err.Error()}
+		return nil
+	}
+	command.Unix = c.k.clock.Unix()
+	raw, err := command.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeLimit)
+	defer cancel()
+	r, err := c.k.commit(ctx, raw)
+	if err != nil {
+		return err
+	}
+	reply.Reply = r
+	return nil
+}
+
+// commit proposes a command and waits until it is applied.
+func (k *Keeper) commit(ctx context.Context, raw []byte) (state.Reply, error) {
+	p := proposal{raw: raw, reply: make(chan proposalResult, 1)}
+	select {
+	case k.proposals <- p:
+	case <-ctx.Done():
+		return state.Reply{}, fmt.Errorf("queue proposal: %w", ctx.Err())
+	case <-k.done:
+		return state.Reply{}, quorum.ErrNotLeader
+	}
+	select {
+	case r := <-p.reply:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return state.Reply{}, fmt.Errorf("commit proposal: %w", ctx.Err())
+	case <-k.done:
+		return state.Reply{}, quorum.ErrNotLeader
+	}
+}
+
+// locate tells whether this keeper leads, or where the leader is.
+func (k *Keeper) locate() Located {
+	k.mu.Lock()
+	v := k.view
+	k.mu.Unlock()
+	if v.role == quorum.Leader && v.ready && v.leaseUntil > k.clock.Now() {
+		return Located{Leading: true}
+	}
+	if v.leader == "" || v.leader == k.Member() {
+		return Located{}
+	}
+	return Located{LeaderAddress: k.addressOf(v.leader)}
+}
+
+// Follow returns published changes and renews the host's serving lease.
+func (c *controlCalls) Follow(args FollowArgs, reply *FollowReply) error {
+	k := c.k
+	deadline := time.NewTimer(min(args.WaitMs, maxFollowWait).Duration())
+	defer deadline.Stop()
+	for {
+		reply.Located = k.locate()
+		if !reply.Leading {
+			return nil
+		}
+		done, changed := k.follow(args, reply)
+		if done {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			args.WaitMs = 0
+		case <-k.done:
+			reply.Located = Located{}
+			return nil
+		}
+	}
+}
+
+// follow fills the reply if there is news or nothing to wait for.
+func (k *Keeper) follow(args FollowArgs, reply *FollowReply) (bool, <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leases == nil {
+		reply.Located = Located{}
+		return true, nil
+	}
+	image := k.machine.Image()
+	if h, ok := image.Hosts[args.Host]; ok && h.Incarnation > args.Incarnation {
+		reply.Ended = true
+		return true, nil
+	}
+	granted := k.leases.Grant(k.clock.Now(), args.Host, args.Incarnation, args.Revision)
+	if args.WaitMs > 0 && args.Revision == image.Revision && granted {
+		return false, k.changed
+	}
+	deltas, kept := k.machine.Since(args.Revision)
+	if !kept {
+		deltas, reply.Whole = image.Deltas(), true
+	}
+	reply.Deltas, reply.Revision = deltas, image.Revision
+	if granted {
+		reply.LeaseMs = lease.TTL
+	} else {
+		reply.Ended = true
+	}
+	return true, nil
+}
+
+// Query reads the control state after making sure that this keeper still leads.
+func (c *controlCalls) Query(args QueryArgs, reply *QueryReply) error {
+	located := c.k.locate()
+	reply.Located = located
+	if !located.Leading {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeLimit)
+	defer cancel()
+	if !c.k.confirm(ctx) {
+		reply.Located = Located{}
+		return nil
+	}
+	reply.Answer = c.k.answer(args.Query)
+	return nil
+}
+
+// confirm reports whether a majority still follows this keeper.
+func (k *Keeper) confirm(ctx context.Context) bool {
+	r := read{done: make(chan bool, 1)}
+	select {
+	case k.reads <- r:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case ok := <-r.done:
+		return ok
+	case <-ctx.Done():
+		return false
+	case <-k.done:
+		return false
+	}
+}
+
+func (k *Keeper) answer(q io.Query) io.Answer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var a io.Answer
+	switch {
+	case q.Path != "":
+		a.History = k.machine.History(q.Path)
+	case q.Orders:
+		a.Orders = k.machine.Orders()
+	case q.Call != nil:
+		if e, ok := k.machine.Call(*q.Call); ok {
+			a.Call = &e
+		}
+	case q.Status:
+		a.Status = k.status()
+	case q.AppliedBy > 0:
+		if k.leases != nil && k.machine.Image().Revision >= q.AppliedBy {
+			a.InForce, a.Behind = k.leases.InForce(k.clock.Now(), q.AppliedBy)
+		}
+	}
+	return a
+}
+
+func (k *Keeper) status() *io.Status {
+	s := &io.Status{
+		Leader: k.view.leader, Term: k.view.term, Commit: k.view.commit, Config: k.view.config,
+		Revision: k.machine.Image().Revision, Calls: k.machine.LedgerLen(),
+	}
+	if k.leases == nil {
+		return s
+	}
+	for _, h := range k.leases.Holdings() {
+		s.Leases = append(s.Leases, io.Lease{Host: h.Host, Revision: h.Revision, LeftMs: h.Until - k.clock.Now()})
+	}
+	return s
+}
--- /dev/null
+++ b/io/meter/meter.go
@@ -0,0 +1,102 @@
+package meter
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// Meter registers counters, gauges and timers by name.
+type Meter struct {
+	registry metrics.Registry
+}
+
+// New returns a meter without metrics.
+func New() *Meter {
+	return &Meter{registry: metrics.NewRegistry()}
+}
+
+// Count adds n to a counter; labels become part of the name.
+func (m *Meter) Count(name string, n int64, labels ...string) {
+	metrics.GetOrRegisterCounter(join(name, labels), m.registry).Inc(n)
+}
+
+// Value returns a counter's value.
+func (m *Meter) Value(name string, labels ...string) int64 {
+	return metrics.GetOrRegisterCounter(join(name, labels), m.registry).Count()
+}
+
+// Set sets a gauge.
+func (m *Meter) Set(name string, value int64, labels ...string) {
+	metrics.GetOrRegisterGauge(join(name, labels), m.registry).Update(value)
+}
+
+// Observe adds a value, in the unit that the name ends with, to a histogram.
+func (m *Meter) Observe(name string, value int64, labels ...string) {
+	h := m.registry.GetOrRegister(join(name, labels), func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	})
+	if histogram, ok := h.(metrics.Histogram); ok {
+		histogram.Update(value)
+	}
+}
+
+// join appends label pairs as {key="value",...}.
+func join(name string, labels []string) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	b.WriteByte('{')
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+// Write writes every metric as a line of name and value, in the order of their names.
+func (m *Meter) Write(w io.Writer) error {
+	var lines []string
+	m.registry.Each(func(name string, metric any) {
+		switch x := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, x.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, x.Value()))
+		case metrics.Histogram:
+			lines = append(lines, histogramLines(name, x.Snapshot())...)
+		}
+	})
+	slices.Sort(lines)
+	if _, err := fmt.Fprintln(w, strings.Join(lines, "\n")); err != nil {
+		return fmt.Errorf("write metrics: %w", err)
+	}
+	return nil
+}
+
+func histogramLines(name string, h metrics.Histogram) []string {
+	base, labels, _ := strings.Cut(name, "{")
+	labels = strings.TrimSuffix(labels, "}")
+	if labels != "" {
+		labels += ","
+	}
+	quantiles := []float64{0.5, 0.95, 0.99}
+	lines := []string{fmt.Sprintf("%s_count{%s} %d", base, strings.TrimSuffix(labels, ","), h.Count())}
+	for i, v := range h.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s{%squantile=\"%g\"} %g", base, labels, quantiles[i], v))
+	}
+	return lines
+}
--- /dev/null
+++ b/io/oper/doc.go
@@ -0,0 +1,2 @@
+// Package oper is a client of the operators' interface.
+package oper
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const dialTimeout = time.Second
+
+// ErrNotSent means that the call has not left this host.
+var ErrNotSent = errors.New("the call was not sent")
+
+// Client calls other hosts and keeps one connection to each.
+type Client struct {
+	key  []byte
+	tls  *tls.Config
+	sent atomic.Int64
+	recv atomic.Int64
+
+	mu    sync.Mutex
+	conns map[string]*connection
+}
+
+type connection struct {
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// NewClient returns a client without connections; tlsConfig may be nil for plain TCP.
+func NewClient(key []byte, tlsConfig *tls.Config) *Client {
+	return &Client{key: key, tls: tlsConfig, conns: map[string]*connection{}}
+}
+
+// Bytes returns how many bytes were sent and received over all connections.
+func (c *Client) Bytes() (sent, received int64) {
+	return c.sent.Load(), c.recv.Load()
+}
+
+// Call invokes a method at an address and waits for the reply or the end of ctx.
+//
+// A connection whose call ran out of time is closed, since it may be a silent partition.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	conn := c.connection(address)
+	client, err := conn.get(ctx, c, address)
+	if err != nil {
+		return fmt.Errorf("call %s at %s: %w: %w", method, address, ErrNotSent, err)
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = ctx.Err()
+		if errors.Is(err, context.DeadlineExceeded) {
+			conn.drop(client)
+		}
+	}
+	if errors.Is(err, rpc.ErrShutdown) {
+		conn.drop(client)
+	}
+	if err != nil {
+		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	}
+	return nil
+}
+
+func (c *Client) connection(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn, ok := c.conns[address]
+	if !ok {
+		conn = &connection{}
+		c.conns[address] = conn
+	}
+	return conn
+}
+
+// Stop closes every connection.
+func (c *Client) Stop(context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		conn.mu.Lock()
+		if conn.client != nil {
+			_ = conn.client.Close()
+			conn.client = nil
+		}
+		conn.mu.Unlock()
+	}
+	return nil
+}
+
+// Start does nothing; connections are made when they are needed.
+func (c *Client) Start(context.Context) error {
+	return nil
+}
+
+func (conn *connection) get(ctx context.Context, c *Client, address string) (*rpc.Client, error) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.client != nil {
+		return conn.client, nil
+	}
+	raw, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := greetServer(raw, c.key); err != nil {
+		return nil, errors.Join(err, raw.Close())
+	}
+	conn.client = rpc.NewClient(raw)
+	return conn.client, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{Conn: raw, sent: &c.sent, recv: &c.recv}
+	if c.tls == nil {
+		return counted, nil
+	}
+	return tls.Client(counted, c.tls), nil
+}
+
+func (conn *connection) drop(client *rpc.Client) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.client == client {
+		_ = client.Close()
+		conn.client = nil
+	}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	sent, recv *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.recv.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/io/share/share.go
@@ -0,0 +1,158 @@
+package share
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenford/core"
+	"cyclamenford/core/member"
+	"cyclamenford/io"
+	"cyclamenford/io/desk"
+	"cyclamenford/io/peer"
+)
+
+// Service is the name under which hosts take each other's messages.
+const Service = "Share"
+
+const (
+	shareEvery   = 200 * time.Millisecond
+	shareTimeout = 400 * time.Millisecond
+)
+
+// Aged is an announcement with the time since it left its endpoint.
+type Aged struct {
+	Announcement core.Announcement
+	AgeMs        core.Millis
+}
+
+// Message is what a host sends to each other host several times a second.
+type Message struct {
+	Work          desk.Shared
+	Announcements []Aged
+}
+
+type heard struct {
+	announcement core.Announcement
+	at           core.Millis
+}
+
+// Sharer sends this host's news to the others and takes in theirs.
+type Sharer struct {
+	self    core.HostID
+	control io.Control
+	desk    *desk.Desk
+	client  *peer.Client
+	clock   core.Clock
+	log     *slog.Logger
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu    sync.Mutex
+	fresh map[core.EndpointID]heard
+}
+
+// New returns a sharer for a host.
+func New(self core.HostID, control io.Control, d *desk.Desk, client *peer.Client, clock core.Clock, log *slog.Logger) *Sharer {
+	return &Sharer{
+		self: self, control: control, desk: d, client: client, clock: clock, log: log,
+		fresh: map[core.EndpointID]heard{},
+	}
+}
+
+// Register offers the sharer's call on the server.
+func (s *Sharer) Register(server *peer.Server) error {
+	return server.Register(Service, &calls{s})
+}
+
+type calls struct{ s *Sharer }
+
+// Take takes in another host's news.
+func (c *calls) Take(m Message, _ *struct{}) error {
+	c.s.desk.TakeShared(m.Work)
+	for _, a := range m.Announcements {
+		c.s.desk.Announce(a.Announcement, a.AgeMs)
+	}
+	return nil
+}
+
+// Start sends news in the background.
+func (s *Sharer) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.wg.Go(func() { s.run(ctx) })
+	return nil
+}
+
+// Stop ends the sending.
+func (s *Sharer) Stop(context.Context) error {
+	s.cancel()
+	s.wg.Wait()
+	return nil
+}
+
+// Announce takes in an announcement that has come straight from its endpoint; a change is spread at once.
+func (s *Sharer) Announce(a core.Announcement) member.Change {
+	change := s.desk.Announce(a, 0)
+	if change == member.Ignored {
+		return change
+	}
+	s.mu.Lock()
+	s.fresh[a.ID] = heard{announcement: a, at: s.clock.Now()}
+	s.mu.Unlock()
+	return change
+}
+
+func (s *Sharer) run(ctx context.Context) {
+	ticker := time.NewTicker(shareEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.send(ctx)
+		}
+	}
+}
+
+func (s *Sharer) send(ctx context.Context) {
+	m := Message{Work: s.desk.Share(), Announcements: s.take()}
+	for _, address := range s.peers() {
+		s.wg.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
+			defer cancel()
+			if err := s.client.Call(callCtx, address, Service+".Take", m, &struct{}{}); err != nil {
+				s.log.Debug("news not delivered", "address", address, "err", err)
+			}
+		})
+	}
+}
+
+// take returns the announcements since the last message.
+func (s *Sharer) take() []Aged {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	list := make([]Aged, 0, len(s.fresh))
+	for _, id := range slices.Sorted(maps.Keys(s.fresh)) {
+		h := s.fresh[id]
+		list = append(list, Aged{Announcement: h.announcement, AgeMs: now - h.at})
+	}
+	clear(s.fresh)
+	return list
+}
+
+func (s *Sharer) peers() []string {
+	var addresses []string
+	hosts := s.control.Image().Hosts
+	for _, id := range slices.Sorted(maps.Keys(hosts)) {
+		if id != s.self {
+			addresses = append(addresses, hosts[id].PeerAddress)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/io/wall/doc.go
@@ -0,0 +1,2 @@
+// Package wall holds the clock of the machine.
+package wall
--- /dev/null
+++ b/setup/app.go
@@ -0,0 +1,188 @@
+package setup
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"cyclamenford/core"
+	"cyclamenford/core/kernel"
+	"cyclamenford/core/quorum"
+	"cyclamenford/core/state"
+	"cyclamenford/io/certs"
+	"cyclamenford/io/desk"
+	"cyclamenford/io/disk"
+	"cyclamenford/io/follow"
+	"cyclamenford/io/keeper"
+	"cyclamenford/io/meter"
+	"cyclamenford/io/wall"
+)
+
+// The names under which a host's services find each other.
+const (
+	traceService  = "Trace"
+	clientService = "PeerClient"
+	serverService = "PeerServer"
+	keeperService = "Keeper"
+	followService = "Follow"
+	deskService   = "Desk"
+	dialService   = "Dial"
+	shareService  = "Share"
+	runnerService = "Runner"
+	greetService  = "Greet"
+	adminService  = "Admin"
+	frontService  = "Front"
+	issuerService = "Issuer"
+)
+
+// App is one host with all its services.
+type App struct {
+	settings Settings
+	log      *slog.Logger
+	clock    core.Clock
+	meter    *meter.Meter
+	kernel   *kernel.Kernel
+}
+
+// NewApp wires a host from checked settings; nothing runs yet.
+func NewApp(s Settings, log *slog.Logger) (*App, error) {
+	a := &App{
+		settings: s, log: log.With("host", s.Host.ID), clock: wall.New(), meter: meter.New(), kernel: kernel.New(),
+	}
+	steps := []func() error{
+		a.addTrace, a.addPeers, a.addKeeper, a.addFollow, a.addDesk, a.addDial,
+		a.addShare, a.addRunner, a.addIssuer, a.addServer, a.addGreet, a.addAdmin, a.addFront,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, fmt.Errorf("wire host %s: %w", s.Host.ID, err)
+		}
+	}
+	return a, nil
+}
+
+// Start starts every service.
+func (a *App) Start(ctx context.Context) error {
+	if err := a.kernel.Start(ctx); err != nil {
+		return fmt.Errorf("start host: %w", err)
+	}
+	a.log.Info("host has started", "callers", a.settings.Listeners.Callers)
+	return nil
+}
+
+// Stop shuts the host down gracefully within the settings' time.
+func (a *App) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.settings.Callers.ShutdownMs.Duration())
+	defer cancel()
+	a.log.Info("host is stopping")
+	if err := a.kernel.Stop(ctx); err != nil {
+		return fmt.Errorf("stop host: %w", err)
+	}
+	a.log.Info("host has stopped")
+	return nil
+}
+
+// Kill ends the host without any grace, as a crash would, for tests in one process.
+func (a *App) Kill() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return a.kernel.Stop(ctx)
+}
+
+// Ready reports whether the host holds its serving lease.
+func (a *App) Ready() bool {
+	f, err := kernel.Find[*follow.Follower](a.kernel, followService)
+	return err == nil && f.Serving()
+}
+
+// Meter returns the host's metrics.
+func (a *App) Meter() *meter.Meter {
+	return a.meter
+}
+
+// Desk returns the host's decisions.
+func (a *App) Desk() (*desk.Desk, error) {
+	return kernel.Find[*desk.Desk](a.kernel, deskService)
+}
+
+// serverTLS returns the settings of a listener, nil for plain text.
+func serverTLS(f certs.Files) (*tls.Config, error) {
+	if !f.Set() {
+		return nil, nil
+	}
+	source, err := certs.New(f)
+	if err != nil {
+		return nil, err
+	}
+	return source.Server()
+}
+
+// clientTLS returns the settings of outgoing connections, nil for plain text.
+func clientTLS(f certs.Files) (*tls.Config, error) {
+	if !f.Set() {
+		return nil, nil
+	}
+	source, err := certs.New(f)
+	if err != nil {
+		return nil, err
+	}
+	return source.Client()
+}
+
+func (a *App) quorumSettings() quorum.Settings {
+	s := quorum.Defaults()
+	s.ElectionTimeout = a.settings.Keepers.ElectionTimeoutMs
+	s.Heartbeat = max(20, s.ElectionTimeout/6)
+	return s
+}
+
+func (a *App) keeperOptions() keeper.Options {
+	o := keeper.Options{
+		Host: a.settings.Host.ID, Voters: a.settings.Keepers.Voters,
+		Patience: a.settings.Keepers.PatienceMs, Quorum: a.quorumSettings(),
+	}
+	for _, f := range a.settings.Founding {
+		o.Founding = append(o.Founding, keeper.Address{ID: f.ID, Address: f.Address})
+	}
+	if o.Voters == 0 {
+		o.Voters = max(1, len(o.Founding))
+	}
+	return o
+}
+
+// openStore opens the data folder, or returns nil for a host without a disk.
+func (a *App) openStore() (*disk.Store, disk.Contents, error) {
+	if a.settings.Host.DataFolder == "" {
+		return nil, disk.Contents{}, nil
+	}
+	folder, err := disk.OpenFolder(a.settings.Host.DataFolder)
+	if err != nil {
+		return nil, disk.Contents{}, err
+	}
+	store, held, err := disk.Open(folder, a.settings.Host.ID, core.Incarnation(a.clock.Unix()))
+	if err != nil {
+		return nil, held, fmt.Errorf("open data folder: %w", err)
+	}
+	if held.TornBytes > 0 {
+		a.log.Warn("an unfinished last write was cut off", "bytes", held.TornBytes)
+	}
+	return store, held, nil
+}
+
+// self describes this life of the host.
+func (a *App) self() (state.Host, error) {
+	h := state.Host{
+		ID: a.settings.Host.ID, Incarnation: core.Incarnation(a.clock.Unix()),
+		FailureDomain: a.settings.Host.FailureDomain, PeerAddress: a.settings.Listeners.Peers,
+	}
+	k, err := kernel.Find[*keeper.Keeper](a.kernel, keeperService)
+	switch {
+	case err == nil:
+		h.Keeper = string(k.Member())
+	case !errors.Is(err, kernel.ErrMissing):
+		return h, err
+	}
+	return h, nil
+}
--- /dev/null
+++ b/setup/check.go
@@ -0,0 +1,139 @@
+package setup
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"cyclamenford/core"
+	"cyclamenford/io/certs"
+	"cyclamenford/io/trace"
+)
+
+const (
+	minClusterKey = 16
+	maxHour       = 60 * 60 * core.Second
+	addressWanted = "IP:PORT"
+)
+
+type checker struct{ errs []error }
+
+func (c *checker) want(ok bool, path string, found, expected any) {
+	if !ok {
+		c.errs = append(c.errs, core.NewFieldError(path, found, expected))
+	}
+}
+
+func (c *checker) address(path, address string) {
+	_, err := netip.ParseAddrPort(address)
+	c.want(err == nil, path, fmt.Sprintf("%q", address), addressWanted)
+}
+
+func (c *checker) span(path string, found, low, high core.Millis) {
+	c.want(found >= low && found <= high, path, found, fmt.Sprintf("%d to %d", low, high))
+}
+
+// Check returns every fault of the settings, each with its path, the found and the expected value.
+func (s Settings) Check() error {
+	c := &checker{}
+	c.want(s.Host.ID != "" && !strings.Contains(string(s.Host.ID), "/"), "Host.ID", s.Host.ID, "a name without /")
+	c.want(s.Host.FailureDomain != "", "Host.FailureDomain", `""`, "a name")
+	c.listeners(s.Listeners)
+	c.want(len(s.Join) > 0, "Join", "none", "at least one address")
+	for i, a := range s.Join {
+		c.address(fmt.Sprintf("Join[%d]", i), a)
+	}
+	c.founding(s.Founding)
+	c.keepers(s)
+	c.keys(s.Keys)
+	c.callers(s.Callers)
+	c.tls(s.Tls)
+	c.output(s)
+	return errors.Join(c.errs...)
+}
+
+func (c *checker) listeners(l Listeners) {
+	named := []struct{ path, address string }{
+		{"Listeners.Callers", l.Callers},
+		{"Listeners.Endpoints", l.Endpoints},
+		{"Listeners.Operators", l.Operators},
+		{"Listeners.Peers", l.Peers},
+	}
+	seen := map[string]string{}
+	for _, n := range named {
+		c.address(n.path, n.address)
+		if earlier, ok := seen[n.address]; ok {
+			c.want(false, n.path, n.address, "an address that "+earlier+" does not use")
+		}
+		seen[n.address] = n.path
+	}
+}
+
+func (c *checker) founding(list []FoundingKeeper) {
+	seen := map[core.HostID]bool{}
+	for i, k := range list {
+		path := fmt.Sprintf("Founding[%d]", i)
+		c.want(k.ID != "" && !seen[k.ID], path+".ID", k.ID, "a name used once")
+		c.address(path+".Address", k.Address)
+		seen[k.ID] = true
+	}
+}
+
+func (c *checker) keepers(s Settings) {
+	listed := slices.ContainsFunc(s.Founding, func(k FoundingKeeper) bool { return k.ID == s.Host.ID })
+	c.want(!listed || s.Host.DataFolder != "", "Host.DataFolder", `""`, "a folder, since Founding lists this host")
+	c.want(s.Keepers.Voters >= 0 && s.Keepers.Voters <= 7, "Keepers.Voters", s.Keepers.Voters, "0 to 7")
+	c.span("Keepers.PatienceMs", s.Keepers.PatienceMs, core.Second, maxHour)
+	c.span("Keepers.ElectionTimeoutMs", s.Keepers.ElectionTimeoutMs, 100, 60*core.Second)
+}
+
+func (c *checker) keys(k Keys) {
+	c.want(len(k.Cluster) >= minClusterKey, "Keys.Cluster", fmt.Sprintf("%d bytes", len(k.Cluster)), "at least 16 bytes")
+	names := map[string]bool{}
+	for i, o := range k.Operators {
+		path := fmt.Sprintf("Keys.Operators[%d]", i)
+		c.want(o.Name != "" && !names[o.Name], path+".Name", o.Name, "a name used once")
+		c.want(len(o.Sha256) == 64, path+".Sha256", o.Sha256, "64 hexadecimal digits")
+		names[o.Name] = true
+	}
+}
+
+func (c *checker) callers(s CallerSettings) {
+	c.want(s.MaxBodyBytes >= 1 && s.MaxBodyBytes <= 64<<20, "Callers.MaxBodyBytes", s.MaxBodyBytes, "1 to 67108864")
+	c.want(s.MaxHeaderBytes >= 1024 && s.MaxHeaderBytes <= 1<<20, "Callers.MaxHeaderBytes", s.MaxHeaderBytes, "1024 to 1048576")
+	c.span("Callers.ReadTimeoutMs", s.ReadTimeoutMs, 10, maxHour)
+	c.span("Callers.WriteTimeoutMs", s.WriteTimeoutMs, 10, maxHour)
+	c.span("Callers.ResumeGraceMs", s.ResumeGraceMs, 0, maxHour)
+	c.span("Callers.DrainMs", s.DrainMs, 0, maxHour)
+	c.span("Callers.ShutdownMs", s.ShutdownMs, core.Second, 24*maxHour)
+}
+
+func (c *checker) tls(t TLS) {
+	files := []struct {
+		path string
+		f    certs.Files
+	}{
+		{"Tls.Callers", t.Callers},
+		{"Tls.Endpoints", t.Endpoints},
+		{"Tls.Operators", t.Operators},
+		{"Tls.Peers", t.Peers},
+		{"Tls.EndpointCalls", t.EndpointCalls},
+	}
+	for _, x := range files {
+		both := (x.f.Certificate == "") == (x.f.Key == "")
+		c.want(both, x.path, "one of Certificate and Key", "both or none")
+	}
+}
+
+func (c *checker) output(s Settings) {
+	_, known := logLevels[s.Log.Level]
+	c.want(known, "Log.Level", s.Log.Level, "Debug, Info, Warn or Error")
+	c.want(s.Log.Format == formatText || s.Log.Format == formatJSON, "Log.Format", s.Log.Format, "Text or Json")
+	exports := []string{trace.ExportNone, trace.ExportStdout, trace.ExportFile, trace.ExportOtlp}
+	c.want(slices.Contains(exports, s.Trace.Export), "Trace.Export", s.Trace.Export, strings.Join(exports, ", "))
+	needsTarget := s.Trace.Export == trace.ExportFile || s.Trace.Export == trace.ExportOtlp
+	c.want(!needsTarget || s.Trace.Target != "", "Trace.Target", `""`, "a path or IP:PORT for "+s.Trace.Export)
+	c.want(s.Trace.Share >= 0 && s.Trace.Share <= 1, "Trace.Share", s.Trace.Share, "0 to 1")
+}
