--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -150,8 +150,8 @@
 			if h == nil {
 				continue
 			}
-			d, err := h.Desk()
-			if err != nil || len(d.Endpoints()) < len(s.Stands) {
+			b, err := h.Broker()
+			if err != nil || len(b.Endpoints()) < len(s.Stands) {
 				return false
 			}
 		}
--- a/cmds/views.go
+++ b/cmds/views.go
@@ -8,10 +8,10 @@
 	"github.com/urfave/cli/v3"
 
 	"cyclamenford/core"
+	"cyclamenford/core/desk"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
 	"cyclamenford/io/admin"
-	"cyclamenford/io/desk"
 	"cyclamenford/io/oper"
 )
 
--- /dev/null
+++ b/core/desk/ask.go
@@ -0,0 +1,94 @@
+package desk
+
+import (
+	"cyclamenford/core"
+	"cyclamenford/core/plan"
+	"cyclamenford/core/pool"
+	"cyclamenford/core/retry"
+	"cyclamenford/core/tree"
+)
+
+// defaultCost is the expected time at an endpoint, in milliseconds, before anything was observed.
+const defaultCost = 100.0
+
+// Ask describes an attempt that needs an endpoint.
+type Ask struct {
+	Request      core.RequestID
+	Organisation core.OrganisationID
+	Weight       float64
+	Priority     core.Priority
+	// Stages are the present stage and those that follow it.
+	Stages     []plan.Key
+	DeadlineAt core.Millis
+	Prefix     uint64
+	Avoid      []core.EndpointID
+	Alone      bool
+}
+
+// Pool returns the endpoints that can run the present stage.
+func (a Ask) Pool() core.PoolID {
+	return a.Stages[0].Pool
+}
+
+// Arrive takes in an attempt; its ticket's number is in one of these or of later actions.
+func (d *Desk) Arrive(now core.Millis, a Ask) (uint64, []pool.Action) {
+	d.nextID++
+	cost := float64(d.estimate.Median(a.Stages[0]))
+	if cost == 0 {
+		cost = defaultCost
+	}
+	t := pool.Ticket{
+		ID: d.nextID, Organisation: a.Organisation, Weight: a.Weight, Priority: a.Priority, Cost: cost,
+		StartBy: d.estimate.StartBy(a.DeadlineAt, a.Stages), Prefix: a.Prefix, Avoid: a.Avoid, Alone: a.Alone,
+	}
+	return t.ID, d.pool(a.Pool()).Arrive(now, t)
+}
+
+// Cancel withdraws a ticket that waits or runs.
+func (d *Desk) Cancel(now core.Millis, id core.PoolID, ticket uint64) []pool.Action {
+	return d.pool(id).Cancel(now, ticket)
+}
+
+// Finish ends a dispatched attempt that began at the given time.
+func (d *Desk) Finish(now core.Millis, a Ask, ticket uint64, began core.Millis, v pool.Verdict) []pool.Action {
+	took := now - began
+	if v == pool.Succeeded {
+		d.estimate.Observe(now, a.Stages[0], took)
+	}
+	d.exchange.serve(a, max(float64(took), 1))
+	return d.pool(a.Pool()).Finish(now, ticket, v)
+}
+
+// Admit asks for a place within the team's limits; when refused it returns when to come back.
+func (d *Desk) Admit(now core.Millis, team core.TeamID, limits tree.Limits, tokens float64) (core.Millis, bool) {
+	after, ok := d.limiter.Admit(now, team, limits, tokens)
+	if ok {
+		d.budget.First()
+	}
+	return after, ok
+}
+
+// Release returns a place within the team's limits.
+func (d *Desk) Release(team core.TeamID, extraTokens float64) {
+	d.limiter.Release(team, extraTokens)
+}
+
+// MayRetry spends one retry of the budget if one is left.
+func (d *Desk) MayRetry() bool {
+	return d.budget.Spend()
+}
+
+// Backoff returns the wait before an attempt.
+func (d *Desk) Backoff(attempt int) core.Millis {
+	return retry.Backoff(d.rng, attempt)
+}
+
+// Tail returns the time that 95 of 100 runs of a stage stay under, 0 while too little is known.
+func (d *Desk) Tail(stage plan.Key) core.Millis {
+	return d.estimate.Tail(stage)
+}
+
+// Reserve returns the time to reserve for the stages.
+func (d *Desk) Reserve(stages []plan.Key) core.Millis {
+	return d.estimate.Remaining(stages)
+}
--- /dev/null
+++ b/core/desk/desk.go
@@ -0,0 +1,158 @@
+package desk
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"cyclamenford/core"
+	"cyclamenford/core/member"
+	"cyclamenford/core/plan"
+	"cyclamenford/core/pool"
+	"cyclamenford/core/quota"
+	"cyclamenford/core/retry"
+	"cyclamenford/core/tree"
+)
+
+// Policy is what the settings and the operators ask of every host's decisions.
+type Policy struct {
+	Shares  [core.PriorityCount]float64
+	Drained map[core.EndpointID]bool
+}
+
+// PolicyOf returns the policy for a settings tree and the drained endpoints.
+func PolicyOf(t tree.Tree, drained map[core.EndpointID]bool) Policy {
+	p := Policy{Drained: drained}
+	for i := range p.Shares {
+		p.Shares[i] = t.Share(core.Priority(i)).Share
+	}
+	return p
+}
+
+// Desk holds the decisions of one host; it is not safe for concurrent use.
+type Desk struct {
+	domain   core.FailureDomain
+	rng      *rand.Rand
+	policy   Policy
+	members  *member.Table
+	pools    map[core.PoolID]*pool.Pool
+	order    []core.PoolID
+	estimate *plan.Estimator
+	limiter  *quota.Limiter
+	budget   *retry.Budget
+	nextID   uint64
+	exchange exchange
+	diary    diary
+}
+
+// New returns a desk for a host in the given failure domain, with its own source of random numbers.
+func New(domain core.FailureDomain, rng *rand.Rand) *Desk {
+	return &Desk{
+		domain: domain, rng: rng, members: member.New(), pools: map[core.PoolID]*pool.Pool{},
+		estimate: plan.New(), limiter: quota.New(), budget: retry.New(), exchange: newExchange(),
+	}
+}
+
+// SetPolicy adopts a policy.
+func (d *Desk) SetPolicy(now core.Millis, p Policy) {
+	former := d.policy
+	d.policy = p
+	for _, id := range d.order {
+		x := d.pools[id]
+		x.SetShares(p.Shares)
+		for endpoint := range former.Drained {
+			if !p.Drained[endpoint] {
+				x.SetDrained(now, endpoint, false)
+			}
+		}
+		for endpoint := range p.Drained {
+			x.SetDrained(now, endpoint, true)
+		}
+	}
+}
+
+// Tick lets time pass; it returns the endpoints whose leases ran out and what was decided.
+func (d *Desk) Tick(now core.Millis) ([]core.EndpointID, []pool.Action) {
+	lapsed := d.members.Expire(now)
+	for _, id := range lapsed {
+		d.leave(id)
+	}
+	var actions []pool.Action
+	for _, id := range d.order {
+		actions = append(actions, d.pools[id].Tick(now)...)
+	}
+	return lapsed, actions
+}
+
+// Announce takes in an announcement that left its endpoint age milliseconds ago.
+func (d *Desk) Announce(now core.Millis, a core.Announcement, age core.Millis) (member.Change, []pool.Action) {
+	change := d.members.Announce(now, a, age)
+	switch change {
+	case member.Ignored:
+		return change, nil
+	case member.Left:
+		d.leave(a.ID)
+		return change, nil
+	case member.Joined:
+		d.leave(a.ID)
+	}
+	var actions []pool.Action
+	for _, model := range a.Models {
+		p := d.pool(core.PoolID{Kind: a.Kind, Model: model})
+		p.SetDrained(now, a.ID, d.policy.Drained[a.ID])
+		actions = append(actions, p.Announce(now, a)...)
+	}
+	return change, actions
+}
+
+func (d *Desk) leave(id core.EndpointID) {
+	for _, poolID := range d.order {
+		d.pools[poolID].Leave(id)
+	}
+}
+
+func (d *Desk) pool(id core.PoolID) *pool.Pool {
+	p, ok := d.pools[id]
+	if !ok {
+		p = pool.New(d.domain, d.policy.Shares, d.rng)
+		d.pools[id] = p
+		i, _ := slices.BinarySearchFunc(d.order, id, comparePools)
+		d.order = slices.Insert(d.order, i, id)
+	}
+	return p
+}
+
+func comparePools(a, b core.PoolID) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Model, b.Model))
+}
+
+// Endpoint returns the last announcement of an endpoint whose lease holds.
+func (d *Desk) Endpoint(now core.Millis, id core.EndpointID) (core.Announcement, bool) {
+	if !d.members.Alive(now, id) {
+		return core.Announcement{}, false
+	}
+	return d.members.Get(id)
+}
+
+// Endpoints returns every endpoint whose lease holds.
+func (d *Desk) Endpoints(now core.Millis) []core.Announcement {
+	return d.members.Live(now)
+}
+
+// Depth is the work of one pool at this host.
+type Depth struct {
+	Pool      core.PoolID
+	Waiting   int
+	Running   int
+	Endpoints int
+}
+
+// Depths returns the work of every pool at this host.
+func (d *Desk) Depths() []Depth {
+	var list []Depth
+	for _, id := range d.order {
+		waiting, running := d.pools[id].Depth()
+		list = append(list, Depth{Pool: id, Waiting: waiting, Running: running, Endpoints: d.pools[id].Endpoints()})
+	}
+	return list
+}
--- a/io/desk/exchange.go
+++ b/core/desk/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"cyclamenford/core"
@@ -50,41 +51,42 @@
 	return exchange{own: map[servedKey]Served{}, remotes: map[core.HostID]*remoteHost{}}
 }
 
-func (x *exchange) serve(id core.PoolID, a Ask, cost float64) {
-	k := servedKey{pool: id, priority: a.Priority, organisation: a.Organisation}
+func (x *exchange) serve(a Ask, cost float64) {
+	k := servedKey{pool: a.Pool(), priority: a.Priority, organisation: a.Organisation}
 	s := x.own[k]
-	x.own[k] = Served{Pool: id, Priority: a.Priority, Organisation: a.Organisation, Weight: a.Weight, Cost: s.Cost + cost}
+	x.own[k] = Served{Pool: a.Pool(), Priority: a.Priority, Organisation: a.Organisation, Weight: a.Weight, Cost: s.Cost + cost}
 }
 
 // Share returns what this host tells the others.
-func (d *Desk) Share() Shared {
-	holder := d.control.Holder()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	s := Shared{Host: holder.Host, Incarnation: holder.Incarnation, Usage: d.limiter.Usage(now)}
-	for id, p := range d.pools {
-		if demand := p.Demand(now); demand > 0.5 {
+func (d *Desk) Share(now core.Millis, host core.HostID, incarnation core.Incarnation) Shared {
+	s := Shared{Host: host, Incarnation: incarnation, Usage: d.limiter.Usage(now)}
+	for _, id := range d.order {
+		if demand := d.pools[id].Demand(now); demand > minDemand {
 			s.Demands = append(s.Demands, pool.Demand{Pool: id, Cost: demand})
 		}
 	}
-	for _, served := range d.ledger.own {
+	for _, served := range d.exchange.own {
 		s.Served = append(s.Served, served)
 	}
-	slices.SortFunc(s.Served, func(a, b Served) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	slices.SortFunc(s.Served, compareServed)
 	return s
 }
 
+// minDemand is the demand, in milliseconds of slots, below which a host counts as idle.
+const minDemand = 0.5
+
+func compareServed(a, b Served) int {
+	return cmp.Or(
+		comparePools(a.Pool, b.Pool), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Organisation, b.Organisation))
+}
+
 // TakeShared takes in what another host tells of its work.
-func (d *Desk) TakeShared(s Shared) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
+func (d *Desk) TakeShared(now core.Millis, s Shared) {
 	d.limiter.Remote(now, s.Host, s.Usage)
-	r, ok := d.ledger.remotes[s.Host]
+	r, ok := d.exchange.remotes[s.Host]
 	if !ok || r.incarnation != s.Incarnation {
 		r = &remoteHost{incarnation: s.Incarnation, served: map[servedKey]float64{}}
-		d.ledger.remotes[s.Host] = r
+		d.exchange.remotes[s.Host] = r
 		for _, served := range s.Served {
 			r.served[keyOf(served)] = served.Cost
 		}
@@ -113,18 +115,20 @@
 	}
 }
 
+// sumDemands adds up the other hosts' demands in the order of their names.
 func (d *Desk) sumDemands(now core.Millis) {
 	sums := map[core.PoolID]float64{}
-	for host, r := range d.ledger.remotes {
+	for _, host := range slices.Sorted(maps.Keys(d.exchange.remotes)) {
+		r := d.exchange.remotes[host]
 		if now-r.heard > quota.RemoteTTL {
-			delete(d.ledger.remotes, host)
+			delete(d.exchange.remotes, host)
 			continue
 		}
 		for id, cost := range r.demands {
 			sums[id] += cost
 		}
 	}
-	for id, p := range d.pools {
-		p.SetOthers(sums[id])
+	for _, id := range d.order {
+		d.pools[id].SetOthers(sums[id])
 	}
 }
--- a/io/desk/explain.go
+++ b/core/desk/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cyclamenford/core"
+	"cyclamenford/core/pool"
 )
 
 // decisionsKept is the number of decisions that a host remembers for operators.
@@ -35,10 +36,16 @@
 	d.next = (d.next + 1) % decisionsKept
 }
 
+// Remember keeps a decision about an attempt for operators.
+func (d *Desk) Remember(unix core.Millis, a Ask, x pool.Action) {
+	d.diary.add(Decision{
+		Request: a.Request, Stage: a.Stages[0].Name, Endpoint: x.Endpoint,
+		Order: string(x.Order), Route: string(x.Route), Reason: x.Reason, WaitedMs: x.Waited, AtUnixMs: unix,
+	})
+}
+
 // Explain returns what this host remembers of its decisions about a request.
 func (d *Desk) Explain(id core.RequestID) []Decision {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var list []Decision
 	for _, x := range d.diary.ring {
 		if x.Request == id {
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -80,3 +80,8 @@
 	slices.SortFunc(list, func(a, b Holding) int { return cmp.Compare(a.Host, b.Host) })
 	return list
 }
+
+// Began returns when the leader began.
+func (t *Table) Began() core.Millis {
+	return t.began
+}
--- a/core/tree/check.go
+++ b/core/tree/check.go
@@ -38,6 +38,7 @@
 	c.priorities(t.Platform.Priorities)
 	c.pipelines(t.Platform.Pipelines)
 	c.services(t.Platform.Services)
+	c.want(t.Platform.WeightBytesPerSecond >= 0, PlatformPath+".WeightBytesPerSecond", t.Platform.WeightBytesPerSecond, notNegative)
 	keys := map[string]core.TeamID{}
 	for _, id := range t.TeamIDs() {
 		c.team(t, id, keys)
--- a/core/tree/types.go
+++ b/core/tree/types.go
@@ -23,6 +23,8 @@
 	Priorities []PriorityShare
 	Pipelines  []Pipeline
 	Services   []Plain
+	// WeightBytesPerSecond is the rate of the weight store that all loads share; 0 means no limit.
+	WeightBytesPerSecond int64
 }
 
 // PriorityShare is the part of capacity that a priority keeps under any flood of the others.
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -14,7 +14,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/tree"
 	"cyclamenford/io"
-	"cyclamenford/io/desk"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/front"
 )
 
@@ -27,14 +27,14 @@
 	keys    []tree.Key
 	tls     *tls.Config
 	control io.Control
-	desk    *desk.Desk
+	broker  *broker.Broker
 	log     *slog.Logger
 	server  *http.Server
 }
 
 // New returns an operators' interface for the given keys.
-func New(address string, keys []tree.Key, tlsConfig *tls.Config, c io.Control, d *desk.Desk, log *slog.Logger) *Admin {
-	return &Admin{address: address, keys: keys, tls: tlsConfig, control: c, desk: d, log: log}
+func New(address string, keys []tree.Key, tlsConfig *tls.Config, c io.Control, b *broker.Broker, log *slog.Logger) *Admin {
+	return &Admin{address: address, keys: keys, tls: tlsConfig, control: c, broker: b, log: log}
 }
 
 // Start listens for operators.
--- a/io/admin/views.go
+++ b/io/admin/views.go
@@ -69,7 +69,7 @@
 func (a *Admin) endpoints(string, *http.Request) (any, error) {
 	list := []Endpoint{}
 	drained := a.control.Image().Drained
-	for _, e := range a.desk.Endpoints() {
+	for _, e := range a.broker.Endpoints() {
 		e.CacheEvents = nil
 		list = append(list, Endpoint{Announcement: e, Drained: drained[e.ID]})
 	}
@@ -78,14 +78,14 @@
 
 func (a *Admin) pools(string, *http.Request) (any, error) {
 	list := []Pool{}
-	for _, d := range a.desk.Depths() {
+	for _, d := range a.broker.Depths() {
 		list = append(list, Pool{Pool: d.Pool.String(), Waiting: d.Waiting, Running: d.Running, Endpoints: d.Endpoints})
 	}
 	return list, nil
 }
 
 func (a *Admin) decisions(_ string, r *http.Request) (any, error) {
-	list := a.desk.Explain(core.RequestID(r.PathValue("request")))
+	list := a.broker.Explain(core.RequestID(r.PathValue("request")))
 	if len(list) == 0 {
 		return nil, &statusError{status: http.StatusNotFound, err: errors.New("this host remembers no decision about the request")}
 	}
--- /dev/null
+++ b/io/broker/broker.go
@@ -0,0 +1,172 @@
+package broker
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cyclamenford/core"
+	"cyclamenford/core/desk"
+	"cyclamenford/core/member"
+	"cyclamenford/core/plan"
+	"cyclamenford/core/pool"
+	"cyclamenford/io"
+	"cyclamenford/io/meter"
+)
+
+const tickEvery = 10 * time.Millisecond
+
+// Broker runs the decisions of one host.
+type Broker struct {
+	clock   core.Clock
+	control io.Control
+	meter   *meter.Meter
+	log     *slog.Logger
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	desk     *desk.Desk
+	waiting  map[uint64]chan pool.Action
+	revision uint64
+}
+
+// New returns a broker for a host in the given failure domain.
+func New(domain core.FailureDomain, control io.Control, clock core.Clock, m *meter.Meter, log *slog.Logger) *Broker {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Broker{
+		clock: clock, control: control, meter: m, log: log,
+		desk: desk.New(domain, rng), waiting: map[uint64]chan pool.Action{},
+	}
+}
+
+// Start lets time pass for the decisions and follows the settings.
+func (b *Broker) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	b.wg.Go(func() { b.run(ctx) })
+	return nil
+}
+
+// Stop ends the passing of time.
+func (b *Broker) Stop(context.Context) error {
+	b.cancel()
+	b.wg.Wait()
+	return nil
+}
+
+func (b *Broker) run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.tick()
+		}
+	}
+}
+
+func (b *Broker) tick() {
+	image := b.control.Image()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if image.Revision != b.revision {
+		b.revision = image.Revision
+		b.desk.SetPolicy(now, desk.PolicyOf(image.Tree, image.Drained))
+	}
+	lapsed, actions := b.desk.Tick(now)
+	for _, id := range lapsed {
+		b.log.Warn("endpoint's lease has run out", "endpoint", id)
+	}
+	b.deliver(actions)
+}
+
+// deliver hands each action to the request that waits for it.
+func (b *Broker) deliver(actions []pool.Action) {
+	for _, a := range actions {
+		answer, ok := b.waiting[a.Ticket]
+		if !ok {
+			continue
+		}
+		delete(b.waiting, a.Ticket)
+		answer <- a
+	}
+}
+
+// Announce takes in an announcement that left its endpoint age milliseconds ago.
+func (b *Broker) Announce(a core.Announcement, age core.Millis) member.Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change, actions := b.desk.Announce(b.clock.Now(), a, age)
+	b.deliver(actions)
+	return change
+}
+
+// Endpoint returns the last announcement of an endpoint whose lease holds.
+func (b *Broker) Endpoint(id core.EndpointID) (core.Announcement, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Endpoint(b.clock.Now(), id)
+}
+
+// Endpoints returns every endpoint whose lease holds.
+func (b *Broker) Endpoints() []core.Announcement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Endpoints(b.clock.Now())
+}
+
+// Depths returns the work of every pool at this host.
+func (b *Broker) Depths() []desk.Depth {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Depths()
+}
+
+// Explain returns what this host remembers of its decisions about a request.
+func (b *Broker) Explain(id core.RequestID) []desk.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Explain(id)
+}
+
+// Share returns what this host tells the others.
+func (b *Broker) Share() desk.Shared {
+	h := b.control.Holder()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Share(b.clock.Now(), h.Host, h.Incarnation)
+}
+
+// TakeShared takes in what another host tells of its work.
+func (b *Broker) TakeShared(s desk.Shared) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.desk.TakeShared(b.clock.Now(), s)
+}
+
+// Backoff returns the wait before an attempt.
+func (b *Broker) Backoff(attempt int) core.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Backoff(attempt)
+}
+
+// Tail returns the time that 95 of 100 runs of a stage stay under, 0 while too little is known.
+func (b *Broker) Tail(stage plan.Key) core.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Tail(stage)
+}
+
+// Reserve returns the time to reserve for the stages.
+func (b *Broker) Reserve(stages []plan.Key) core.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Reserve(stages)
+}
--- a/io/flow/failed.go
+++ b/io/flow/failed.go
@@ -6,40 +6,42 @@
 	"net/http"
 
 	"cyclamenford/core"
+	"cyclamenford/core/desk"
 	"cyclamenford/core/poison"
 	"cyclamenford/core/pool"
-	"cyclamenford/io/desk"
+	"cyclamenford/core/retry"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
 )
 
 // grant waits for an endpoint; a suspected request also waits for its trial there.
-func (r *Runner) grant(ctx context.Context, a desk.Ask, content poison.Content) (desk.Grant, *core.Problem) {
+func (r *Runner) grant(ctx context.Context, a desk.Ask, content poison.Content) (broker.Grant, *core.Problem) {
 	for {
-		g, problem := r.desk.Acquire(ctx, a)
+		g, problem := r.broker.Acquire(ctx, a)
 		if problem != nil || !a.Alone {
 			return g, problem
 		}
 		if r.beginTrial(ctx, content, g.Endpoint.ID) {
 			return g, nil
 		}
-		r.desk.Finish(g, pool.Withdrawn)
-		wait(ctx, r.desk.Backoff(maxAttempts))
+		r.broker.Finish(g, pool.Withdrawn)
+		wait(ctx, r.broker.Backoff(retry.MaxAttempts))
 		if r.standing(content) == poison.Convicted || ctx.Err() != nil {
-			return desk.Grant{}, quarantined(core.NotRun)
+			return broker.Grant{}, quarantined(core.NotRun)
 		}
 	}
 }
 
 // settle ends an attempt that went well.
-func (r *Runner) settle(g desk.Grant, content poison.Content, alone bool) {
-	r.desk.Finish(g, pool.Succeeded)
+func (r *Runner) settle(g broker.Grant, content poison.Content, alone bool) {
+	r.broker.Finish(g, pool.Succeeded)
 	if alone {
 		r.endTrial(content, g.Endpoint.ID, true)
 	}
 }
 
 // failed ends an attempt that went wrong, and says whether another may do better.
-func (r *Runner) failed(ctx context.Context, g *progress, grant desk.Grant, content poison.Content, alone bool, err error) attempt {
+func (r *Runner) failed(ctx context.Context, g *progress, grant broker.Grant, content poison.Content, alone bool, err error) attempt {
 	var e *dial.Error
 	if !errors.As(err, &e) {
 		e = &dial.Error{Outcome: core.Failed, Reason: core.ReasonEndpointFailed, Err: err}
@@ -47,7 +49,7 @@
 	if e.Outcome != core.NotRun {
 		g.markRan()
 	}
-	r.desk.Finish(grant, verdictOf(ctx, e))
+	r.broker.Finish(grant, verdictOf(ctx, e))
 	if ctx.Err() != nil {
 		if alone {
 			r.endTrial(content, grant.Endpoint.ID, false)
--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cyclamenford/core"
+	"cyclamenford/core/desk"
 	"cyclamenford/core/ledger"
 	"cyclamenford/core/plan"
 	"cyclamenford/core/poison"
@@ -16,7 +17,7 @@
 	"cyclamenford/core/state"
 	"cyclamenford/core/tree"
 	"cyclamenford/io"
-	"cyclamenford/io/desk"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
 )
 
@@ -124,7 +125,7 @@
 			return Answer{}, problem
 		}
 		if !r.control.Serving() {
-			r.desk.Finish(g, pool.Withdrawn)
+			r.broker.Finish(g, pool.Withdrawn)
 			o.release()
 			return Answer{}, core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonNoServingLease,
 				"this host has lost its serving lease").WithRetryAfter(core.Second)
@@ -133,9 +134,9 @@
 		if e == nil || e.Outcome != core.NotRun {
 			return o.finish(ctx, g, answer, e)
 		}
-		r.desk.Finish(g, verdictOf(ctx, e))
+		r.broker.Finish(g, verdictOf(ctx, e))
 		avoid = append(avoid, g.Endpoint.ID)
-		if try >= maxDispatches || !r.desk.MayRetry() {
+		if try >= maxDispatches || !r.broker.MayRetry() {
 			o.release()
 			return Answer{}, problemOf(e)
 		}
@@ -151,7 +152,7 @@
 	}
 }
 
-func (o *once) send(ctx context.Context, g desk.Grant) (dial.Result, *dial.Error) {
+func (o *once) send(ctx context.Context, g broker.Grant) (dial.Result, *dial.Error) {
 	r := o.runner
 	ctx, span := r.trace.Span(ctx, "attempt", "endpoint", string(g.Endpoint.ID))
 	defer span.End()
@@ -177,12 +178,12 @@
 }
 
 // finish records how the call ended and answers the caller.
-func (o *once) finish(ctx context.Context, g desk.Grant, result dial.Result, e *dial.Error) (Answer, *core.Problem) {
+func (o *once) finish(ctx context.Context, g broker.Grant, result dial.Result, e *dial.Error) (Answer, *core.Problem) {
 	r := o.runner
 	a := ledger.Answer{Outcome: core.Completed, Status: http.StatusOK, Endpoint: g.Endpoint.ID, Body: result.Output}
 	if e != nil {
 		a = ledger.Answer{Outcome: e.Outcome, Reason: e.Reason, Status: http.StatusBadGateway, Endpoint: g.Endpoint.ID}
-		r.desk.Finish(g, verdictOf(ctx, e))
+		r.broker.Finish(g, verdictOf(ctx, e))
 		if e.Broken {
 			r.blame(ctx, o.request, o.content, g.Endpoint)
 		}
@@ -236,7 +237,7 @@
 	if e.Answer.Outcome != core.Unknown {
 		return answerOf(e.Answer)
 	}
-	for _, endpoint := range o.runner.desk.Endpoints() {
+	for _, endpoint := range o.runner.broker.Endpoints() {
 		if !endpoint.Serves(o.service.Pool()) {
 			continue
 		}
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -10,10 +10,11 @@
 	"sync/atomic"
 
 	"cyclamenford/core"
+	"cyclamenford/core/desk"
 	"cyclamenford/core/plan"
 	"cyclamenford/core/tree"
 	"cyclamenford/io"
-	"cyclamenford/io/desk"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/trace"
@@ -32,7 +33,7 @@
 type Runner struct {
 	options  Options
 	control  io.Control
-	desk     *desk.Desk
+	broker   *broker.Broker
 	dial     *dial.Client
 	clock    core.Clock
 	meter    *meter.Meter
@@ -43,9 +44,9 @@
 }
 
 // New returns a runner.
-func New(o Options, control io.Control, d *desk.Desk, client *dial.Client, clock core.Clock, m *meter.Meter, t *trace.Service, log *slog.Logger) *Runner {
+func New(o Options, control io.Control, b *broker.Broker, client *dial.Client, clock core.Clock, m *meter.Meter, t *trace.Service, log *slog.Logger) *Runner {
 	return &Runner{
-		options: o, control: control, desk: d, dial: client, clock: clock, meter: m, trace: t, log: log,
+		options: o, control: control, broker: b, dial: client, clock: clock, meter: m, trace: t, log: log,
 		recorder: newRecorder(control, log),
 	}
 }
@@ -121,7 +122,7 @@
 // checkFeasible refuses a request whose stages would take longer than its deadline leaves.
 func (r *Runner) checkFeasible(g *progress) *core.Problem {
 	left := g.request.DeadlineAt - r.clock.Now()
-	if need := r.desk.Reserve(g.keys); need > left {
+	if need := r.broker.Reserve(g.keys); need > left {
 		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonDeadlineInfeasible,
 			"the stages take about %d ms and %d ms are left", need, left).WithRetryAfter(core.Second)
 	}
--- a/io/flow/stream.go
+++ b/io/flow/stream.go
@@ -11,7 +11,8 @@
 	"cyclamenford/core"
 	"cyclamenford/core/poison"
 	"cyclamenford/core/pool"
-	"cyclamenford/io/desk"
+	"cyclamenford/core/retry"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
 )
 
@@ -58,11 +59,11 @@
 			})
 			return Answer{Count: last.Count, Checksum: last.Checksum}, nil
 		}
-		if !a.again || try >= maxAttempts || !r.desk.MayRetry() {
+		if !a.again || try >= retry.MaxAttempts || !r.broker.MayRetry() {
 			return Answer{}, a.problem
 		}
 		avoid = append(avoid, a.grant.Endpoint.ID)
-		wait(ctx, r.desk.Backoff(try))
+		wait(ctx, r.broker.Backoff(try))
 	}
 }
 
@@ -82,7 +83,7 @@
 		return attempt{grant: g}, last
 	}
 	if errors.Is(err, errSink) {
-		r.desk.Finish(g, pool.Withdrawn)
+		r.broker.Finish(g, pool.Withdrawn)
 		if alone {
 			r.endTrial(s.content, g.Endpoint.ID, false)
 		}
@@ -95,7 +96,7 @@
 }
 
 // read forwards one attempt's events, and resumes its stream at the engine when the connection is cut.
-func (s *streamRun) read(ctx context.Context, g desk.Grant, run dial.Run) (dial.Event, error) {
+func (s *streamRun) read(ctx context.Context, g broker.Grant, run dial.Run) (dial.Event, error) {
 	r := s.runner
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/io/flow/whole.go
+++ b/io/flow/whole.go
@@ -8,28 +8,18 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/poison"
-	"cyclamenford/io/desk"
+	"cyclamenford/core/retry"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
 )
 
-const (
-	// maxAttempts bounds the attempts of one stage.
-	maxAttempts = 3
-	// hedgeFactors scale a stage's 95th percentile to the time after which a second attempt starts.
-	urgentHedgeFactor = 1.5
-	otherHedgeFactor  = 4
-	minPatience       = 50 * core.Millis(1)
-	// unknownPatience is the patience with a stage of which too little is known.
-	unknownPatience = core.Second
-)
-
 // attempt is how one attempt of a stage ended.
 type attempt struct {
 	result  dial.Result
 	problem *core.Problem
 	// again tells that another attempt may do better.
 	again bool
-	grant desk.Grant
+	grant broker.Grant
 }
 
 // wholeRun coordinates the attempts of one stage whose answer comes whole.
@@ -39,8 +29,7 @@
 	index    int
 	content  poison.Content
 	done     chan attempt
-	open     int
-	started  int
+	attempts retry.Attempts
 	avoid    []core.EndpointID
 	alone    bool
 }
@@ -50,7 +39,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := &wholeRun{
-		runner: r, progress: g, index: i, done: make(chan attempt, maxAttempts),
+		runner: r, progress: g, index: i, done: make(chan attempt, retry.MaxAttempts),
 		content: contentOf(g.request.Settings.Organisation, g.target, g.stages[i].Name, g.request.Body),
 	}
 	w.alone = r.standing(w.content) == poison.Suspected
@@ -60,7 +49,7 @@
 		return Answer{}, a.problem
 	}
 	g.times = append(g.times, StageTime{
-		Name: g.stages[i].Name, Ms: r.clock.Now() - began, Attempts: w.started,
+		Name: g.stages[i].Name, Ms: r.clock.Now() - began, Attempts: w.attempts.Started(),
 		Endpoint: a.grant.Endpoint.ID, Why: string(a.grant.Action.Order) + "/" + string(a.grant.Action.Route),
 	})
 	return Answer{Output: a.result.Output}, nil
@@ -68,28 +57,24 @@
 
 func (w *wholeRun) run(ctx context.Context) attempt {
 	w.launch(ctx, 0)
-	hedge := time.NewTimer(w.patience().Duration())
+	tail := w.runner.broker.Tail(w.progress.keys[w.index])
+	hedge := time.NewTimer(retry.Patience(w.progress.request.Priority, tail).Duration())
 	defer hedge.Stop()
 	for {
 		select {
 		case a := <-w.done:
-			w.open--
 			if a.problem == nil {
 				return a
 			}
-			if a.grant.Endpoint.ID != "" {
-				w.avoid = append(w.avoid, a.grant.Endpoint.ID)
-			}
-			w.alone = w.alone || w.runner.standing(w.content) == poison.Suspected
-			if a.again && w.mayRepeat() {
-				w.launch(ctx, w.runner.desk.Backoff(w.started))
-				continue
-			}
-			if w.open == 0 {
+			w.learn(a)
+			switch w.attempts.Failed(a.again, w.runner.broker.MayRetry) {
+			case retry.GiveUp:
 				return a
+			case retry.Launch:
+				w.launch(ctx, w.runner.broker.Backoff(w.attempts.Started()))
 			}
 		case <-hedge.C:
-			if !w.alone && w.open == 1 && w.mayRepeat() {
+			if !w.alone && w.attempts.Hedge(w.runner.broker.MayRetry) {
 				w.launch(ctx, 0)
 			}
 		case <-ctx.Done():
@@ -98,6 +83,14 @@
 	}
 }
 
+// learn notes what a failed attempt says about the next one.
+func (w *wholeRun) learn(a attempt) {
+	if a.grant.Endpoint.ID != "" {
+		w.avoid = append(w.avoid, a.grant.Endpoint.ID)
+	}
+	w.alone = w.alone || w.runner.standing(w.content) == poison.Suspected
+}
+
 func (w *wholeRun) ended(ctx context.Context) *core.Problem {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return core.NewProblem(http.StatusGatewayTimeout, core.Failed, core.ReasonDeadlineExceeded,
@@ -106,26 +99,8 @@
 	return core.NewProblem(http.StatusGatewayTimeout, core.Failed, core.ReasonCallerGone, "the caller has gone")
 }
 
-func (w *wholeRun) mayRepeat() bool {
-	return w.started < maxAttempts && w.runner.desk.MayRetry()
-}
-
-// patience is how long the first attempt may take before a second one starts beside it.
-func (w *wholeRun) patience() core.Millis {
-	tail := w.runner.desk.Tail(w.progress.keys[w.index])
-	if tail == 0 {
-		return unknownPatience
-	}
-	factor := core.Millis(otherHedgeFactor)
-	if w.progress.request.Priority == core.Urgent {
-		return max(minPatience, core.Millis(float64(tail)*urgentHedgeFactor))
-	}
-	return max(minPatience, tail*factor)
-}
-
 func (w *wholeRun) launch(ctx context.Context, after core.Millis) {
-	w.open++
-	w.started++
+	w.attempts.Start()
 	avoid, alone := w.avoid, w.alone
 	go func() {
 		wait(ctx, after)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -15,7 +15,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/io"
-	"cyclamenford/io/desk"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/flow"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/trace"
@@ -39,7 +39,7 @@
 type Front struct {
 	options Options
 	control io.Control
-	desk    *desk.Desk
+	broker  *broker.Broker
 	runner  *flow.Runner
 	clock   core.Clock
 	meter   *meter.Meter
@@ -51,8 +51,8 @@
 }
 
 // New returns a front that is not listening yet.
-func New(o Options, control io.Control, d *desk.Desk, r *flow.Runner, clock core.Clock, m *meter.Meter, t *trace.Service, log *slog.Logger) *Front {
-	return &Front{options: o, control: control, desk: d, runner: r, clock: clock, meter: m, trace: t, log: log}
+func New(o Options, control io.Control, b *broker.Broker, r *flow.Runner, clock core.Clock, m *meter.Meter, t *trace.Service, log *slog.Logger) *Front {
+	return &Front{options: o, control: control, broker: b, runner: r, clock: clock, meter: m, trace: t, log: log}
 }
 
 // Start listens for callers.
@@ -136,7 +136,7 @@
 
 func (f *Front) metrics(c iris.Context) {
 	c.ContentType("text/plain; version=0.0.4")
-	for _, d := range f.desk.Depths() {
+	for _, d := range f.broker.Depths() {
 		f.meter.Set("waiting", int64(d.Waiting), "pool", d.Pool.String())
 		f.meter.Set("running", int64(d.Running), "pool", d.Pool.String())
 	}
--- a/io/front/handlers.go
+++ b/io/front/handlers.go
@@ -26,11 +26,11 @@
 		f.problem(c, p)
 		return
 	}
-	if p := f.desk.Admit(q.Team, q.Settings.Limits, tokensOf(pipeline)); p != nil {
+	if p := f.broker.Admit(q.Team, q.Settings.Limits, tokensOf(pipeline)); p != nil {
 		f.problem(c, p)
 		return
 	}
-	defer f.desk.Release(q.Team, 0)
+	defer f.broker.Release(q.Team, 0)
 	sink := f.sinkFor(c, &q)
 	answer, p := f.runner.Pipeline(ctx, q, pipeline)
 	f.answer(c, q, sink, answer, p)
@@ -49,11 +49,11 @@
 		f.problem(c, p)
 		return
 	}
-	if p := f.desk.Admit(q.Team, q.Settings.Limits, 0); p != nil {
+	if p := f.broker.Admit(q.Team, q.Settings.Limits, 0); p != nil {
 		f.problem(c, p)
 		return
 	}
-	defer f.desk.Release(q.Team, 0)
+	defer f.broker.Release(q.Team, 0)
 	answer, p := f.runner.Call(ctx, q, s, call, c.GetHeader("Idempotency-Key"))
 	f.answer(c, q, nil, answer, p)
 }
--- /dev/null
+++ b/io/issue/doc.go
@@ -0,0 +1,2 @@
+// Package issue sends durable orders to endpoints from the one keeper that may.
+package issue
--- a/io/keeper/sweep.go
+++ b/io/keeper/sweep.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"cyclamenford/core/fence"
 	"cyclamenford/core/ledger"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/repair"
@@ -94,3 +95,27 @@
 		k.node.Flush()
 	}
 }
+
+// Issuing is what the leader needs to send orders.
+type Issuing struct {
+	Issuer fence.Issuer
+	Open   []state.Order
+}
+
+// Issuing returns the open orders if this keeper leads and holds its lease.
+func (k *Keeper) Issuing() (Issuing, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leases == nil || !k.view.ready || k.view.leaseUntil <= k.clock.Now() {
+		return Issuing{}, false
+	}
+	s := Issuing{Issuer: fence.Issuer{
+		Began: k.leases.Began(), Until: k.view.leaseUntil, FormerLease: k.options.Quorum.ElectionTimeout,
+	}}
+	for _, o := range k.machine.Orders() {
+		if o.Phase == state.OrderOpen {
+			s.Open = append(s.Open, o)
+		}
+	}
+	return s, true
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -131,7 +131,13 @@
 	if c.tls == nil {
 		return counted, nil
 	}
-	return tls.Client(counted, c.tls), nil
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Join(err, raw.Close())
+	}
+	config := c.tls.Clone()
+	config.ServerName = host
+	return tls.Client(counted, config), nil
 }
 
 func (conn *connection) drop(client *rpc.Client) {
--- a/io/share/share.go
+++ b/io/share/share.go
@@ -9,9 +9,10 @@
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/desk"
 	"cyclamenford/core/member"
 	"cyclamenford/io"
-	"cyclamenford/io/desk"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/peer"
 )
 
@@ -44,7 +45,7 @@
 type Sharer struct {
 	self    core.HostID
 	control io.Control
-	desk    *desk.Desk
+	broker  *broker.Broker
 	client  *peer.Client
 	clock   core.Clock
 	log     *slog.Logger
@@ -56,9 +57,9 @@
 }
 
 // New returns a sharer for a host.
-func New(self core.HostID, control io.Control, d *desk.Desk, client *peer.Client, clock core.Clock, log *slog.Logger) *Sharer {
+func New(self core.HostID, control io.Control, b *broker.Broker, client *peer.Client, clock core.Clock, log *slog.Logger) *Sharer {
 	return &Sharer{
-		self: self, control: control, desk: d, client: client, clock: clock, log: log,
+		self: self, control: control, broker: b, client: client, clock: clock, log: log,
 		fresh: map[core.EndpointID]heard{},
 	}
 }
@@ -72,9 +73,9 @@
 
 // Take takes in another host's news.
 func (c *calls) Take(m Message, _ *struct{}) error {
-	c.s.desk.TakeShared(m.Work)
+	c.s.broker.TakeShared(m.Work)
 	for _, a := range m.Announcements {
-		c.s.desk.Announce(a.Announcement, a.AgeMs)
+		c.s.broker.Announce(a.Announcement, a.AgeMs)
 	}
 	return nil
 }
@@ -96,7 +97,7 @@
 
 // Announce takes in an announcement that has come straight from its endpoint; a change is spread at once.
 func (s *Sharer) Announce(a core.Announcement) member.Change {
-	change := s.desk.Announce(a, 0)
+	change := s.broker.Announce(a, 0)
 	if change == member.Ignored {
 		return change
 	}
@@ -120,7 +121,7 @@
 }
 
 func (s *Sharer) send(ctx context.Context) {
-	m := Message{Work: s.desk.Share(), Announcements: s.take()}
+	m := Message{Work: s.broker.Share(), Announcements: s.take()}
 	for _, address := range s.peers() {
 		s.wg.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
--- a/setup/app.go
+++ b/setup/app.go
@@ -11,8 +11,8 @@
 	"cyclamenford/core/kernel"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
+	"cyclamenford/io/broker"
 	"cyclamenford/io/certs"
-	"cyclamenford/io/desk"
 	"cyclamenford/io/disk"
 	"cyclamenford/io/follow"
 	"cyclamenford/io/keeper"
@@ -27,7 +27,7 @@
 	serverService = "PeerServer"
 	keeperService = "Keeper"
 	followService = "Follow"
-	deskService   = "Desk"
+	brokerService = "Broker"
 	dialService   = "Dial"
 	shareService  = "Share"
 	runnerService = "Runner"
@@ -52,7 +52,7 @@
 		settings: s, log: log.With("host", s.Host.ID), clock: wall.New(), meter: meter.New(), kernel: kernel.New(),
 	}
 	steps := []func() error{
-		a.addTrace, a.addPeers, a.addKeeper, a.addFollow, a.addDesk, a.addDial,
+		a.addTrace, a.addPeers, a.addKeeper, a.addFollow, a.addBroker, a.addDial,
 		a.addShare, a.addRunner, a.addIssuer, a.addServer, a.addGreet, a.addAdmin, a.addFront,
 	}
 	for _, step := range steps {
@@ -102,9 +102,9 @@
 	return a.meter
 }
 
-// Desk returns the host's decisions.
-func (a *App) Desk() (*desk.Desk, error) {
-	return kernel.Find[*desk.Desk](a.kernel, deskService)
+// Broker returns the host's decisions.
+func (a *App) Broker() (*broker.Broker, error) {
+	return kernel.Find[*broker.Broker](a.kernel, brokerService)
 }
 
 // serverTLS returns the settings of a listener, nil for plain text.
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -68,6 +68,8 @@
 	Operators []tree.Key
 	// Endpoints lists the hashes of the endpoints' keys; empty lets every endpoint announce itself.
 	Endpoints []string
+	// Issuer is the secret that proves the system to endpoints that check who orders.
+	Issuer string
 }
 
 // TLS names the certificates; a listener without one speaks plain text.
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -1,20 +1,60 @@
 package setup
 
 import (
+	"crypto/tls"
+
+	"cyclamenford/core"
 	"cyclamenford/core/kernel"
 	"cyclamenford/io/admin"
-	"cyclamenford/io/desk"
+	"cyclamenford/io/broker"
+	"cyclamenford/io/certs"
 	"cyclamenford/io/dial"
 	"cyclamenford/io/flow"
 	"cyclamenford/io/follow"
 	"cyclamenford/io/front"
 	"cyclamenford/io/greet"
+	"cyclamenford/io/issue"
 	"cyclamenford/io/keeper"
 	"cyclamenford/io/peer"
 	"cyclamenford/io/share"
 	"cyclamenford/io/trace"
 )
 
+// wiring collects what one service needs, and the first error.
+type wiring struct {
+	app *App
+	err error
+}
+
+// find returns a service by its name, or the zero value after an error.
+func find[T any](w *wiring, name string) T {
+	var zero T
+	if w.err != nil {
+		return zero
+	}
+	s, err := kernel.Find[T](w.app.kernel, name)
+	w.err = err
+	return s
+}
+
+// listener returns the TLS settings of a listener, nil for plain text.
+func (w *wiring) listener(f certs.Files) *tls.Config {
+	if w.err != nil {
+		return nil
+	}
+	c, err := serverTLS(f)
+	w.err = err
+	return c
+}
+
+// register adds a service unless something it needs was missing.
+func (w *wiring) register(name string, s core.Service, needs ...string) error {
+	if w.err != nil {
+		return w.err
+	}
+	return w.app.kernel.Register(name, s, needs...)
+}
+
 func (a *App) addTrace() error {
 	t := a.settings.Trace
 	return a.kernel.Register(traceService, trace.New(trace.Options{
@@ -23,19 +63,17 @@
 }
 
 func (a *App) addPeers() error {
-	server, err := serverTLS(a.settings.Tls.Peers)
-	if err != nil {
-		return err
-	}
+	w := wiring{app: a}
+	server := w.listener(a.settings.Tls.Peers)
 	client, err := clientTLS(a.settings.Tls.Peers)
 	if err != nil {
 		return err
 	}
 	key := []byte(a.settings.Keys.Cluster)
-	if err := a.kernel.Register(clientService, peer.NewClient(key, client)); err != nil {
+	if err := w.register(clientService, peer.NewClient(key, client)); err != nil {
 		return err
 	}
-	return a.kernel.Register(serverService, peer.NewServer(a.settings.Listeners.Peers, key, server, a.log), clientService)
+	return w.register(serverService, peer.NewServer(a.settings.Listeners.Peers, key, server, a.log), clientService)
 }
 
 func (a *App) addKeeper() error {
@@ -43,36 +81,30 @@
 	if err != nil || store == nil {
 		return err
 	}
-	client, err := kernel.Find[*peer.Client](a.kernel, clientService)
-	if err != nil {
-		return err
-	}
+	w := wiring{app: a}
+	client := find[*peer.Client](&w, clientService)
 	k, err := keeper.New(a.keeperOptions(), store, held, client, a.clock, a.log)
 	if err != nil {
 		return err
 	}
-	return a.kernel.Register(keeperService, k, clientService)
+	return w.register(keeperService, k, clientService)
 }
 
 func (a *App) addFollow() error {
-	client, err := kernel.Find[*peer.Client](a.kernel, clientService)
-	if err != nil {
-		return err
-	}
+	w := wiring{app: a}
+	client := find[*peer.Client](&w, clientService)
 	self, err := a.self()
 	if err != nil {
 		return err
 	}
 	f := follow.New(self, a.settings.Join, client, a.clock, a.log)
-	return a.kernel.Register(followService, f, clientService, serverService)
+	return w.register(followService, f, clientService, serverService)
 }
 
-func (a *App) addDesk() error {
-	f, err := kernel.Find[*follow.Follower](a.kernel, followService)
-	if err != nil {
-		return err
-	}
-	return a.kernel.Register(deskService, desk.New(a.settings.Host.FailureDomain, f, a.clock, a.meter, a.log), followService)
+func (a *App) addBroker() error {
+	w := wiring{app: a}
+	f := find[*follow.Follower](&w, followService)
+	return w.register(brokerService, broker.New(a.settings.Host.FailureDomain, f, a.clock, a.meter, a.log), followService)
 }
 
 func (a *App) addDial() error {
@@ -80,68 +112,54 @@
 	if err != nil {
 		return err
 	}
-	t, err := kernel.Find[*trace.Service](a.kernel, traceService)
-	if err != nil {
-		return err
-	}
-	return a.kernel.Register(dialService, dial.New(config, t), traceService)
+	w := wiring{app: a}
+	t := find[*trace.Service](&w, traceService)
+	return w.register(dialService, dial.New(config, t), traceService)
 }
 
 func (a *App) addShare() error {
-	f, err := kernel.Find[*follow.Follower](a.kernel, followService)
-	if err != nil {
-		return err
-	}
-	d, err := a.Desk()
-	if err != nil {
-		return err
-	}
-	client, err := kernel.Find[*peer.Client](a.kernel, clientService)
-	if err != nil {
-		return err
-	}
-	s := share.New(a.settings.Host.ID, f, d, client, a.clock, a.log)
-	return a.kernel.Register(shareService, s, deskService)
+	w := wiring{app: a}
+	f := find[*follow.Follower](&w, followService)
+	b := find[*broker.Broker](&w, brokerService)
+	client := find[*peer.Client](&w, clientService)
+	return w.register(shareService, share.New(a.settings.Host.ID, f, b, client, a.clock, a.log), brokerService)
 }
 
 func (a *App) addRunner() error {
-	f, err := kernel.Find[*follow.Follower](a.kernel, followService)
-	if err != nil {
-		return err
-	}
-	d, err := a.Desk()
-	if err != nil {
-		return err
-	}
-	client, err := kernel.Find[*dial.Client](a.kernel, dialService)
-	if err != nil {
-		return err
-	}
-	t, err := kernel.Find[*trace.Service](a.kernel, traceService)
-	if err != nil {
-		return err
-	}
+	w := wiring{app: a}
+	f := find[*follow.Follower](&w, followService)
+	b := find[*broker.Broker](&w, brokerService)
+	client := find[*dial.Client](&w, dialService)
+	t := find[*trace.Service](&w, traceService)
 	o := flow.Options{
 		Host: a.settings.Host.ID, TokenKey: []byte(a.settings.Keys.Cluster),
 		ResumeGrace: a.settings.Callers.ResumeGraceMs,
 	}
-	r := flow.New(o, f, d, client, a.clock, a.meter, t, a.log)
-	return a.kernel.Register(runnerService, r, deskService, dialService, shareService)
+	r := flow.New(o, f, b, client, a.clock, a.meter, t, a.log)
+	return w.register(runnerService, r, brokerService, dialService, shareService)
 }
 
+// addIssuer lets a keeper send orders to endpoints while it leads.
 func (a *App) addIssuer() error {
-	return nil
+	if a.settings.Host.DataFolder == "" {
+		return nil
+	}
+	w := wiring{app: a}
+	k := find[*keeper.Keeper](&w, keeperService)
+	f := find[*follow.Follower](&w, followService)
+	b := find[*broker.Broker](&w, brokerService)
+	client := find[*dial.Client](&w, dialService)
+	i := issue.New(k, f, b, client, a.clock, a.settings.Keys.Issuer, a.log)
+	return w.register(issuerService, i, keeperService, followService, brokerService, dialService)
 }
 
 // addServer registers the calls that this host answers, before the server starts.
 func (a *App) addServer() error {
-	server, err := kernel.Find[*peer.Server](a.kernel, serverService)
-	if err != nil {
-		return err
-	}
-	s, err := kernel.Find[*share.Sharer](a.kernel, shareService)
-	if err != nil {
-		return err
+	w := wiring{app: a}
+	server := find[*peer.Server](&w, serverService)
+	s := find[*share.Sharer](&w, shareService)
+	if w.err != nil {
+		return w.err
 	}
 	if err := s.Register(server); err != nil {
 		return err
@@ -149,70 +167,43 @@
 	if a.settings.Host.DataFolder == "" {
 		return nil
 	}
-	k, err := kernel.Find[*keeper.Keeper](a.kernel, keeperService)
-	if err != nil {
-		return err
+	k := find[*keeper.Keeper](&w, keeperService)
+	if w.err != nil {
+		return w.err
 	}
 	return k.Register(server)
 }
 
 func (a *App) addGreet() error {
-	config, err := serverTLS(a.settings.Tls.Endpoints)
-	if err != nil {
-		return err
-	}
-	s, err := kernel.Find[*share.Sharer](a.kernel, shareService)
-	if err != nil {
-		return err
-	}
+	w := wiring{app: a}
+	config := w.listener(a.settings.Tls.Endpoints)
+	s := find[*share.Sharer](&w, shareService)
 	g := greet.New(a.settings.Listeners.Endpoints, a.settings.Keys.Endpoints, config, s, a.meter, a.log)
-	return a.kernel.Register(greetService, g, shareService)
+	return w.register(greetService, g, shareService)
 }
 
 func (a *App) addAdmin() error {
-	config, err := serverTLS(a.settings.Tls.Operators)
-	if err != nil {
-		return err
-	}
-	f, err := kernel.Find[*follow.Follower](a.kernel, followService)
-	if err != nil {
-		return err
-	}
-	d, err := a.Desk()
-	if err != nil {
-		return err
-	}
-	x := admin.New(a.settings.Listeners.Operators, a.settings.Keys.Operators, config, f, d, a.log)
-	return a.kernel.Register(adminService, x, followService, deskService)
+	w := wiring{app: a}
+	config := w.listener(a.settings.Tls.Operators)
+	f := find[*follow.Follower](&w, followService)
+	b := find[*broker.Broker](&w, brokerService)
+	x := admin.New(a.settings.Listeners.Operators, a.settings.Keys.Operators, config, f, b, a.log)
+	return w.register(adminService, x, followService, brokerService)
 }
 
 func (a *App) addFront() error {
-	config, err := serverTLS(a.settings.Tls.Callers)
-	if err != nil {
-		return err
-	}
-	f, err := kernel.Find[*follow.Follower](a.kernel, followService)
-	if err != nil {
-		return err
-	}
-	d, err := a.Desk()
-	if err != nil {
-		return err
-	}
-	r, err := kernel.Find[*flow.Runner](a.kernel, runnerService)
-	if err != nil {
-		return err
-	}
-	t, err := kernel.Find[*trace.Service](a.kernel, traceService)
-	if err != nil {
-		return err
-	}
+	w := wiring{app: a}
+	config := w.listener(a.settings.Tls.Callers)
+	f := find[*follow.Follower](&w, followService)
+	b := find[*broker.Broker](&w, brokerService)
+	r := find[*flow.Runner](&w, runnerService)
+	t := find[*trace.Service](&w, traceService)
 	c := a.settings.Callers
 	o := front.Options{
 		Address: a.settings.Listeners.Callers, Host: a.settings.Host.ID,
 		MaxBodyBytes: c.MaxBodyBytes, MaxHeaderBytes: c.MaxHeaderBytes,
 		ReadTimeout: c.ReadTimeoutMs, WriteTimeout: c.WriteTimeoutMs, DrainTime: c.DrainMs, Tls: config,
 	}
-	x := front.New(o, f, d, r, a.clock, a.meter, t, a.log)
-	return a.kernel.Register(frontService, x, runnerService, greetService, adminService)
+	x := front.New(o, f, b, r, a.clock, a.meter, t, a.log)
+	return w.register(frontService, x, runnerService, greetService, adminService)
 }
