Place work by a host's own part of each endpoint instead of by late reports

Cause: a host refused an endpoint when its own work and the others' last reported work filled it. Reports are up to a second old and the service takes 0.4 s, so each host was pinned to what it had there at the report while the others' work drained: endpoints stood idle beside full queues. Ruled out: queue order (the same with one priority).

Change: a host may use its part of each endpoint's slots, by its demand relative to the other hosts'; reports only weigh in the choice. Maps are walked in a fixed order.

--- a/bench/trial/world.go
+++ b/bench/trial/world.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"cyclamenford/bench/site"
 	"cyclamenford/core"
@@ -225,7 +227,8 @@
 // loseHost ends a host; its callers get no answer and the balancer sends none there any more.
 func (w *world) loseHost(h *host) {
 	h.dead = true
-	for _, t := range h.asked {
+	for _, number := range slices.Sorted(maps.Keys(h.asked)) {
+		t := h.asked[number]
 		if t.visit != nil {
 			t.visit.done = func(bool) {}
 			t.at.finish(t.visit, false)
--- a/core/desk/desk.go
+++ b/core/desk/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -60,12 +61,10 @@
 	for _, id := range d.order {
 		x := d.pools[id]
 		x.SetShares(p.Shares)
-		for endpoint := range former.Drained {
-			if !p.Drained[endpoint] {
-				x.SetDrained(now, endpoint, false)
-			}
+		for _, endpoint := range slices.Sorted(maps.Keys(former.Drained)) {
+			x.SetDrained(now, endpoint, p.Drained[endpoint])
 		}
-		for endpoint := range p.Drained {
+		for _, endpoint := range slices.Sorted(maps.Keys(p.Drained)) {
 			x.SetDrained(now, endpoint, true)
 		}
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -20,6 +20,8 @@
 	demandMemory  = 2 * core.Second
 	minRetryAfter = 200 * core.Millis(1)
 	maxRetryAfter = 30 * core.Second
+	// minDemand keeps a host without work from losing its part altogether.
+	minDemand = 1.0
 	// noEndpointRetry is when a caller should return to a pool without endpoints.
 	noEndpointRetry = core.Second
 )
@@ -151,8 +153,9 @@
 
 // Tick refuses the tickets that can no longer be in time and dispatches what has become possible.
 func (p *Pool) Tick(now core.Millis) []Action {
-	p.router.Tick(now)
 	p.smoothDemand(now)
+	p.router.SetPart(p.part())
+	p.router.Tick(now)
 	return p.dispatch(now, nil)
 }
 
@@ -200,12 +203,16 @@
 
 // allowance returns this host's part of the pool's slots, by its demand relative to the other hosts'.
 func (p *Pool) allowance() int {
-	own := p.ownDemand()
-	share := 1.0
-	if p.others > 0 {
-		share = own / (own + p.others)
+	return max(1, int(math.Ceil(p.part()*float64(p.router.Slots()))))
+}
+
+// part returns this host's part of the pool's slots.
+func (p *Pool) part() float64 {
+	if p.others <= 0 {
+		return 1
 	}
-	return max(1, int(math.Ceil(share*float64(p.router.Slots()))))
+	own := max(p.ownDemand(), minDemand)
+	return own / (own + p.others)
 }
 
 // ownDemand is at least the work at hand, so that a burst claims its part at once.
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"math"
+
 	"cyclamenford/core"
 )
 
@@ -54,21 +56,25 @@
 	return max(1, int(l))
 }
 
-// free reports whether the endpoint can take another request from this host.
-func (e *endpoint) free(now core.Millis) bool {
+// free reports whether the endpoint can take another request from this host, whose part of its slots is given.
+func (e *endpoint) free(now core.Millis, part float64) bool {
 	if e.probing || e.alone > 0 {
 		return false
 	}
-	return e.own+e.others < e.limit(now)
+	return e.own < int(math.Ceil(part*float64(e.limit(now))))
 }
 
-// load returns the expected occupation after one more request, relative to the limit.
-func (e *endpoint) load(now core.Millis) float64 {
-	l := e.limit(now)
+// load returns the expected occupation after one more request.
+//
+// Half of it is this host's own work against its part, which is exact, and half all hosts' work, which is known late.
+func (e *endpoint) load(now core.Millis, part float64) float64 {
+	l := float64(e.limit(now))
 	if l == 0 {
 		return 1
 	}
-	return float64(e.own+e.others+1) / float64(l)
+	own := float64(e.own+1) / (l * part)
+	all := float64(e.own+e.others+1) / l
+	return (own + all) / 2
 }
 
 // report corrects the estimate of other hosts' work by a load report.
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -51,12 +51,14 @@
 	// pace is the running median of milliseconds taken per millisecond expected.
 	pace  float64
 	slots int
+	// part is the part of each endpoint's slots that this host may use.
+	part float64
 }
 
 // New returns a router for a host in the given failure domain, with its own source of random numbers.
 func New(domain core.FailureDomain, rng *rand.Rand) *Router {
 	return &Router{
-		domain: domain, rng: rng, pace: 1,
+		domain: domain, rng: rng, pace: 1, part: 1,
 		endpoints: map[core.EndpointID]*endpoint{}, holders: map[uint64][]*endpoint{},
 	}
 }
@@ -116,6 +118,11 @@
 	r.setFree(e, false)
 }
 
+// SetPart tells the router which part of each endpoint's slots this host may use.
+func (r *Router) SetPart(part float64) {
+	r.part = part
+}
+
 // Tick lets breakers and slow starts progress.
 func (r *Router) Tick(now core.Millis) {
 	for _, e := range r.all {
@@ -239,14 +246,14 @@
 }
 
 func (r *Router) suits(now core.Millis, e *endpoint, q Request) bool {
-	if !e.free(now) || slices.Contains(q.Avoid, e.announced.ID) {
+	if !e.free(now, r.part) || slices.Contains(q.Avoid, e.announced.ID) {
 		return false
 	}
 	return !q.Alone || e.own == 0
 }
 
 func (r *Router) score(now core.Millis, e *endpoint, q Request) float64 {
-	s := e.load(now) + slownessPenalty*(max(e.slowness, 1)-1)
+	s := e.load(now, r.part) + slownessPenalty*(max(e.slowness, 1)-1)
 	if e.announced.FailureDomain != r.domain {
 		s += distancePenalty
 	}
@@ -258,7 +265,7 @@
 
 func (r *Router) refresh(now core.Millis, e *endpoint) {
 	if _, known := r.endpoints[e.announced.ID]; known {
-		r.setFree(e, e.free(now))
+		r.setFree(e, e.free(now, r.part))
 	}
 }
 
