Let a guaranteed share use the headroom kept for urgent work

Cause: bulk work may fill 94% of a host's slots only. While urgent work waits, every slot that comes free leaves exactly the kept headroom, so bulk never ran, whatever its share.

Change: the headroom binds only work that its guaranteed share does not entitle.

--- a/core/fair/queue.go
+++ b/core/fair/queue.go
@@ -153,9 +153,11 @@
 	return late
 }
 
-// Pop takes out the item to run next among the priorities that allowed accepts.
-func (q *Queue) Pop(now core.Millis, allowed func(core.Priority) bool) (Item, Why, bool) {
-	p, why, ok := q.choose(now, allowed)
+// Pop takes out the item to run next.
+//
+// The priorities that spare returns false for wait, unless their guaranteed share entitles them.
+func (q *Queue) Pop(now core.Millis, spare func(core.Priority) bool) (Item, Why, bool) {
+	p, why, ok := q.choose(now, spare)
 	if !ok {
 		return Item{}, "", false
 	}
@@ -177,27 +179,27 @@
 	q.classes[p].charge(org, weight, cost)
 }
 
-func (q *Queue) choose(now core.Millis, allowed func(core.Priority) bool) (core.Priority, Why, bool) {
+func (q *Queue) choose(now core.Millis, spare func(core.Priority) bool) (core.Priority, Why, bool) {
 	q.decay(now)
 	total := 0.0
 	for _, s := range q.served {
 		total += s
 	}
 	best, found := core.Priority(0), false
-	lowest := 1.0
 	deprived, entitled := core.Priority(0), false
+	lowest := 1.0
 	for p := core.Priority(0); p < core.PriorityCount; p++ {
-		if q.classes[p].count == 0 || !allowed(p) {
+		if q.classes[p].count == 0 {
 			continue
 		}
-		if !found {
+		if !found && spare(p) {
 			best, found = p, true
 		}
 		if ratio := q.ratio(now, p, total); ratio < lowest {
 			deprived, entitled, lowest = p, true, ratio
 		}
 	}
-	if entitled && deprived != best {
+	if entitled && (!found || deprived != best) {
 		return deprived, GuaranteedShare, true
 	}
 	return best, MostUrgent, found
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -164,8 +164,8 @@
 		actions = append(actions, p.drop(late.ID, core.ReasonDeadlineInfeasible))
 	}
 	var skipped []uint64
-	for len(skipped) < maxSkips && p.router.Available() {
-		item, order, ok := p.queue.Pop(now, p.mayRun)
+	for len(skipped) < maxSkips && len(p.running) < p.allowance() && p.router.Available() {
+		item, order, ok := p.queue.Pop(now, p.spare)
 		if !ok {
 			break
 		}
@@ -194,8 +194,8 @@
 	return Action{Ticket: id, Endpoint: endpoint, Order: order, Route: why, Waited: now - w.arrived}, true
 }
 
-// mayRun reports whether this host has a slot for work of the priority.
-func (p *Pool) mayRun(priority core.Priority) bool {
+// spare reports whether this host has more slots left than it keeps for more urgent work.
+func (p *Pool) spare(priority core.Priority) bool {
 	slots := p.allowance()
 	reserved := int(headroom[priority] * float64(slots))
 	return len(p.running) < slots-reserved
