Start second attempts from the dispatch on, and start nothing that its tail makes late

Work was started if its median would be in time, so every second one of the last was late.

Change: patience counts from the dispatch; a second attempt takes an endpoint at once or not at all; the last useful start reserves the stages' medians and their longest tail.

--- a/bench/trial/host.go
+++ b/bench/trial/host.go
@@ -82,6 +82,9 @@
 		w.after(w.distance(h.domain, t.at.announce.FailureDomain), func() { h.returned(t, ok) })
 	}
 	w.result.Dispatches++
+	if t.stage.attempts.Started() == 1 {
+		h.watch(t.stage)
+	}
 	w.after(w.distance(h.domain, t.at.announce.FailureDomain), func() {
 		if !t.visit.ended && !t.at.accept(t.ask.Priority, t.visit) {
 			t.visit.ended = true
@@ -119,7 +122,7 @@
 	case retry.GiveUp:
 		h.world.end(s.request, reason, after)
 	case retry.Launch:
-		h.world.after(h.desk.Backoff(s.attempts.Started()), func() { h.launch(s) })
+		h.world.after(h.desk.Backoff(s.attempts.Started()), func() { h.launch(s, false) })
 	}
 }
 
@@ -160,27 +163,31 @@
 	}
 }
 
-// begin starts a stage, with a second attempt beside it when it is slow.
+// begin starts a stage.
 func (h *host) begin(r *request, index int) {
 	s := &stageRun{request: r, index: index}
 	r.present = s
-	h.launch(s)
-	patience := retry.Patience(r.priority, h.desk.Tail(r.keys[index]))
+	h.launch(s, false)
+}
+
+// watch starts a second attempt beside a dispatched first one that is slow.
+func (h *host) watch(s *stageRun) {
+	patience := retry.Patience(s.request.priority, h.desk.Tail(s.request.keys[s.index]))
 	h.world.after(patience, func() {
 		if !s.ended && !h.dead && s.attempts.Hedge(h.spend) {
-			h.launch(s)
+			h.launch(s, true)
 		}
 	})
 }
 
-func (h *host) launch(s *stageRun) {
+func (h *host) launch(s *stageRun, hedge bool) {
 	if s.ended || h.dead {
 		return
 	}
 	r := s.request
 	s.attempts.Start()
 	a := desk.Ask{
-		Organisation: r.org, Priority: r.priority, Stages: r.keys[s.index:], DeadlineAt: r.deadlineAt, Avoid: s.avoid,
+		Organisation: r.org, Priority: r.priority, Stages: r.keys[s.index:], DeadlineAt: r.deadlineAt, Avoid: s.avoid, Hedge: hedge,
 	}
 	if a.Pool().Kind == core.Generate {
 		a.Prefix = r.prefix
--- a/core/desk/ask.go
+++ b/core/desk/ask.go
@@ -23,6 +23,8 @@
 	Prefix     uint64
 	Avoid      []core.EndpointID
 	Alone      bool
+	// Hedge marks a second attempt beside a slow first one, which must not wait.
+	Hedge bool
 }
 
 // Pool returns the endpoints that can run the present stage.
@@ -39,7 +41,7 @@
 	}
 	t := pool.Ticket{
 		ID: d.nextID, Organisation: a.Organisation, Weight: a.Weight, Priority: a.Priority, Cost: cost,
-		StartBy: d.estimate.StartBy(a.DeadlineAt, a.Stages), Prefix: a.Prefix, Avoid: a.Avoid, Alone: a.Alone,
+		StartBy: d.estimate.StartBy(a.DeadlineAt, a.Stages), Prefix: a.Prefix, Avoid: a.Avoid, Alone: a.Alone, NoWait: a.Hedge,
 	}
 	return t.ID, d.pool(a.Pool()).Arrive(now, t)
 }
--- a/core/plan/estimate.go
+++ b/core/plan/estimate.go
@@ -95,11 +95,7 @@
 	return sum + spread
 }
 
-// StartBy returns the last time at which the first of the stages can start and the deadline still be met.
+// StartBy returns the last time at which the first of the stages can start and the deadline probably be met.
 func (e *Estimator) StartBy(deadlineAt core.Millis, stages []Key) core.Millis {
-	sum := core.Millis(0)
-	for _, k := range stages {
-		sum += e.Median(k)
-	}
-	return deadlineAt - sum
+	return deadlineAt - e.Remaining(stages)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -113,6 +113,9 @@
 	if p.router.Len() == 0 {
 		return []Action{p.refuse(t, core.ReasonNoEndpoint, noEndpointRetry)}
 	}
+	if t.NoWait && (p.queue.Len() > 0 || len(p.running) >= p.allowance()) {
+		return []Action{p.refuse(t, core.ReasonQueueFull, minRetryAfter)}
+	}
 	wait := p.expectedWait(t)
 	if now+core.Millis(wait) > t.StartBy {
 		return []Action{p.refuse(t, core.ReasonDeadlineInfeasible, p.retryAfter(t))}
--- a/core/pool/types.go
+++ b/core/pool/types.go
@@ -20,6 +20,8 @@
 	Avoid   []core.EndpointID
 	// Alone keeps a suspected request apart from other work.
 	Alone bool
+	// NoWait asks for an endpoint at once or not at all.
+	NoWait bool
 }
 
 func (t Ticket) item() fair.Item {
--- a/io/flow/whole.go
+++ b/io/flow/whole.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/desk"
 	"cyclamenford/core/poison"
 	"cyclamenford/core/retry"
 	"cyclamenford/io/broker"
@@ -29,6 +30,8 @@
 	index    int
 	content  poison.Content
 	done     chan attempt
+	// granted tells that the first attempt has an endpoint.
+	granted  chan struct{}
 	attempts retry.Attempts
 	avoid    []core.EndpointID
 	alone    bool
@@ -40,6 +43,7 @@
 	defer cancel()
 	w := &wholeRun{
 		runner: r, progress: g, index: i, done: make(chan attempt, retry.MaxAttempts),
+		granted: make(chan struct{}, retry.MaxAttempts),
 		content: contentOf(g.request.Settings.Organisation, g.target, g.stages[i].Name, g.request.Body),
 	}
 	w.alone = r.standing(w.content) == poison.Suspected
@@ -56,12 +60,14 @@
 }
 
 func (w *wholeRun) run(ctx context.Context) attempt {
-	w.launch(ctx, 0)
-	tail := w.runner.broker.Tail(w.progress.keys[w.index])
-	hedge := time.NewTimer(retry.Patience(w.progress.request.Priority, tail).Duration())
-	defer hedge.Stop()
+	w.launch(ctx, 0, false)
+	var slow <-chan time.Time
 	for {
 		select {
+		case <-w.granted:
+			if slow == nil {
+				slow = time.After(w.patience().Duration())
+			}
 		case a := <-w.done:
 			if a.problem == nil {
 				return a
@@ -71,11 +77,11 @@
 			case retry.GiveUp:
 				return a
 			case retry.Launch:
-				w.launch(ctx, w.runner.broker.Backoff(w.attempts.Started()))
+				w.launch(ctx, w.runner.broker.Backoff(w.attempts.Started()), false)
 			}
-		case <-hedge.C:
+		case <-slow:
 			if !w.alone && w.attempts.Hedge(w.runner.broker.MayRetry) {
-				w.launch(ctx, 0)
+				w.launch(ctx, 0, true)
 			}
 		case <-ctx.Done():
 			return attempt{problem: w.ended(ctx)}
@@ -83,6 +89,12 @@
 	}
 }
 
+// patience is how long a dispatched first attempt may take before a second one starts beside it.
+func (w *wholeRun) patience() core.Millis {
+	tail := w.runner.broker.Tail(w.progress.keys[w.index])
+	return retry.Patience(w.progress.request.Priority, tail)
+}
+
 // learn notes what a failed attempt says about the next one.
 func (w *wholeRun) learn(a attempt) {
 	if a.grant.Endpoint.ID != "" {
@@ -99,12 +111,13 @@
 	return core.NewProblem(http.StatusGatewayTimeout, core.Failed, core.ReasonCallerGone, "the caller has gone")
 }
 
-func (w *wholeRun) launch(ctx context.Context, after core.Millis) {
+func (w *wholeRun) launch(ctx context.Context, after core.Millis, hedge bool) {
 	w.attempts.Start()
-	avoid, alone := w.avoid, w.alone
+	a := w.runner.ask(w.progress, w.index, w.avoid, w.alone)
+	a.Hedge = hedge
 	go func() {
 		wait(ctx, after)
-		w.done <- w.attempt(ctx, avoid, alone)
+		w.done <- w.attempt(ctx, a)
 	}()
 }
 
@@ -120,20 +133,21 @@
 	}
 }
 
-func (w *wholeRun) attempt(ctx context.Context, avoid []core.EndpointID, alone bool) attempt {
+func (w *wholeRun) attempt(ctx context.Context, a desk.Ask) attempt {
 	r := w.runner
-	g, problem := r.grant(ctx, r.ask(w.progress, w.index, avoid, alone), w.content)
+	g, problem := r.grant(ctx, a, w.content)
 	if problem != nil {
 		return attempt{problem: problem}
 	}
+	w.granted <- struct{}{}
 	ctx, span := r.trace.Span(ctx, "attempt", "endpoint", string(g.Endpoint.ID))
 	defer span.End()
 	run := r.run(w.progress, w.index)
 	result, err := r.dial.Call(ctx, g.Endpoint.Address, run, true)
 	if err == nil {
 		w.progress.markRan()
-		r.settle(g, w.content, alone)
+		r.settle(g, w.content, a.Alone)
 		return attempt{result: result, grant: g}
 	}
-	return r.failed(ctx, w.progress, g, w.content, alone, err)
+	return r.failed(ctx, w.progress, g, w.content, a.Alone, err)
 }
