Let engines queue a little so that no slot stands idle

Cause: the hosts' parts sum to the slots exactly, so each answer left its slot idle until a host that happened to have room there sent the next request.

Change: hosts together may send 12% more than the slots; the engines' own queues, which honour priorities, hold the rest.

--- a/bench/trial/world.go
+++ b/bench/trial/world.go
@@ -93,7 +93,7 @@
 	for i, k := range w.keys {
 		rate := 0.0
 		for _, f := range w.byPool[k.Pool] {
-			rate += float64(f.announce.Slots) / f.workMs * float64(core.Second)
+			rate += float64(f.announce.Slots) / (f.workMs * meanJitter) * float64(core.Second)
 		}
 		if i == 0 || rate < least {
 			least = rate
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -20,6 +20,8 @@
 	demandMemory  = 2 * core.Second
 	minRetryAfter = 200 * core.Millis(1)
 	maxRetryAfter = 30 * core.Second
+	// overcommit lets engines queue a little, so that no slot stands idle between two requests.
+	overcommit = 1.12
 	// minDemand keeps a host without work from losing its part altogether.
 	minDemand = 1.0
 	// noEndpointRetry is when a caller should return to a pool without endpoints.
@@ -157,7 +159,7 @@
 // Tick refuses the tickets that can no longer be in time and dispatches what has become possible.
 func (p *Pool) Tick(now core.Millis) []Action {
 	p.smoothDemand(now)
-	p.router.SetPart(p.part())
+	p.router.SetPart(overcommit * p.part())
 	p.router.Tick(now)
 	return p.dispatch(now, nil)
 }
@@ -206,7 +208,7 @@
 
 // allowance returns this host's part of the pool's slots, by its demand relative to the other hosts'.
 func (p *Pool) allowance() int {
-	return max(1, int(math.Ceil(p.part()*float64(p.router.Slots()))))
+	return max(1, int(math.Ceil(overcommit*p.part()*float64(p.router.Slots()))))
 }
 
 // part returns this host's part of the pool's slots.
