Refuse at the entry what the queues of any stage would make late

Cause: a request that could not be answered in time went through the cheap stages and was refused at the last queue; callers that come back multiplied that work.

Change: before the first stage the expected waits of all its pools are added up and must fit into 0.8 of the spare time.

Endpoints must still stand idle somewhere; to be traced.

--- a/bench/trial/host.go
+++ b/bench/trial/host.go
@@ -209,8 +209,9 @@
 	}
 	r.admitted = true
 	w.result.First++
-	if need := h.desk.Reserve(r.keys); need > r.deadlineAt-w.now {
-		w.end(r, core.ReasonDeadlineInfeasible, core.Second)
+	a := desk.Ask{Organisation: r.org, Priority: r.priority, Stages: r.keys, DeadlineAt: r.deadlineAt}
+	if after, ok := h.desk.Feasible(w.now, a); !ok {
+		w.end(r, core.ReasonDeadlineInfeasible, after)
 		return
 	}
 	h.begin(r, 0)
--- a/core/desk/ask.go
+++ b/core/desk/ask.go
@@ -90,7 +90,18 @@
 	return d.estimate.Tail(stage)
 }
 
-// Reserve returns the time to reserve for the stages.
-func (d *Desk) Reserve(stages []plan.Key) core.Millis {
-	return d.estimate.Remaining(stages)
+// waitMargin is the part of the spare time that waiting may be expected to take; the rest covers what the estimate misses.
+const waitMargin = 0.8
+
+// Feasible reports whether a request can probably be answered in time, before its first stage; if not, it returns when to come back.
+func (d *Desk) Feasible(now core.Millis, a Ask) (core.Millis, bool) {
+	wait := core.Millis(0)
+	for _, k := range a.Stages {
+		wait += d.pool(k.Pool).ExpectedWait(a.Priority, a.Organisation)
+	}
+	spare := a.DeadlineAt - now - d.estimate.Remaining(a.Stages)
+	if spare < 0 || wait > core.Millis(waitMargin*float64(spare)) {
+		return max(wait, core.Second/2), false
+	}
+	return 0, true
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -118,8 +118,7 @@
 	if t.NoWait && (p.queue.Len() > 0 || len(p.running) >= p.allowance()) {
 		return []Action{p.refuse(t, core.ReasonQueueFull, minRetryAfter)}
 	}
-	wait := p.expectedWait(t)
-	if now+core.Millis(wait) > t.StartBy {
+	if now+p.ExpectedWait(t.Priority, t.Organisation) > t.StartBy {
 		return []Action{p.refuse(t, core.ReasonDeadlineInfeasible, p.retryAfter(t))}
 	}
 	var actions []Action
@@ -238,12 +237,12 @@
 	p.smooth = now
 }
 
-// expectedWait estimates the time in milliseconds until fair order reaches the ticket.
-func (p *Pool) expectedWait(t Ticket) float64 {
+// ExpectedWait estimates the time until fair order reaches new work of an organisation.
+func (p *Pool) ExpectedWait(priority core.Priority, org core.OrganisationID) core.Millis {
 	if p.queue.Len() == 0 {
 		return 0
 	}
-	return p.queue.CostAhead(t.Priority, t.Organisation) / float64(p.allowance())
+	return core.Millis(p.queue.CostAhead(priority, org) / float64(p.allowance()))
 }
 
 func (p *Pool) drop(id uint64, reason core.Reason) Action {
@@ -258,8 +257,7 @@
 
 // retryAfter spreads the callers' return by organisation over the time in which the queue drains.
 func (p *Pool) retryAfter(t Ticket) core.Millis {
-	drain := core.Millis(p.queue.CostAhead(t.Priority, t.Organisation) / float64(p.allowance()))
-	base := min(max(drain, minRetryAfter), maxRetryAfter)
+	base := min(max(p.ExpectedWait(t.Priority, t.Organisation), minRetryAfter), maxRetryAfter)
 	spread := xxhash.Sum64String(string(t.Organisation)) % uint64(base)
 	return base + core.Millis(spread/2)
 }
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -164,9 +165,15 @@
 	return b.desk.Tail(stage)
 }
 
-// Reserve returns the time to reserve for the stages.
-func (b *Broker) Reserve(stages []plan.Key) core.Millis {
+// Feasible returns a problem with outcome NotRun for a request that can hardly be answered in time.
+func (b *Broker) Feasible(a desk.Ask) *core.Problem {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.desk.Reserve(stages)
+	now := b.clock.Now()
+	after, ok := b.desk.Feasible(now, a)
+	if ok {
+		return nil
+	}
+	return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonDeadlineInfeasible,
+		"the stages and their queues would take longer than the %d ms that are left", a.DeadlineAt-now).WithRetryAfter(after)
 }
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -98,7 +98,7 @@
 		request: q, target: p.Name, keys: keysOf(p), stages: p.Stages, outputs: map[string]json.RawMessage{},
 		prefix: prefixOf(q.Settings.Organisation, q.Body),
 	}
-	if problem := r.checkFeasible(g); problem != nil {
+	if problem := r.broker.Feasible(r.ask(g, 0, nil, false)); problem != nil {
 		return Answer{}, problem
 	}
 	for i := range p.Stages {
@@ -119,16 +119,6 @@
 	return answer, nil
 }
 
-// checkFeasible refuses a request whose stages would take longer than its deadline leaves.
-func (r *Runner) checkFeasible(g *progress) *core.Problem {
-	left := g.request.DeadlineAt - r.clock.Now()
-	if need := r.broker.Reserve(g.keys); need > left {
-		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonDeadlineInfeasible,
-			"the stages take about %d ms and %d ms are left", need, left).WithRetryAfter(core.Second)
-	}
-	return nil
-}
-
 // truth turns a stage's problem into the request's: what an endpoint may have seen is never called NotRun.
 func (g *progress) truth(ctx context.Context, p *core.Problem) *core.Problem {
 	c := *p
