Count the same arrivals for every priority in a trial

Change: all priorities count the arrivals of one window, and capacity covers the same window.

No decision has changed.

--- a/bench/trial/arrive.go
+++ b/bench/trial/arrive.go
@@ -51,7 +51,7 @@
 func (w *world) arrive(p core.Priority, org core.OrganisationID, tries int, first core.Millis) {
 	r := &request{
 		org: org, team: core.TeamID(org), priority: p, first: first, arrived: w.now, keys: w.keys, tries: tries,
-		counted: first >= w.scenario.WarmMs && first+w.scenario.DeadlineMs[p] <= w.scenario.EndMs,
+		counted: first >= w.scenario.WarmMs && first < w.scenario.countUntil(),
 	}
 	r.deadlineAt = w.now + w.scenario.DeadlineMs[p]
 	if w.scenario.Prefixes > 0 {
--- a/bench/trial/scenario.go
+++ b/bench/trial/scenario.go
@@ -1,6 +1,8 @@
 package trial
 
 import (
+	"slices"
+
 	"cyclamenford/core"
 	"cyclamenford/core/tree"
 )
@@ -55,3 +57,8 @@
 	Part   float64
 	Factor float64
 }
+
+// countUntil returns the end of the arrivals that are counted, so that each of them ends within the trial.
+func (s Scenario) countUntil() core.Millis {
+	return s.EndMs - slices.Max(s.DeadlineMs[:])
+}
--- a/bench/trial/world.go
+++ b/bench/trial/world.go
@@ -51,7 +51,7 @@
 	w.build()
 	w.schedule()
 	w.until(s.EndMs)
-	w.result.Capacity = w.capacity() * float64(s.EndMs-s.WarmMs) / float64(core.Second)
+	w.result.Capacity = w.capacity() * float64(s.countUntil()-s.WarmMs) / float64(core.Second)
 	return w.result, nil
 }
 
