Estimate by priority, reserve the 99th percentile, divide limits by what all hosts know

Change: estimates are kept by priority; the reserve covers 99 of 100; an address that refuses opens the breaker at once; budgets save up to 100 earned retries; a limit is divided by largest remainders over the demands that every host was told.

--- a/bench/trial/arrive.go
+++ b/bench/trial/arrive.go
@@ -50,7 +50,7 @@
 
 func (w *world) arrive(p core.Priority, org core.OrganisationID, tries int, first core.Millis) {
 	r := &request{
-		org: org, team: core.TeamID(org), priority: p, first: first, arrived: w.now, keys: w.keys, tries: tries,
+		org: org, team: core.TeamID(org), priority: p, first: first, arrived: w.now, keys: w.keys[p], tries: tries,
 		counted: first >= w.scenario.WarmMs && first < w.scenario.countUntil(),
 	}
 	r.deadlineAt = w.now + w.scenario.DeadlineMs[p]
--- a/bench/trial/host.go
+++ b/bench/trial/host.go
@@ -79,7 +79,7 @@
 	t.at, t.began = w.endpoints[id], w.now
 	t.visit = &visit{prefix: t.ask.Prefix}
 	t.visit.done = func(ok bool) {
-		w.after(w.distance(h.domain, t.at.announce.FailureDomain), func() { h.returned(t, ok) })
+		w.after(w.distance(h.domain, t.at.announce.FailureDomain), func() { h.returned(t, verdictOf(ok)) })
 	}
 	w.result.Dispatches++
 	if t.stage.attempts.Started() == 1 {
@@ -88,24 +88,20 @@
 	w.after(w.distance(h.domain, t.at.announce.FailureDomain), func() {
 		if !t.visit.ended && !t.at.accept(t.ask.Priority, t.visit) {
 			t.visit.ended = true
-			h.returned(t, false)
+			h.returned(t, pool.Unreachable)
 		}
 	})
 }
 
 // returned handles an endpoint's answer, which comes too late when the ticket was withdrawn.
-func (h *host) returned(t *ticket, ok bool) {
+func (h *host) returned(t *ticket, v pool.Verdict) {
 	if _, live := h.asked[t.number]; !live || h.dead {
 		return
 	}
 	delete(h.asked, t.number)
 	t.stage.request.used += t.visit.used
-	verdict := pool.Faulted
-	if ok {
-		verdict = pool.Succeeded
-	}
-	h.take(h.desk.Finish(h.world.now, t.ask, t.number, t.began, verdict))
-	if !ok {
+	h.take(h.desk.Finish(h.world.now, t.ask, t.number, t.began, v))
+	if v != pool.Succeeded {
 		t.stage.avoid = append(t.stage.avoid, t.at.announce.ID)
 		h.failed(t, true, core.ReasonEndpointFailed, 0)
 		return
@@ -113,6 +109,13 @@
 	h.succeeded(t.stage)
 }
 
+func verdictOf(ok bool) pool.Verdict {
+	if ok {
+		return pool.Succeeded
+	}
+	return pool.Faulted
+}
+
 func (h *host) failed(t *ticket, repeatable bool, reason core.Reason, after core.Millis) {
 	s := t.stage
 	if s.ended {
--- a/bench/trial/world.go
+++ b/bench/trial/world.go
@@ -32,7 +32,7 @@
 	endpoints  map[core.EndpointID]*fake
 	byPool     map[core.PoolID][]*fake
 	order      []*fake
-	keys       []plan.Key
+	keys       [core.PriorityCount][]plan.Key
 	orgs       []core.OrganisationID
 	result     Result
 	running    map[core.TeamID]int
@@ -74,13 +74,16 @@
 	policy := desk.PolicyOf(w.deployment.Tree, nil)
 	for _, spec := range w.deployment.Hosts {
 		h := &host{world: w, id: spec.ID, domain: spec.FailureDomain, asked: map[uint64]*ticket{}}
-		h.desk = desk.New(spec.FailureDomain, rand.New(rand.NewPCG(w.rng.Uint64(), 3)))
+		h.desk = desk.New(spec.ID, spec.FailureDomain, rand.New(rand.NewPCG(w.rng.Uint64(), 3)))
 		h.desk.SetPolicy(0, policy)
 		w.hosts = append(w.hosts, h)
 	}
 	p := w.deployment.Tree.Platform.Pipelines[0]
-	for _, s := range p.Stages {
-		w.keys = append(w.keys, plan.Key{Pool: s.Pool(), Name: p.Name + "/" + s.Name})
+	for priority := range w.keys {
+		for _, s := range p.Stages {
+			k := plan.Key{Pool: s.Pool(), Name: p.Name + "/" + s.Name, Priority: core.Priority(priority)}
+			w.keys[priority] = append(w.keys[priority], k)
+		}
 	}
 	for _, id := range w.deployment.Tree.TeamIDs() {
 		w.orgs = append(w.orgs, core.OrganisationID(id))
@@ -90,7 +93,7 @@
 // capacity returns the requests a second that the slowest stage can serve.
 func (w *world) capacity() float64 {
 	least := 0.0
-	for i, k := range w.keys {
+	for i, k := range w.keys[0] {
 		rate := 0.0
 		for _, f := range w.byPool[k.Pool] {
 			rate += float64(f.announce.Slots) / (f.workMs * meanJitter) * float64(core.Second)
--- a/core/desk/desk.go
+++ b/core/desk/desk.go
@@ -47,10 +47,10 @@
 }
 
 // New returns a desk for a host in the given failure domain, with its own source of random numbers.
-func New(domain core.FailureDomain, rng *rand.Rand) *Desk {
+func New(self core.HostID, domain core.FailureDomain, rng *rand.Rand) *Desk {
 	return &Desk{
 		domain: domain, rng: rng, members: member.New(), pools: map[core.PoolID]*pool.Pool{},
-		estimate: plan.New(), limiter: quota.New(), budget: retry.New(), exchange: newExchange(),
+		estimate: plan.New(), limiter: quota.New(self), budget: retry.New(), exchange: newExchange(),
 	}
 }
 
--- a/core/plan/estimate.go
+++ b/core/plan/estimate.go
@@ -8,18 +8,21 @@
 
 const (
 	// window is how long a histogram collects before it replaces the older one.
-	window         = 30 * core.Second
-	maxMillis      = 10 * 60 * 1000
-	digits         = 2
-	minSamples     = 20
-	tailQuantile   = 95
-	medianQuantile = 50
+	window       = 30 * core.Second
+	maxMillis    = 10 * 60 * 1000
+	digits       = 2
+	minSamples   = 20
+	tailQuantile = 95
+	// reserveQuantile is the part of runs, in percent, that the time reserved for a stage covers.
+	reserveQuantile = 99
+	medianQuantile  = 50
 )
 
-// Key names what is being estimated: a stage of a pipeline on its pool.
+// Key names what is being estimated: a stage of a pipeline on its pool, by priority, since endpoints serve the urgent first.
 type Key struct {
-	Pool core.PoolID
-	Name string
+	Pool     core.PoolID
+	Name     string
+	Priority core.Priority
 }
 
 type series struct {
@@ -90,7 +93,8 @@
 	for _, k := range stages {
 		m := e.Median(k)
 		sum += m
-		spread = max(spread, e.Tail(k)-m)
+		longest, _ := e.quantile(k, reserveQuantile)
+		spread = max(spread, longest-m)
 	}
 	return sum + spread
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -137,11 +137,15 @@
 	}
 	delete(p.running, id)
 	p.busy = max(0, p.busy-r.ticket.Cost)
-	if v == Withdrawn {
-		p.router.Release(now, r.endpoint, r.ticket.request())
-	} else {
+	request := r.ticket.request()
+	switch v {
+	case Withdrawn:
+		p.router.Release(now, r.endpoint, request)
+	case Unreachable:
+		p.router.Unreachable(now, r.endpoint, request)
+	default:
 		took := float64(now - r.started)
-		p.router.Done(now, r.endpoint, r.ticket.request(), v == Succeeded, r.ticket.Cost, took)
+		p.router.Done(now, r.endpoint, request, v == Succeeded, r.ticket.Cost, took)
 	}
 	return p.dispatch(now, nil)
 }
--- a/core/pool/types.go
+++ b/core/pool/types.go
@@ -60,6 +60,8 @@
 	Succeeded Verdict = iota
 	// Faulted means that the endpoint failed, stalled or vanished.
 	Faulted
+	// Unreachable means that nothing listens at the endpoint's address.
+	Unreachable
 	// Withdrawn means that the attempt ended for a reason that says nothing of the endpoint.
 	Withdrawn
 )
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -57,8 +57,10 @@
 }
 
 type team struct {
-	running  int
-	demand   float64
+	running int
+	demand  float64
+	// told is the demand that the other hosts were told last.
+	told     float64
 	counted  core.Millis
 	requests bucket
 	tokens   bucket
@@ -82,25 +84,26 @@
 
 // Limiter decides on one host whether a team may start another request.
 type Limiter struct {
+	self  core.HostID
 	teams map[core.TeamID]*team
 	// remotes is ordered by host.
 	remotes []remote
 }
 
-// New returns a limiter that has seen no work.
-func New() *Limiter {
-	return &Limiter{teams: map[core.TeamID]*team{}}
+// New returns a limiter for a host, that has seen no work.
+func New(self core.HostID) *Limiter {
+	return &Limiter{self: self, teams: map[core.TeamID]*team{}}
 }
 
 // Admit asks to start a request of about the given tokens; when refused it returns when to come back.
 func (l *Limiter) Admit(now core.Millis, id core.TeamID, limits tree.Limits, tokens float64) (core.Millis, bool) {
 	t := l.team(id)
 	t.arrive(now)
-	running, demand := l.others(now, id)
-	share := t.demand / (t.demand + demand)
-	if limits.Concurrency > 0 && !withinConcurrency(t.running, running, limits.Concurrency, share) {
+	l.forgetSilent(now)
+	if limits.Concurrency > 0 && !l.withinConcurrency(id, t, limits.Concurrency) {
 		return concurrencyRetry, false
 	}
+	share := l.share(id, t)
 	if limits.RequestsPerSecond > 0 {
 		if after, ok := t.requests.take(now, share*limits.RequestsPerSecond, 1); !ok {
 			return after, false
@@ -115,12 +118,68 @@
 	return 0, true
 }
 
-// withinConcurrency keeps a host to its share, or to one request while the sum leaves room.
-func withinConcurrency(own, others, limit int, share float64) bool {
-	if own+others >= limit {
+// withinConcurrency keeps a host to its whole part of the limit, or to one request while the sum leaves room.
+func (l *Limiter) withinConcurrency(id core.TeamID, t *team, limit int) bool {
+	running := t.running
+	for _, r := range l.remotes {
+		running += r.usage[id].Running
+	}
+	if running >= limit {
 		return false
 	}
-	return own < max(1, int(share*float64(limit)))
+	return t.running < max(1, l.apportion(id, t, limit))
+}
+
+// apportion divides a limit between the hosts by the demands that all of them know, the largest remainders first.
+//
+// Hosts that know the same demands get parts that sum to the limit.
+func (l *Limiter) apportion(id core.TeamID, t *team, limit int) int {
+	claims := []claim{{host: l.self, demand: t.told}}
+	total := t.told
+	for _, r := range l.remotes {
+		if d := r.usage[id].Demand; d > 0 {
+			claims = append(claims, claim{host: r.host, demand: d})
+			total += d
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	left := limit
+	for i := range claims {
+		exact := claims[i].demand / total * float64(limit)
+		claims[i].whole = int(exact)
+		claims[i].remainder = exact - float64(claims[i].whole)
+		left -= claims[i].whole
+	}
+	slices.SortFunc(claims, func(a, b claim) int {
+		return cmp.Or(cmp.Compare(b.remainder, a.remainder), cmp.Compare(a.host, b.host))
+	})
+	i := slices.IndexFunc(claims, func(c claim) bool { return c.host == l.self })
+	if i < left {
+		return claims[i].whole + 1
+	}
+	return claims[i].whole
+}
+
+// claim is one host's part of a limit.
+type claim struct {
+	host      core.HostID
+	demand    float64
+	whole     int
+	remainder float64
+}
+
+// share returns this host's part of a rate; a team that has just become active here gets an equal part.
+func (l *Limiter) share(id core.TeamID, t *team) float64 {
+	total := t.told
+	for _, r := range l.remotes {
+		total += r.usage[id].Demand
+	}
+	if t.told == 0 || total == 0 {
+		return 1 / float64(len(l.remotes)+1)
+	}
+	return t.told / total
 }
 
 // Release counts an admitted request as ended, and charges the tokens that it used beyond the estimate.
@@ -135,6 +194,7 @@
 	var list []Usage
 	for id, t := range l.teams {
 		t.decay(now)
+		t.told = t.demand
 		if t.running > 0 || t.demand > 0.01 {
 			list = append(list, Usage{Team: id, Running: t.running, Demand: t.demand})
 		}
@@ -167,12 +227,7 @@
 	return t
 }
 
-func (l *Limiter) others(now core.Millis, id core.TeamID) (running int, demand float64) {
+// forgetSilent drops the usage of hosts that have not been heard for too long.
+func (l *Limiter) forgetSilent(now core.Millis) {
 	l.remotes = slices.DeleteFunc(l.remotes, func(r remote) bool { return now-r.heard > RemoteTTL })
-	for _, r := range l.remotes {
-		u := r.usage[id]
-		running += u.Running
-		demand += u.Demand
-	}
-	return running, demand
 }
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -10,7 +10,7 @@
 	// Share is the number of retries earned by each first attempt.
 	Share = 0.1
 	// burst is the number of retries that can be saved up.
-	burst = 10.0
+	burst = 100.0
 	// initialTokens lets a host that has just started retry a little.
 	initialTokens = 2.0
 	backoffBase   = 10 * core.Millis(1)
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -85,10 +85,10 @@
 	e.others = max(0, l.Running+l.Queued-e.own)
 }
 
-// fail counts a failure and opens the breaker after several in a row.
-func (e *endpoint) fail(now core.Millis) {
+// fail counts a failure and opens the breaker after the given number in a row.
+func (e *endpoint) fail(now core.Millis, threshold int) {
 	e.failures++
-	if e.failures < breakerFailures && !e.probing {
+	if e.failures < threshold && !e.probing {
 		return
 	}
 	wait := min(breakerMax, breakerBase<<min(e.opened, 4))
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -157,25 +157,26 @@
 
 // Done counts a request as ended; expected and took are its expected and real time in milliseconds.
 func (r *Router) Done(now core.Millis, id core.EndpointID, q Request, ok bool, expected, took float64) {
-	e, known := r.endpoints[id]
-	if !known {
-		return
-	}
-	e.own = max(0, e.own-1)
-	if q.Alone {
-		e.alone = max(0, e.alone-1)
-	}
-	if ok {
-		e.succeed(now, r.relative(expected, took))
-	} else {
-		e.fail(now)
-	}
-	e.probing = false
-	r.refresh(now, e)
+	r.ended(now, id, q, func(e *endpoint) {
+		if ok {
+			e.succeed(now, r.relative(expected, took))
+		} else {
+			e.fail(now, breakerFailures)
+		}
+	})
+}
+
+// Unreachable counts a request as ended because nothing listens at the endpoint.
+func (r *Router) Unreachable(now core.Millis, id core.EndpointID, q Request) {
+	r.ended(now, id, q, func(e *endpoint) { e.fail(now, 1) })
 }
 
 // Release counts a request as ended without any lesson about the endpoint.
 func (r *Router) Release(now core.Millis, id core.EndpointID, q Request) {
+	r.ended(now, id, q, func(*endpoint) {})
+}
+
+func (r *Router) ended(now core.Millis, id core.EndpointID, q Request, learn func(*endpoint)) {
 	e, known := r.endpoints[id]
 	if !known {
 		return
@@ -184,6 +185,7 @@
 	if q.Alone {
 		e.alone = max(0, e.alone-1)
 	}
+	learn(e)
 	e.probing = false
 	r.refresh(now, e)
 }
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -39,7 +39,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Broker{
 		clock: clock, control: control, meter: m, log: log,
-		desk: desk.New(domain, rng), waiting: map[uint64]chan pool.Action{},
+		desk: desk.New(control.Holder().Host, domain, rng), waiting: map[uint64]chan pool.Action{},
 	}
 }
 
--- a/io/flow/failed.go
+++ b/io/flow/failed.go
@@ -69,6 +69,9 @@
 	if ctx.Err() != nil || e.Outcome == core.NotRun && e.Refused {
 		return pool.Withdrawn
 	}
+	if e.Outcome == core.NotRun {
+		return pool.Unreachable
+	}
 	return pool.Faulted
 }
 
--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -78,7 +78,7 @@
 		runner: r, request: q, service: s, call: c, issuedAt: issuedAt, holder: holder, content: content,
 		key:      ledger.Key{Organisation: q.Settings.Organisation, Text: key},
 		bodyHash: xxhash.Sum64String(s.Name + "/" + c.Name + "/" + string(q.Body)),
-		stage:    plan.Key{Pool: s.Pool(), Name: s.Name + "/" + c.Name},
+		stage:    plan.Key{Pool: s.Pool(), Name: s.Name + "/" + c.Name, Priority: q.Priority},
 	}, nil
 }
 
--- a/io/flow/request.go
+++ b/io/flow/request.go
@@ -84,10 +84,10 @@
 	return xxhash.Sum64String(string(org) + "/" + input.Prompt[:prefixBytes])
 }
 
-func keysOf(p tree.Pipeline) []plan.Key {
+func keysOf(p tree.Pipeline, priority core.Priority) []plan.Key {
 	keys := make([]plan.Key, len(p.Stages))
 	for i, s := range p.Stages {
-		keys[i] = plan.Key{Pool: s.Pool(), Name: p.Name + "/" + s.Name}
+		keys[i] = plan.Key{Pool: s.Pool(), Name: p.Name + "/" + s.Name, Priority: priority}
 	}
 	return keys
 }
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (q.DeadlineAt - r.clock.Now()).Duration())
 	defer cancel()
 	g := &progress{
-		request: q, target: p.Name, keys: keysOf(p), stages: p.Stages, outputs: map[string]json.RawMessage{},
+		request: q, target: p.Name, keys: keysOf(p, q.Priority), stages: p.Stages, outputs: map[string]json.RawMessage{},
 		prefix: prefixOf(q.Settings.Organisation, q.Body),
 	}
 	if problem := r.broker.Feasible(r.ask(g, 0, nil, false)); problem != nil {
