Tell engines that entitled work is urgent

Cause: work that had its turn by a guaranteed share waited again in the engine's queue, where strict priority put all urgent work before it.

Change: an attempt dispatched by GuaranteedShare carries the urgent priority to its endpoint.

--- a/bench/trial/host.go
+++ b/bench/trial/host.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		if a.Dispatched() {
-			h.dispatch(t, a.Endpoint)
+			h.dispatch(t, a)
 			continue
 		}
 		delete(h.asked, a.Ticket)
@@ -74,9 +74,10 @@
 	}
 }
 
-func (h *host) dispatch(t *ticket, id core.EndpointID) {
+func (h *host) dispatch(t *ticket, a pool.Action) {
 	w := h.world
-	t.at, t.began = w.endpoints[id], w.now
+	t.at, t.began = w.endpoints[a.Endpoint], w.now
+	priority := a.EnginePriority(t.ask.Priority)
 	t.visit = &visit{prefix: t.ask.Prefix}
 	t.visit.done = func(ok bool) {
 		w.after(w.distance(h.domain, t.at.announce.FailureDomain), func() { h.returned(t, verdictOf(ok)) })
@@ -86,7 +87,7 @@
 		h.watch(t.stage)
 	}
 	w.after(w.distance(h.domain, t.at.announce.FailureDomain), func() {
-		if !t.visit.ended && !t.at.accept(t.ask.Priority, t.visit) {
+		if !t.visit.ended && !t.at.accept(priority, t.visit) {
 			t.visit.ended = true
 			h.returned(t, pool.Unreachable)
 		}
--- a/core/pool/types.go
+++ b/core/pool/types.go
@@ -51,6 +51,16 @@
 	return a.Endpoint != ""
 }
 
+// EnginePriority returns the priority to tell the endpoint, for work of the given one.
+//
+// Work that its guaranteed share has brought to its turn must not wait again behind the urgent.
+func (a Action) EnginePriority(p core.Priority) core.Priority {
+	if a.Order == fair.GuaranteedShare {
+		return core.Urgent
+	}
+	return p
+}
+
 // Verdict says how a dispatched ticket ended.
 type Verdict uint8
 
--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -159,7 +159,7 @@
 	run := dial.Run{
 		RequestID: o.request.ID, AttemptID: o.holder.Attempt, Kind: core.Plain, Model: o.service.Name,
 		Call: o.call.Name, Input: o.request.Body, DeadlineMs: o.request.DeadlineAt - r.clock.Now(),
-		Priority: o.request.Priority, IdempotencyKey: o.endpointKey(),
+		Priority: g.Action.EnginePriority(o.request.Priority), IdempotencyKey: o.endpointKey(),
 	}
 	result, err := r.dial.Call(ctx, g.Endpoint.Address, run, false)
 	if err == nil {
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -142,12 +142,12 @@
 }
 
 // run builds the endpoint's request for a stage.
-func (r *Runner) run(g *progress, i int) dial.Run {
+func (r *Runner) run(g *progress, i int, grant broker.Grant) dial.Run {
 	s := g.stages[i]
 	return dial.Run{
 		RequestID: g.request.ID, AttemptID: newAttemptID(g.request.ID, s.Name),
 		Kind: s.Kind, Model: s.Model, Input: g.request.Body, Context: g.outputs, MaxTokens: s.MaxTokens,
-		DeadlineMs: g.request.DeadlineAt - r.clock.Now(), Priority: g.request.Priority,
+		DeadlineMs: g.request.DeadlineAt - r.clock.Now(), Priority: grant.Action.EnginePriority(g.request.Priority),
 		ResumeGraceMs: r.options.ResumeGrace, Prefix: g.stagePrefix(i),
 	}
 }
--- a/io/flow/stream.go
+++ b/io/flow/stream.go
@@ -75,7 +75,7 @@
 	}
 	ctx, span := r.trace.Span(ctx, "attempt", "endpoint", string(g.Endpoint.ID))
 	defer span.End()
-	run := r.run(s.progress, s.index)
+	run := r.run(s.progress, s.index, g)
 	run.Prior, run.From = s.text.String(), s.next
 	last, err := s.read(ctx, g, run)
 	if err == nil {
--- a/io/flow/whole.go
+++ b/io/flow/whole.go
@@ -142,7 +142,7 @@
 	w.granted <- struct{}{}
 	ctx, span := r.trace.Span(ctx, "attempt", "endpoint", string(g.Endpoint.ID))
 	defer span.End()
-	run := r.run(w.progress, w.index)
+	run := r.run(w.progress, w.index, g)
 	result, err := r.dial.Call(ctx, g.Endpoint.Address, run, true)
 	if err == nil {
 		w.progress.markRan()
