--- a/bench/trial/baseline.go
+++ b/bench/trial/baseline.go
@@ -11,6 +11,13 @@
 	list := w.byPool[kind]
 	f := list[w.rng.IntN(len(list))]
 	v := &visit{}
+	if w.scenario.AllKnowing {
+		f = allKnowing(list, r.prefix, kind.Kind)
+		v.prefix = r.prefix
+		if kind.Kind != core.Generate {
+			v.prefix = 0
+		}
+	}
 	w.result.Dispatches++
 	if try == 1 && index == 0 {
 		w.result.First++
@@ -42,3 +49,27 @@
 		w.end(r, "", 0)
 	}
 }
+
+// allKnowing returns the endpoint with the least work among those that hold the prefix and have room, or among all.
+func allKnowing(list []*fake, prefix uint64, kind core.StageKind) *fake {
+	best := list[0]
+	for _, f := range list {
+		if f.running < best.running {
+			best = f
+		}
+	}
+	if prefix == 0 || kind != core.Generate {
+		return best
+	}
+	var holder *fake
+	for _, f := range list {
+		_, holds := f.cache[prefix]
+		if holds && f.running < f.announce.Slots && (holder == nil || f.running < holder.running) {
+			holder = f
+		}
+	}
+	if holder != nil {
+		return holder
+	}
+	return best
+}
--- a/bench/trial/fake.go
+++ b/bench/trial/fake.go
@@ -22,7 +22,7 @@
 	events   []core.CacheEvent
 	eventSeq uint64
 	left     bool
-	lastNew  core.Millis
+	leftAt   core.Millis
 }
 
 // visit is one attempt at an endpoint.
@@ -49,7 +49,9 @@
 	if f.dead {
 		return false
 	}
-	f.lastNew = f.world.now
+	if f.left {
+		f.world.result.LastNew = max(f.world.result.LastNew, f.world.now-f.leftAt)
+	}
 	if f.running < f.announce.Slots {
 		f.start(v)
 		return true
--- a/bench/trial/host.go
+++ b/bench/trial/host.go
@@ -215,7 +215,7 @@
 	w.result.First++
 	a := desk.Ask{Organisation: r.org, Priority: r.priority, Stages: r.keys, DeadlineAt: r.deadlineAt}
 	if after, ok := h.desk.Feasible(w.now, a); !ok {
-		w.end(r, core.ReasonDeadlineInfeasible, after)
+		w.end(r, "Entry", after)
 		return
 	}
 	h.begin(r, 0)
--- a/bench/trial/result.go
+++ b/bench/trial/result.go
@@ -15,6 +15,8 @@
 	Refused      int
 	Late         int
 	Failed       int
+	// Reasons counts what was not answered in time by reason.
+	Reasons map[core.Reason]int
 }
 
 // Result is what a trial measured after its warm-up.
@@ -31,7 +33,11 @@
 	PrefixHits     int
 	// Overshoot is the most by which a team's concurrency went over its limit, relative to it.
 	Overshoot float64
-	took      []core.Millis
+	// Shares are the guaranteed shares of the priorities.
+	Shares [core.PriorityCount]float64
+	// LastNew is the longest time after a goodbye at which an endpoint still got new work.
+	LastNew core.Millis
+	took    []core.Millis
 }
 
 func newResult(s Scenario) Result {
@@ -68,6 +74,12 @@
 	default:
 		c.Refused++
 	}
+	if !back {
+		if c.Reasons == nil {
+			c.Reasons = map[core.Reason]int{}
+		}
+		c.Reasons[reason]++
+	}
 	r.Wasted += float64(q.used)
 }
 
--- a/bench/trial/world.go
+++ b/bench/trial/world.go
@@ -51,6 +51,9 @@
 	w.build()
 	w.schedule()
 	w.until(s.EndMs)
+	for p := range w.result.Shares {
+		w.result.Shares[p] = d.Tree.Share(core.Priority(p)).Share
+	}
 	w.result.Capacity = w.capacity() * float64(s.countUntil()-s.WarmMs) / float64(core.Second)
 	return w.result, nil
 }
@@ -221,7 +224,7 @@
 		case "Dead":
 			f.die()
 		case "Leave":
-			f.left = true
+			f.left, f.leftAt = true, w.now
 			w.announce(f)
 		}
 	}
--- /dev/null
+++ b/core/claim/meter.go
@@ -0,0 +1,78 @@
+package claim
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"cyclamenford/core"
+)
+
+const (
+	// memory is the time constant over which offers are smoothed.
+	memory = 2 * core.Second
+	// leastSlots is the offer below which an organisation counts as silent.
+	leastSlots = 0.01
+)
+
+// Meter smooths the offers of one host.
+type Meter struct {
+	rates map[key]*rate
+	order []key
+}
+
+type key struct {
+	priority     core.Priority
+	organisation core.OrganisationID
+}
+
+type rate struct {
+	slots  float64
+	weight float64
+	at     core.Millis
+}
+
+// NewMeter returns a meter that has seen no work.
+func NewMeter() *Meter {
+	return &Meter{rates: map[key]*rate{}}
+}
+
+// Add counts work of the given cost in milliseconds that a caller asks for.
+func (m *Meter) Add(now core.Millis, p core.Priority, org core.OrganisationID, weight, cost float64) {
+	k := key{p, org}
+	r, ok := m.rates[k]
+	if !ok {
+		r = &rate{at: now}
+		m.rates[k] = r
+		i, _ := slices.BinarySearchFunc(m.order, k, compareKeys)
+		m.order = slices.Insert(m.order, i, k)
+	}
+	r.decay(now)
+	r.slots += cost / float64(memory)
+	r.weight = weight
+}
+
+// Offers returns the present offers in their order, and forgets the silent organisations.
+func (m *Meter) Offers(now core.Millis) []Offer {
+	var list []Offer
+	m.order = slices.DeleteFunc(m.order, func(k key) bool {
+		r := m.rates[k]
+		r.decay(now)
+		if r.slots < leastSlots {
+			delete(m.rates, k)
+			return true
+		}
+		list = append(list, Offer{Priority: k.priority, Organisation: k.organisation, Weight: r.weight, Slots: r.slots})
+		return false
+	})
+	return list
+}
+
+func (r *rate) decay(now core.Millis) {
+	r.slots *= math.Exp(-float64(now-r.at) / float64(memory))
+	r.at = now
+}
+
+func compareKeys(a, b key) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.organisation, b.organisation))
+}
--- a/core/desk/ask.go
+++ b/core/desk/ask.go
@@ -35,17 +35,21 @@
 // Arrive takes in an attempt; its ticket's number is in one of these or of later actions.
 func (d *Desk) Arrive(now core.Millis, a Ask) (uint64, []pool.Action) {
 	d.nextID++
-	cost := float64(d.estimate.Median(a.Stages[0]))
-	if cost == 0 {
-		cost = defaultCost
-	}
 	t := pool.Ticket{
-		ID: d.nextID, Organisation: a.Organisation, Weight: a.Weight, Priority: a.Priority, Cost: cost,
+		ID: d.nextID, Organisation: a.Organisation, Weight: a.Weight, Priority: a.Priority, Cost: d.cost(a.Stages[0]),
 		StartBy: d.estimate.StartBy(a.DeadlineAt, a.Stages), Prefix: a.Prefix, Avoid: a.Avoid, Alone: a.Alone, NoWait: a.Hedge,
 	}
 	return t.ID, d.pool(a.Pool()).Arrive(now, t)
 }
 
+// cost returns the expected time of a stage at an endpoint in milliseconds.
+func (d *Desk) cost(k plan.Key) float64 {
+	if m := d.estimate.Median(k); m > 0 {
+		return float64(m)
+	}
+	return defaultCost
+}
+
 // Cancel withdraws a ticket that waits or runs.
 func (d *Desk) Cancel(now core.Millis, id core.PoolID, ticket uint64) []pool.Action {
 	return d.pool(id).Cancel(now, ticket)
@@ -91,13 +95,15 @@
 }
 
 // waitMargin is the part of the spare time that waiting may be expected to take; the rest covers what the estimate misses.
-const waitMargin = 0.8
+const waitMargin = 0.35
 
-// Feasible reports whether a request can probably be answered in time, before its first stage; if not, it returns when to come back.
+// Feasible counts a request as asked for and reports whether a request can probably be answered in time, before its first stage; if not, it returns when to come back.
 func (d *Desk) Feasible(now core.Millis, a Ask) (core.Millis, bool) {
 	wait := core.Millis(0)
 	for _, k := range a.Stages {
-		wait += d.pool(k.Pool).ExpectedWait(a.Priority, a.Organisation)
+		p := d.pool(k.Pool)
+		p.Offer(now, a.Priority, a.Organisation, a.Weight, d.cost(k))
+		wait += p.ExpectedWait(a.Priority, a.Organisation)
 	}
 	spare := a.DeadlineAt - now - d.estimate.Remaining(a.Stages)
 	if spare < 0 || wait > core.Millis(waitMargin*float64(spare)) {
--- a/core/desk/exchange.go
+++ b/core/desk/exchange.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"cyclamenford/core"
-	"cyclamenford/core/pool"
+	"cyclamenford/core/claim"
 	"cyclamenford/core/quota"
 )
 
@@ -23,11 +23,17 @@
 type Shared struct {
 	Host        core.HostID
 	Incarnation core.Incarnation
-	Demands     []pool.Demand
+	Offers      []PoolOffers
 	Served      []Served
 	Usage       []quota.Usage
 }
 
+// PoolOffers is what callers ask of one host for one pool.
+type PoolOffers struct {
+	Pool   core.PoolID
+	Offers []claim.Offer
+}
+
 type servedKey struct {
 	pool         core.PoolID
 	priority     core.Priority
@@ -37,7 +43,7 @@
 type remoteHost struct {
 	incarnation core.Incarnation
 	heard       core.Millis
-	demands     map[core.PoolID]float64
+	offers      []PoolOffers
 	served      map[servedKey]float64
 }
 
@@ -61,8 +67,8 @@
 func (d *Desk) Share(now core.Millis, host core.HostID, incarnation core.Incarnation) Shared {
 	s := Shared{Host: host, Incarnation: incarnation, Usage: d.limiter.Usage(now)}
 	for _, id := range d.order {
-		if demand := d.pools[id].Demand(now); demand > minDemand {
-			s.Demands = append(s.Demands, pool.Demand{Pool: id, Cost: demand})
+		if offers := d.pools[id].Offers(now); len(offers) > 0 {
+			s.Offers = append(s.Offers, PoolOffers{Pool: id, Offers: offers})
 		}
 	}
 	for _, served := range d.exchange.own {
@@ -72,9 +78,6 @@
 	return s
 }
 
-// minDemand is the demand, in milliseconds of slots, below which a host counts as idle.
-const minDemand = 0.5
-
 func compareServed(a, b Served) int {
 	return cmp.Or(
 		comparePools(a.Pool, b.Pool), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Organisation, b.Organisation))
@@ -92,12 +95,9 @@
 		}
 	}
 	r.heard = now
-	r.demands = map[core.PoolID]float64{}
-	for _, demand := range s.Demands {
-		r.demands[demand.Pool] = demand.Cost
-	}
+	r.offers = s.Offers
 	d.chargeServed(r, s.Served)
-	d.sumDemands(now)
+	d.sumOffers(now)
 }
 
 func keyOf(s Served) servedKey {
@@ -115,20 +115,20 @@
 	}
 }
 
-// sumDemands adds up the other hosts' demands in the order of their names.
-func (d *Desk) sumDemands(now core.Millis) {
-	sums := map[core.PoolID]float64{}
+// sumOffers adds up the other hosts' offers in the order of their names.
+func (d *Desk) sumOffers(now core.Millis) {
+	sums := map[core.PoolID][]claim.Offer{}
 	for _, host := range slices.Sorted(maps.Keys(d.exchange.remotes)) {
 		r := d.exchange.remotes[host]
 		if now-r.heard > quota.RemoteTTL {
 			delete(d.exchange.remotes, host)
 			continue
 		}
-		for id, cost := range r.demands {
-			sums[id] += cost
+		for _, o := range r.offers {
+			sums[o.Pool] = append(sums[o.Pool], o.Offers...)
 		}
 	}
 	for _, id := range d.order {
-		d.pools[id].SetOthers(sums[id])
+		d.pools[id].SetOthers(claim.Sum(sums[id]), len(d.exchange.remotes)+1)
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cyclamenford/core"
+	"cyclamenford/core/claim"
 	"cyclamenford/core/fair"
 	"cyclamenford/core/route"
 )
@@ -16,14 +17,12 @@
 	queueBound = 1024
 	// maxSkips bounds the tickets passed over because no free endpoint suits them.
 	maxSkips = 8
-	// demandMemory is the time constant over which this host's demand is smoothed.
-	demandMemory  = 2 * core.Second
+	// divideEvery is how often the pool's slots are divided anew between the hosts.
+	divideEvery   = 100 * core.Millis(1)
 	minRetryAfter = 200 * core.Millis(1)
 	maxRetryAfter = 30 * core.Second
 	// overcommit lets engines queue a little, so that no slot stands idle between two requests.
 	overcommit = 1.12
-	// minDemand keeps a host without work from losing its part altogether.
-	minDemand = 1.0
 	// noEndpointRetry is when a caller should return to a pool without endpoints.
 	noEndpointRetry = core.Second
 )
@@ -48,23 +47,27 @@
 	queue   *fair.Queue
 	waiting map[uint64]parked
 	running map[uint64]running
-	// busy is the summed cost of the running tickets.
-	busy   float64
-	demand float64
-	smooth core.Millis
-	others float64
+	shares  [core.PriorityCount]float64
+	offers  *claim.Meter
+	others  []claim.Offer
+	hosts   int
+	// part is this host's part of the pool's slots, as computed at dividedAt.
+	part      float64
+	dividedAt core.Millis
 }
 
 // New returns a pool without endpoints for a host in the given failure domain.
 func New(domain core.FailureDomain, shares [core.PriorityCount]float64, rng *rand.Rand) *Pool {
 	return &Pool{
-		router: route.New(domain, rng), queue: fair.New(shares, queueBound),
+		router: route.New(domain, rng), queue: fair.New(shares, queueBound), shares: shares,
+		offers: claim.NewMeter(), part: 1,
 		waiting: map[uint64]parked{}, running: map[uint64]running{},
 	}
 }
 
 // SetShares replaces the guaranteed shares of the priorities.
 func (p *Pool) SetShares(shares [core.PriorityCount]float64) {
+	p.shares = shares
 	p.queue.SetShares(shares)
 }
 
@@ -84,9 +87,19 @@
 	p.router.SetDrained(now, id, drained)
 }
 
-// SetOthers tells the pool the summed demand of the other hosts in milliseconds of slots.
-func (p *Pool) SetOthers(cost float64) {
-	p.others = cost
+// SetOthers tells the pool what callers ask of the other hosts, and how many hosts there are.
+func (p *Pool) SetOthers(offers []claim.Offer, hosts int) {
+	p.others, p.hosts = offers, hosts
+}
+
+// Offer counts work of the given cost in milliseconds that a caller asks of this host, admitted or not.
+func (p *Pool) Offer(now core.Millis, priority core.Priority, org core.OrganisationID, weight, cost float64) {
+	p.offers.Add(now, priority, org, weight, cost)
+}
+
+// Offers returns what callers ask of this host.
+func (p *Pool) Offers(now core.Millis) []claim.Offer {
+	return p.offers.Offers(now)
 }
 
 // Charge counts cost that another host served for an organisation.
@@ -94,12 +107,6 @@
 	p.queue.Charge(priority, org, weight, cost)
 }
 
-// Demand returns this host's smoothed demand in milliseconds of slots.
-func (p *Pool) Demand(now core.Millis) float64 {
-	p.smoothDemand(now)
-	return p.demand
-}
-
 // Depth returns the numbers of waiting and running tickets.
 func (p *Pool) Depth() (waiting, active int) {
 	return len(p.waiting), len(p.running)
@@ -136,7 +143,6 @@
 		return nil
 	}
 	delete(p.running, id)
-	p.busy = max(0, p.busy-r.ticket.Cost)
 	request := r.ticket.request()
 	switch v {
 	case Withdrawn:
@@ -161,8 +167,9 @@
 
 // Tick refuses the tickets that can no longer be in time and dispatches what has become possible.
 func (p *Pool) Tick(now core.Millis) []Action {
-	p.smoothDemand(now)
-	p.router.SetPart(overcommit * p.part())
+	if now-p.dividedAt >= divideEvery {
+		p.divide(now)
+	}
 	p.router.Tick(now)
 	return p.dispatch(now, nil)
 }
@@ -198,7 +205,6 @@
 	}
 	delete(p.waiting, id)
 	p.running[id] = running{ticket: w.ticket, endpoint: endpoint, started: now}
-	p.busy += w.ticket.Cost
 	return Action{Ticket: id, Endpoint: endpoint, Order: order, Route: why, Waited: now - w.arrived}, true
 }
 
@@ -209,36 +215,16 @@
 	return len(p.running) < slots-reserved
 }
 
-// allowance returns this host's part of the pool's slots, by its demand relative to the other hosts'.
-func (p *Pool) allowance() int {
-	return max(1, int(math.Ceil(overcommit*p.part()*float64(p.router.Slots()))))
+// divide computes this host's part of the pool's slots anew.
+func (p *Pool) divide(now core.Millis) {
+	p.dividedAt = now
+	p.part = claim.Part(float64(p.router.Slots()), p.shares, p.offers.Offers(now), p.others, p.hosts)
+	p.router.SetPart(overcommit * p.part)
 }
 
-// part returns this host's part of the pool's slots.
-func (p *Pool) part() float64 {
-	if p.others <= 0 {
-		return 1
-	}
-	own := max(p.ownDemand(), minDemand)
-	return own / (own + p.others)
-}
-
-// ownDemand is at least the work at hand, so that a burst claims its part at once.
-func (p *Pool) ownDemand() float64 {
-	return max(p.demand, p.work())
-}
-
-func (p *Pool) work() float64 {
-	return p.queue.Cost() + p.busy
-}
-
-func (p *Pool) smoothDemand(now core.Millis) {
-	if now <= p.smooth {
-		return
-	}
-	f := math.Exp(-float64(now-p.smooth) / float64(demandMemory))
-	p.demand = p.demand*f + p.work()*(1-f)
-	p.smooth = now
+// allowance returns how many tickets of this host may run.
+func (p *Pool) allowance() int {
+	return max(1, int(math.Ceil(overcommit*p.part*float64(p.router.Slots()))))
 }
 
 // ExpectedWait estimates the time until fair order reaches new work of an organisation.
--- a/core/pool/types.go
+++ b/core/pool/types.go
@@ -75,10 +75,3 @@
 	// Withdrawn means that the attempt ended for a reason that says nothing of the endpoint.
 	Withdrawn
 )
-
-// Demand is one host's wish for a pool, exchanged between hosts.
-type Demand struct {
-	Pool core.PoolID
-	// Cost is the running and waiting work in milliseconds of slots.
-	Cost float64
-}
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -34,8 +34,10 @@
 	drained   bool
 	alone     int
 	cacheSeq  uint64
-	prefixes  map[uint64]struct{}
-	freeAt    int
+	// prefixes tells when each believed prefix was used, counted in uses.
+	prefixes map[uint64]uint64
+	uses     uint64
+	freeAt   int
 }
 
 // limit returns how many requests of all hosts the endpoint should have at once.
--- a/core/route/prefix.go
+++ b/core/route/prefix.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"cyclamenford/core"
@@ -9,14 +11,14 @@
 // maxPrefixes bounds what is believed of one endpoint's cache.
 const maxPrefixes = 4096
 
-// cacheEvents applies numbered cache events; a gap voids all that was believed.
+// cacheEvents applies numbered cache events; a gap may hide that many evictions of the prefixes used longest ago.
 func (r *Router) cacheEvents(e *endpoint, events []core.CacheEvent) {
 	for _, ev := range events {
 		if ev.Seq <= e.cacheSeq {
 			continue
 		}
-		if e.cacheSeq > 0 && ev.Seq != e.cacheSeq+1 {
-			r.forgetPrefixes(e)
+		if e.cacheSeq > 0 {
+			r.forgetOldest(e, ev.Seq-e.cacheSeq-1)
 		}
 		e.cacheSeq = ev.Seq
 		if ev.Evicted {
@@ -27,17 +29,20 @@
 	}
 }
 
+// addPrefix believes that an endpoint holds a prefix and has just used it.
 func (r *Router) addPrefix(e *endpoint, prefix uint64) {
-	if _, known := e.prefixes[prefix]; known {
+	e.uses++
+	_, known := e.prefixes[prefix]
+	e.prefixes[prefix] = e.uses
+	if known {
 		return
 	}
-	if len(e.prefixes) >= maxPrefixes {
-		r.forgetPrefixes(e)
+	if len(e.prefixes) > maxPrefixes {
+		r.forgetOldest(e, 1)
 	}
 	if len(r.holders[prefix]) >= maxHolders {
 		r.removePrefix(r.holders[prefix][0], prefix)
 	}
-	e.prefixes[prefix] = struct{}{}
 	r.holders[prefix] = append(r.holders[prefix], e)
 }
 
@@ -51,8 +56,23 @@
 	r.holders[prefix] = rest
 }
 
+// forgetOldest drops the beliefs about the n prefixes that were used longest ago.
+func (r *Router) forgetOldest(e *endpoint, n uint64) {
+	if n == 0 {
+		return
+	}
+	if n >= uint64(len(e.prefixes)) {
+		r.forgetPrefixes(e)
+		return
+	}
+	oldest := slices.SortedFunc(maps.Keys(e.prefixes), func(a, b uint64) int { return cmp.Compare(e.prefixes[a], e.prefixes[b]) })
+	for _, prefix := range oldest[:n] {
+		r.removePrefix(e, prefix)
+	}
+}
+
 func (r *Router) forgetPrefixes(e *endpoint) {
-	for prefix := range e.prefixes {
+	for _, prefix := range slices.Sorted(maps.Keys(e.prefixes)) {
 		r.removePrefix(e, prefix)
 	}
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -81,7 +81,7 @@
 		ok = false
 	}
 	if !ok {
-		e = &endpoint{joined: now, freeAt: -1, slowness: 1, prefixes: map[uint64]struct{}{}}
+		e = &endpoint{joined: now, freeAt: -1, slowness: 1, prefixes: map[uint64]uint64{}}
 		if len(r.endpoints) == 0 {
 			e.joined = now - rampTime
 		}
--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -42,6 +42,9 @@
 	if problem != nil {
 		return Answer{}, problem
 	}
+	if problem := r.broker.Feasible(o.ask(nil)); problem != nil {
+		return Answer{}, problem
+	}
 	return o.run(ctx)
 }
 
