--- a/bench/stand/announce.go
+++ b/bench/stand/announce.go
@@ -50,6 +50,7 @@
 	return core.Announcement{
 		ID: s.options.ID, Incarnation: s.incarnation, Seq: s.seq, Address: s.Address(),
 		FailureDomain: s.options.FailureDomain, Kind: s.options.Kind, Models: s.options.Models, Slots: s.options.Slots,
+		CacheEntries:  s.options.CacheEntries,
 		ChecksFencing: s.options.ChecksFencing, ChecksIssuer: s.options.ChecksIssuer,
 		Load: core.Load{Running: running, Queued: queued, Seq: s.seq}, CacheEvents: s.cache.take(), Goodbye: s.left,
 	}
--- a/bench/trial/world.go
+++ b/bench/trial/world.go
@@ -62,7 +62,7 @@
 	for _, o := range w.deployment.Stands(nil) {
 		f := &fake{world: w, slow: 1, cache: map[uint64]uint64{}, prefill: float64(o.WorkMs) * 0.9}
 		f.announce = core.Announcement{
-			ID: o.ID, Incarnation: 1, Address: "fake", FailureDomain: o.FailureDomain, Kind: o.Kind, Models: o.Models, Slots: o.Slots,
+			ID: o.ID, Incarnation: 1, Address: "fake", FailureDomain: o.FailureDomain, Kind: o.Kind, Models: o.Models, Slots: o.Slots, CacheEntries: cacheBound,
 		}
 		f.workMs = float64(o.WorkMs)
 		if o.Kind == core.Generate {
--- a/core/endpoint.go
+++ b/core/endpoint.go
@@ -52,6 +52,8 @@
 	Kind          StageKind
 	Models        []string
 	Slots         int
+	// CacheEntries is the number of prompt prefixes that the endpoint keeps; 0 means unknown.
+	CacheEntries  int
 	ChecksFencing bool
 	ChecksIssuer  bool
 	Load          Load
--- a/core/route/prefix.go
+++ b/core/route/prefix.go
@@ -11,13 +11,15 @@
 // maxPrefixes bounds what is believed of one endpoint's cache.
 const maxPrefixes = 4096
 
-// cacheEvents applies numbered cache events; a gap may hide that many evictions of the prefixes used longest ago.
+// cacheEvents applies numbered cache events.
+//
+// A gap may hide that many evictions of the prefixes used longest ago, unless the cache's size bounds the beliefs anyway.
 func (r *Router) cacheEvents(e *endpoint, events []core.CacheEvent) {
 	for _, ev := range events {
 		if ev.Seq <= e.cacheSeq {
 			continue
 		}
-		if e.cacheSeq > 0 {
+		if e.cacheSeq > 0 && e.announced.CacheEntries == 0 {
 			r.forgetOldest(e, ev.Seq-e.cacheSeq-1)
 		}
 		e.cacheSeq = ev.Seq
@@ -37,7 +39,7 @@
 	if known {
 		return
 	}
-	if len(e.prefixes) > maxPrefixes {
+	if len(e.prefixes) > e.believable() {
 		r.forgetOldest(e, 1)
 	}
 	if len(r.holders[prefix]) >= maxHolders {
@@ -46,6 +48,14 @@
 	r.holders[prefix] = append(r.holders[prefix], e)
 }
 
+// believable returns how many prefixes the endpoint can hold as far as known.
+func (e *endpoint) believable() int {
+	if n := e.announced.CacheEntries; n > 0 {
+		return min(n, maxPrefixes)
+	}
+	return maxPrefixes
+}
+
 func (r *Router) removePrefix(e *endpoint, prefix uint64) {
 	delete(e.prefixes, prefix)
 	rest := slices.DeleteFunc(r.holders[prefix], func(h *endpoint) bool { return h == e })
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -19,12 +19,12 @@
 
 const (
 	// prefixBonus is the load difference that a cached prefix is worth.
-	prefixBonus = 0.5
+	prefixBonus = 0.8
 	// distancePenalty is the load difference that another failure domain costs.
 	distancePenalty = 0.1
 	// slownessPenalty weighs how much slower than its kin an endpoint is.
 	slownessPenalty = 0.5
-	maxHolders      = 3
+	maxHolders      = 4
 	draws           = 2
 	medianStep      = 1.02
 )
