Run twenty failure scenarios over real processes behind a fault proxy

Cause: promises were shown in one process only.

Change: bench/proxy delays, holds back (one way or two) and cuts connections between named parties; bench/drill runs hosts as processes, loads them and breaks them by a script; tests holds a data file for each scenario and ends every run with the checks of the promises, each of which has a test that it catches a breach. Hosts call from their own IP and may advertise another peer address, which the proxy needs and an address translation does too.

Seen on the way: about 10% of requests at light load are refused with LimitExceeded although the team is far below its limit.

--- /dev/null
+++ b/bench/drill/drill.go
@@ -0,0 +1,295 @@
+package drill
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"cyclamenford/bench/proxy"
+	"cyclamenford/bench/site"
+	"cyclamenford/bench/stand"
+	"cyclamenford/core"
+	"cyclamenford/io/caller"
+	"cyclamenford/io/oper"
+	"cyclamenford/setup"
+)
+
+const (
+	firstHostByte = 11
+	pollEvery     = 30 * time.Millisecond
+	// endpointsParty is the name under which all endpoints call hosts.
+	endpointsParty = "endpoints"
+)
+
+// Drill is a running deployment of real processes.
+type Drill struct {
+	script     Script
+	deployment site.Deployment
+	processes  []*process
+	stands     []*stand.Server
+	gone       []*stand.Server
+	network    *proxy.Network
+	operators  *oper.Client
+	callers    *caller.Client
+	record     *Record
+	options    map[core.EndpointID]stand.Options
+	marks      map[core.EndpointID]int64
+}
+
+// New prepares the processes of a script; binary is the built program and folder holds files and logs.
+func New(s Script, binary, folder string) (*Drill, error) {
+	d, ok := site.ByName(s.Deployment)
+	if !ok {
+		return nil, fmt.Errorf("unknown deployment %q", s.Deployment)
+	}
+	if s.Hosts > 0 {
+		d.Hosts = d.Hosts[:s.Hosts]
+	}
+	x := &Drill{
+		script: s, deployment: d, callers: caller.New(), record: NewRecord(),
+		options: map[core.EndpointID]stand.Options{}, marks: map[core.EndpointID]int64{},
+	}
+	x.network = proxy.New(x.partyOf)
+	x.network.Set(proxy.Link{}, proxy.Rule{Delay: time.Duration(d.OneWayMs * float64(time.Millisecond))})
+	return x, x.prepareHosts(binary, folder)
+}
+
+func hostIP(n int) string { return fmt.Sprintf("127.0.0.%d", firstHostByte+n) }
+
+func (x *Drill) partyOf(ip string) string {
+	for n, h := range x.deployment.Hosts {
+		if hostIP(n) == ip {
+			return string(h.ID)
+		}
+	}
+	return endpointsParty
+}
+
+func (x *Drill) prepareHosts(binary, folder string) error {
+	var all []site.Addresses
+	for n, h := range x.deployment.Hosts {
+		var a site.Addresses
+		for _, p := range []*string{&a.Callers, &a.Endpoints, &a.Operators, &a.Peers} {
+			address, err := freeAddress(hostIP(n))
+			if err != nil {
+				return err
+			}
+			*p = address
+		}
+		advertised, err := x.network.Listen(string(h.ID), a.Peers)
+		if err != nil {
+			return err
+		}
+		a.PeersAdvertised = advertised
+		all = append(all, a)
+	}
+	var operators []string
+	for n := range x.deployment.Hosts {
+		s := x.deployment.HostSettings(n, all, folder)
+		s.Callers.DrainMs = 300
+		s.Keepers.PatienceMs = 3 * core.Second
+		s.Log.Level = "Info"
+		p, err := newProcess(binary, folder, s)
+		if err != nil {
+			return err
+		}
+		x.processes = append(x.processes, p)
+		operators = append(operators, s.Listeners.Operators)
+	}
+	x.operators = oper.New(operators, site.OperatorKey)
+	return nil
+}
+
+// Start starts hosts and endpoints and sets the deployment's tree.
+func (x *Drill) Start(ctx context.Context) error {
+	for _, p := range x.processes {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	if err := x.awaitReady(ctx); err != nil {
+		return err
+	}
+	docs, order, err := x.deployment.Docs()
+	if err != nil {
+		return err
+	}
+	revision, err := x.operators.Import(ctx, docs, order)
+	if err != nil {
+		return err
+	}
+	if err := x.operators.Wait(ctx, revision); err != nil {
+		return err
+	}
+	return x.startStands(ctx)
+}
+
+func (x *Drill) startStands(ctx context.Context) error {
+	var announce []string
+	for _, p := range x.processes {
+		address, err := x.network.Listen(string(p.settings.Host.ID), p.settings.Listeners.Endpoints)
+		if err != nil {
+			return err
+		}
+		announce = append(announce, address)
+	}
+	for _, o := range x.deployment.Stands(announce) {
+		x.options[o.ID] = o
+		if err := x.startStand(ctx, o.ID); err != nil {
+			return err
+		}
+	}
+	return x.awaitEndpoints(ctx)
+}
+
+// startStand starts an endpoint, or a new life of one that has ended.
+func (x *Drill) startStand(ctx context.Context, id core.EndpointID) error {
+	o := x.options[id]
+	var server *stand.Server
+	o.Advertise = func(address string) string {
+		proxied, err := x.network.Listen(string(id), address)
+		if err != nil {
+			return address
+		}
+		return proxied
+	}
+	o.OnCrash = func() {
+		x.record.crash(id)
+		server.Crash()
+		time.AfterFunc(time.Second, func() { _ = x.startStand(context.Background(), id) })
+	}
+	server = stand.New(o)
+	if err := server.Start(ctx); err != nil {
+		return fmt.Errorf("start endpoint %s: %w", id, err)
+	}
+	x.record.mu.Lock()
+	defer x.record.mu.Unlock()
+	for i, old := range x.stands {
+		if old.ID() == id {
+			x.gone = append(x.gone, old)
+			x.stands[i] = server
+			return nil
+		}
+	}
+	x.stands = append(x.stands, server)
+	return nil
+}
+
+func (x *Drill) stand(id string) (*stand.Server, error) {
+	x.record.mu.Lock()
+	defer x.record.mu.Unlock()
+	for _, s := range x.stands {
+		if string(s.ID()) == id {
+			return s, nil
+		}
+	}
+	return nil, fmt.Errorf("unknown endpoint %q", id)
+}
+
+// allStands returns every life of every endpoint.
+func (x *Drill) allStands() []*stand.Server {
+	x.record.mu.Lock()
+	defer x.record.mu.Unlock()
+	return append(append([]*stand.Server(nil), x.stands...), x.gone...)
+}
+
+// awaitReady waits until every running host reports ready.
+func (x *Drill) awaitReady(ctx context.Context) error {
+	return poll(ctx, "hosts to be ready", func() bool {
+		for _, p := range x.processes {
+			if p.running() && !ready(ctx, p.settings) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func ready(ctx context.Context, s setup.Settings) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Listeners.Callers+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (x *Drill) awaitEndpoints(ctx context.Context) error {
+	return poll(ctx, "endpoints to be known", func() bool {
+		for _, p := range x.processes {
+			if !p.running() {
+				continue
+			}
+			var list []struct{ ID string }
+			c := oper.New([]string{p.settings.Listeners.Operators}, site.OperatorKey)
+			if c.Get(ctx, "/v1/endpoints", &list) != nil || len(list) < len(x.options) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Close ends everything.
+func (x *Drill) Close() {
+	for _, p := range x.processes {
+		if p.running() {
+			p.kill()
+		}
+		_ = p.log.Close()
+	}
+	for _, s := range x.allStands() {
+		s.Crash()
+	}
+	x.network.Close()
+}
+
+// callerHosts returns the callers' listeners, beginning with the n-th host's.
+func (x *Drill) callerHosts(n int) []string {
+	var list []string
+	for i := range x.processes {
+		list = append(list, x.processes[(n+i)%len(x.processes)].settings.Listeners.Callers)
+	}
+	return list
+}
+
+// leader returns the number of the host that leads the keepers.
+func (x *Drill) leader(ctx context.Context) (int, error) {
+	var s struct{ Leader string }
+	if err := x.operators.Get(ctx, "/v1/status", &s); err != nil {
+		return 0, err
+	}
+	id, _, _ := strings.Cut(s.Leader, "/")
+	return x.hostNumber(id)
+}
+
+func (x *Drill) hostNumber(id string) (int, error) {
+	for n, h := range x.deployment.Hosts {
+		if string(h.ID) == id {
+			return n, nil
+		}
+	}
+	return 0, fmt.Errorf("unknown host %q", id)
+}
+
+func poll(ctx context.Context, what string, done func() bool) error {
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %s: %w", what, ctx.Err())
+		case <-time.After(pollEvery):
+		}
+	}
+	return nil
+}
+
+var errNoStep = errors.New("unknown action")
--- /dev/null
+++ b/bench/drill/record.go
@@ -0,0 +1,115 @@
+package drill
+
+import (
+	"sync"
+
+	"cyclamenford/core"
+	"cyclamenford/io/admin"
+	"cyclamenford/io/caller"
+)
+
+// Answer is what a caller got for a pipeline request.
+type Answer struct {
+	Body   []byte
+	Host   string
+	Stream bool
+	Reply  caller.Reply
+	Err    error
+}
+
+// Call is a non-repeatable call with the replies to all its sendings.
+type Call struct {
+	Key     string
+	Replies []caller.Reply
+}
+
+// Change is an operator's change of the raced subtree.
+type Change struct {
+	Version  uint64
+	Doc      []byte
+	Accepted bool
+	Refused  bool
+	Revision uint64
+}
+
+// Record is everything that callers, operators and endpoints have seen.
+type Record struct {
+	mu      sync.Mutex
+	Answers []Answer
+	Calls   []Call
+	Changes []Change
+	// History is the raced subtree's history at the end, and Versions the version that each host has in force.
+	History  []admin.Subtree
+	Versions []uint64
+	// Effects counts the runs of each non-repeatable call, and Seen the runs of each request, over all endpoints.
+	Effects map[string]int
+	Seen    map[core.RequestID]int
+	// Lost names the callers' listeners of the hosts that were killed.
+	Lost    map[string]bool
+	Crashes map[core.EndpointID]int
+	// NewWork counts, for endpoints that have left, the runs begun after their mark.
+	NewWork map[core.EndpointID]int64
+	leader  int
+}
+
+// NewRecord returns an empty record.
+func NewRecord() *Record {
+	return &Record{
+		Effects: map[string]int{}, Seen: map[core.RequestID]int{}, Lost: map[string]bool{},
+		Crashes: map[core.EndpointID]int{}, NewWork: map[core.EndpointID]int64{}, leader: -1,
+	}
+}
+
+func (r *Record) answer(a Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Answers = append(r.Answers, a)
+}
+
+func (r *Record) call(c Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Calls = append(r.Calls, c)
+}
+
+func (r *Record) change(c Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Changes = append(r.Changes, c)
+}
+
+func (r *Record) crash(id core.EndpointID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Crashes[id]++
+}
+
+func (r *Record) lose(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Lost[host] = true
+}
+
+// Record returns what was seen, with the endpoints' counts.
+func (x *Drill) Record() *Record {
+	for _, s := range x.allStands() {
+		for key, n := range s.Runs() {
+			x.record.Effects[key] += n
+		}
+		for id, n := range s.Seen() {
+			x.record.Seen[id] += n
+		}
+	}
+	for id, before := range x.marks {
+		if s, err := x.stand(string(id)); err == nil {
+			x.record.NewWork[id] = s.Started() - before
+		}
+	}
+	return x.record
+}
+
+// Expected returns the text that the deployment's pipeline must give for a body.
+func (x *Drill) Expected(body []byte) (string, error) {
+	p := x.plan()
+	return expect(x, body, p)
+}
--- a/bench/stand/announce.go
+++ b/bench/stand/announce.go
@@ -48,7 +48,7 @@
 	defer s.mu.Unlock()
 	s.seq++
 	return core.Announcement{
-		ID: s.options.ID, Incarnation: s.incarnation, Seq: s.seq, Address: s.Address(),
+		ID: s.options.ID, Incarnation: s.incarnation, Seq: s.seq, Address: s.advertised,
 		FailureDomain: s.options.FailureDomain, Kind: s.options.Kind, Models: s.options.Models, Slots: s.options.Slots,
 		CacheEntries:  s.options.CacheEntries,
 		ChecksFencing: s.options.ChecksFencing, ChecksIssuer: s.options.ChecksIssuer,
--- a/bench/stand/options.go
+++ b/bench/stand/options.go
@@ -32,6 +32,8 @@
 	GapPercent int
 	// WeightStore is the address from which models are loaded; empty loads at once.
 	WeightStore string
+	// Advertise returns the address to announce for the one listened on; nil announces that itself.
+	Advertise func(address string) string `json:"-"`
 	// OnCrash replaces the end of the process when a request crashes the stand-in.
 	OnCrash func() `json:"-"`
 }
--- a/bench/stand/server.go
+++ b/bench/stand/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -32,8 +33,12 @@
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 
+	// advertised is the address that announcements carry.
+	advertised string
+
 	mu    sync.Mutex
 	fault Fault
+	seen  map[core.RequestID]int
 	left  bool
 	seq   uint64
 }
@@ -43,7 +48,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		options: o, incarnation: core.Incarnation(time.Now().UnixMicro()), ctx: ctx, cancel: cancel,
-		batch: newBatch(o.Slots), cache: newCache(o.CacheEntries, o.GapPercent), calls: newCallLog(),
+		seen: map[core.RequestID]int{}, batch: newBatch(o.Slots), cache: newCache(o.CacheEntries, o.GapPercent), calls: newCallLog(),
 	}
 	s.orders = newOrderLog(s)
 	return s
@@ -56,6 +61,10 @@
 		return fmt.Errorf("listen as stand-in: %w", err)
 	}
 	s.listener = l
+	s.advertised = l.Addr().String()
+	if s.options.Advertise != nil {
+		s.advertised = s.options.Advertise(s.advertised)
+	}
 	s.http = &http.Server{Handler: s.routes()}
 	s.wg.Go(func() { _ = s.http.Serve(l) })
 	s.wg.Go(s.announceLoop)
@@ -167,6 +176,9 @@
 		return
 	}
 	f := s.currentFault()
+	if !f.Refuse {
+		s.see(run.RequestID)
+	}
 	if f.Refuse {
 		reply(w, http.StatusServiceUnavailable, dial.Refusal{Outcome: core.NotRun, Detail: "told to refuse"})
 		return
@@ -189,6 +201,19 @@
 	}
 }
 
+func (s *Server) see(id core.RequestID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen[id]++
+}
+
+// Seen returns how often each request was begun here.
+func (s *Server) Seen() map[core.RequestID]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.seen)
+}
+
 func (s *Server) crash() {
 	if s.options.OnCrash != nil {
 		s.options.OnCrash()
--- a/io/dial/client.go
+++ b/io/dial/client.go
@@ -66,21 +66,21 @@
 	single *http.Client
 }
 
-// New returns a client; tlsConfig may be nil for plain HTTP.
-func New(tlsConfig *tls.Config, tracer *trace.Service) *Client {
+// New returns a client that calls from the given IP, any if nil; tlsConfig may be nil for plain HTTP.
+func New(tlsConfig *tls.Config, from net.IP, tracer *trace.Service) *Client {
 	scheme := "http"
 	if tlsConfig != nil {
 		scheme = "https"
 	}
 	return &Client{
 		tracer: tracer, scheme: scheme,
-		pooled: &http.Client{Transport: transport(tlsConfig, false)},
-		single: &http.Client{Transport: transport(tlsConfig, true)},
+		pooled: &http.Client{Transport: transport(tlsConfig, from, false)},
+		single: &http.Client{Transport: transport(tlsConfig, from, true)},
 	}
 }
 
-func transport(tlsConfig *tls.Config, single bool) *http.Transport {
-	d := &net.Dialer{Timeout: connectTimeout}
+func transport(tlsConfig *tls.Config, from net.IP, single bool) *http.Transport {
+	d := &net.Dialer{Timeout: connectTimeout, LocalAddr: &net.TCPAddr{IP: from}}
 	return &http.Transport{
 		DialContext: d.DialContext, TLSClientConfig: tlsConfig, DisableKeepAlives: single,
 		MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout,
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -21,6 +21,7 @@
 type Client struct {
 	key  []byte
 	tls  *tls.Config
+	from net.Addr
 	sent atomic.Int64
 	recv atomic.Int64
 
@@ -33,9 +34,9 @@
 	client *rpc.Client
 }
 
-// NewClient returns a client without connections; tlsConfig may be nil for plain TCP.
-func NewClient(key []byte, tlsConfig *tls.Config) *Client {
-	return &Client{key: key, tls: tlsConfig, conns: map[string]*connection{}}
+// NewClient returns a client that calls from the given IP, any if nil; tlsConfig may be nil for plain TCP.
+func NewClient(key []byte, tlsConfig *tls.Config, from net.IP) *Client {
+	return &Client{key: key, tls: tlsConfig, from: &net.TCPAddr{IP: from}, conns: map[string]*connection{}}
 }
 
 // Bytes returns how many bytes were sent and received over all connections.
@@ -122,7 +123,7 @@
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := net.Dialer{LocalAddr: c.from}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/setup/app.go
+++ b/setup/app.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 
 	"cyclamenford/core"
 	"cyclamenford/core/kernel"
@@ -171,11 +172,23 @@
 	return store, held, nil
 }
 
+// localIP is the address from which this host calls others.
+func (a *App) localIP() net.IP {
+	host, _, err := net.SplitHostPort(a.settings.Listeners.Peers)
+	if err != nil {
+		return nil
+	}
+	if ip := net.ParseIP(host); !ip.IsUnspecified() {
+		return ip
+	}
+	return nil
+}
+
 // self describes this life of the host.
 func (a *App) self() (state.Host, error) {
 	h := state.Host{
 		ID: a.settings.Host.ID, Incarnation: core.Incarnation(a.clock.Unix()),
-		FailureDomain: a.settings.Host.FailureDomain, PeerAddress: a.settings.Listeners.Peers,
+		FailureDomain: a.settings.Host.FailureDomain, PeerAddress: a.settings.Listeners.peersAddress(),
 	}
 	k, err := kernel.Find[*keeper.Keeper](a.kernel, keeperService)
 	switch {
--- a/setup/check.go
+++ b/setup/check.go
@@ -41,6 +41,9 @@
 	c.want(s.Host.ID != "" && !strings.Contains(string(s.Host.ID), "/"), "Host.ID", s.Host.ID, "a name without /")
 	c.want(s.Host.FailureDomain != "", "Host.FailureDomain", `""`, "a name")
 	c.listeners(s.Listeners)
+	if s.Listeners.PeersAdvertised != "" {
+		c.address("Listeners.PeersAdvertised", s.Listeners.PeersAdvertised)
+	}
 	c.want(len(s.Join) > 0, "Join", "none", "at least one address")
 	for i, a := range s.Join {
 		c.address(fmt.Sprintf("Join[%d]", i), a)
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -42,6 +42,16 @@
 	Endpoints string
 	Operators string
 	Peers     string
+	// PeersAdvertised is where the other hosts reach Peers, if that is another address.
+	PeersAdvertised string
+}
+
+// peersAddress is where the other hosts reach this one.
+func (l Listeners) peersAddress() string {
+	if l.PeersAdvertised != "" {
+		return l.PeersAdvertised
+	}
+	return l.Peers
 }
 
 // FoundingKeeper is a keeper of a new deployment with the address of its peer listener.
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -70,7 +70,7 @@
 		return err
 	}
 	key := []byte(a.settings.Keys.Cluster)
-	if err := w.register(clientService, peer.NewClient(key, client)); err != nil {
+	if err := w.register(clientService, peer.NewClient(key, client, a.localIP())); err != nil {
 		return err
 	}
 	return w.register(serverService, peer.NewServer(a.settings.Listeners.Peers, key, server, a.log), clientService)
@@ -114,7 +114,7 @@
 	}
 	w := wiring{app: a}
 	t := find[*trace.Service](&w, traceService)
-	return w.register(dialService, dial.New(config, t), traceService)
+	return w.register(dialService, dial.New(config, a.localIP(), t), traceService)
 }
 
 func (a *App) addShare() error {
--- /dev/null
+++ b/tests/doc.go
@@ -0,0 +1,2 @@
+// Package tests holds the scenarios that run real processes behind faults, each in its data file.
+package tests
--- /dev/null
+++ b/tests/scenario_test.go
@@ -0,0 +1,155 @@
+package tests
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/bench/drill"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+// parallelScenarios bounds the scenarios that run at once, each of up to eight processes.
+var parallelScenarios = make(chan struct{}, 3)
+
+const scenarioLimit = 3 * time.Minute
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "cyclamenford-tests-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(folder, "cyclamenford")
+	build := exec.Command("go", "build", "-o", binary, "cyclamenford")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// scenario is one file of testdata: a script and the checks beyond those that every run ends with.
+type scenario struct {
+	drill.Script
+	// Uncut asks that no stream broke off, but at hosts that were killed.
+	Uncut bool
+	// MostCrashes bounds the crashes that requests cause; 0 means none is caused.
+	MostCrashes int
+	// NeedAnswers, NeedCalls and NeedChanges are the least completed ones, so that a run that did nothing fails.
+	NeedAnswers, NeedCalls, NeedChanges int
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, files)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		must.NoError(t, err)
+		var s scenario
+		must.NoError(t, json.Unmarshal(raw, &s), must.Sprint(file))
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			parallelScenarios <- struct{}{}
+			defer func() { <-parallelScenarios }()
+			runScenario(t, s)
+		})
+	}
+}
+
+func runScenario(t *testing.T, s scenario) {
+	ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
+	defer cancel()
+	folder := t.TempDir()
+	x, err := drill.New(s.Script, binary, folder)
+	must.NoError(t, err)
+	defer x.Close()
+	must.NoError(t, x.Start(ctx))
+	runErr := x.Run(ctx)
+	if runErr != nil {
+		printLogs(t, folder)
+	}
+	must.NoError(t, runErr)
+	r := x.Record()
+	done := summary(r)
+	t.Log(done.text)
+	var broken []string
+	broken = append(broken, drill.CheckAnswers(r, x.Expected)...)
+	broken = append(broken, drill.CheckNotRun(r)...)
+	broken = append(broken, drill.CheckOnce(r)...)
+	broken = append(broken, drill.CheckSettings(r)...)
+	broken = append(broken, drill.CheckLeft(r)...)
+	broken = append(broken, drill.CheckCrashes(r, s.MostCrashes)...)
+	if s.Uncut {
+		broken = append(broken, drill.CheckUncut(r)...)
+	}
+	for _, b := range broken {
+		t.Error(b)
+	}
+	must.GreaterEq(t, s.NeedAnswers, done.answers)
+	must.GreaterEq(t, s.NeedCalls, done.calls)
+	must.GreaterEq(t, s.NeedChanges, done.changes)
+	if t.Failed() {
+		printLogs(t, folder)
+	}
+}
+
+type done struct {
+	answers, calls, changes int
+	text                    string
+}
+
+func summary(r *drill.Record) done {
+	var d done
+	outcomes := map[string]int{}
+	resumed := 0
+	for _, a := range r.Answers {
+		if a.Err != nil {
+			outcomes["NoReply"]++
+			continue
+		}
+		outcomes[string(a.Reply.Outcome)+" "+string(a.Reply.Reason)]++
+		resumed += min(1, a.Reply.Resumes)
+		if a.Reply.Outcome == "Completed" {
+			d.answers++
+		}
+	}
+	for _, c := range r.Calls {
+		if n := len(c.Replies); n > 0 && c.Replies[n-1].Outcome == "Completed" {
+			d.calls++
+		}
+	}
+	for _, c := range r.Changes {
+		if c.Accepted {
+			d.changes++
+		}
+	}
+	d.text = fmt.Sprintf("answers %v, resumed %d, calls completed %d of %d, changes accepted %d of %d",
+		outcomes, resumed, d.calls, len(r.Calls), d.changes, len(r.Changes))
+	return d
+}
+
+// printLogs shows the ends of the hosts' logs after a failure.
+func printLogs(t *testing.T, folder string) {
+	const shown = 1500
+	files, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, file := range files {
+		raw, _ := os.ReadFile(file)
+		if len(raw) > shown {
+			raw = raw[len(raw)-shown:]
+		}
+		t.Logf("%s:\n%s", filepath.Base(file), raw)
+	}
+}
