Leave a lightly used team room for bursts at every host

Cause: a host divided a team's limit by the demands told every 200 ms; a host that had told none had room for one request, so two at once were refused at light load (about 10%).

Change: below half of its limit a team may use, at each host, an equal part of what is missing to that half.

--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -60,10 +60,12 @@
 	running int
 	demand  float64
 	// told is the demand that the other hosts were told last.
-	told     float64
-	counted  core.Millis
-	requests bucket
-	tokens   bucket
+	told float64
+	// toldRunning is the number of running requests that the other hosts were told last.
+	toldRunning int
+	counted     core.Millis
+	requests    bucket
+	tokens      bucket
 }
 
 func (t *team) arrive(now core.Millis) {
@@ -118,16 +120,19 @@
 	return 0, true
 }
 
-// withinConcurrency keeps a host to its whole part of the limit, or to one request while the sum leaves room.
+// withinConcurrency keeps a host to its part of the limit by demand.
+//
+// While the team uses less than half of its limit, a host may also take an equal part of what is missing to that half.
 func (l *Limiter) withinConcurrency(id core.TeamID, t *team, limit int) bool {
-	running := t.running
+	others := 0
 	for _, r := range l.remotes {
-		running += r.usage[id].Running
+		others += r.usage[id].Running
 	}
-	if running >= limit {
+	if t.running+others >= limit {
 		return false
 	}
-	return t.running < max(1, l.apportion(id, t, limit))
+	left := max(0, limit/2-others-t.toldRunning) / (len(l.remotes) + 1)
+	return t.running < max(1, l.apportion(id, t, limit), t.toldRunning+left)
 }
 
 // apportion divides a limit between the hosts by the demands that all of them know, the largest remainders first.
@@ -194,7 +199,7 @@
 	var list []Usage
 	for id, t := range l.teams {
 		t.decay(now)
-		t.told = t.demand
+		t.told, t.toldRunning = t.demand, t.running
 		if t.running > 0 || t.demand > 0.01 {
 			list = append(list, Usage{Team: id, Running: t.running, Demand: t.demand})
 		}
