--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -71,13 +71,9 @@
 func (x *Drill) prepareHosts(binary, folder string) error {
 	var all []site.Addresses
 	for n, h := range x.deployment.Hosts {
-		var a site.Addresses
-		for _, p := range []*string{&a.Callers, &a.Endpoints, &a.Operators, &a.Peers} {
-			address, err := freeAddress(hostIP(n))
-			if err != nil {
-				return err
-			}
-			*p = address
+		a, err := site.FreeAddresses(hostIP(n))
+		if err != nil {
+			return err
 		}
 		advertised, err := x.network.Listen(string(h.ID), a.Peers)
 		if err != nil {
--- a/bench/drill/process.go
+++ b/bench/drill/process.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -108,38 +107,3 @@
 		return fmt.Errorf("%s has not ended after %v", p.settings.Host.ID, limit)
 	}
 }
-
-// freeAddress returns a free port on an IP below the range of outgoing ports.
-func freeAddress(ip string) (string, error) {
-	for port := 10_000 + os.Getpid()%9_000; port < 32_000; port += 7 {
-		address := fmt.Sprintf("%s:%d", ip, port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		taken := claimPort(address)
-		if err := l.Close(); err != nil {
-			return "", fmt.Errorf("close probe listener: %w", err)
-		}
-		if !taken {
-			return address, nil
-		}
-	}
-	return "", errors.New("no free port")
-}
-
-var (
-	claimedMu sync.Mutex
-	claimed   = map[string]bool{}
-)
-
-// claimPort notes an address as given out, and reports whether it already was.
-func claimPort(address string) bool {
-	claimedMu.Lock()
-	defer claimedMu.Unlock()
-	if claimed[address] {
-		return true
-	}
-	claimed[address] = true
-	return false
-}
--- a/bench/site/files.go
+++ b/bench/site/files.go
@@ -21,11 +21,11 @@
 	return Addresses{Callers: at(7100), Endpoints: at(7200), Operators: at(7300), Peers: at(7400)}
 }
 
-// FreeAddresses returns listeners on free ports.
-func FreeAddresses() (Addresses, error) {
+// FreeAddresses returns listeners on free ports of the IP.
+func FreeAddresses(ip string) (Addresses, error) {
 	var a Addresses
 	for _, p := range []*string{&a.Callers, &a.Endpoints, &a.Operators, &a.Peers} {
-		address, err := FreeAddress()
+		address, err := FreeAddress(ip)
 		if err != nil {
 			return a, err
 		}
--- a/bench/site/ports.go
+++ b/bench/site/ports.go
@@ -5,22 +5,33 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 // The range of ports lies below the one that the kernel gives to outgoing connections.
 const (
-	firstPort = 12000
-	lastPort  = 31000
-	portTries = 200
+	firstPort = 12_000
+	lastPort  = 31_000
+	portTries = 500
 )
 
 // errNoPort means that no free port was found.
 var errNoPort = errors.New("no free port found")
 
-// FreeAddress returns a loopback address with a port that nothing listens on.
-func FreeAddress() (string, error) {
+var (
+	givenMu sync.Mutex
+	given   = map[string]bool{}
+)
+
+// FreeAddress returns an address of the IP with a port that nothing listens on and that was not given out before.
+func FreeAddress(ip string) (string, error) {
+	givenMu.Lock()
+	defer givenMu.Unlock()
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", ip, firstPort+rand.IntN(lastPort-firstPort))
+		if given[address] {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -28,6 +39,7 @@
 		if err := l.Close(); err != nil {
 			return "", fmt.Errorf("close probe listener: %w", err)
 		}
+		given[address] = true
 		return address, nil
 	}
 	return "", errNoPort
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -39,7 +39,7 @@
 	s := &Site{Deployment: d, folder: folder, log: log, tune: tune, Callers: caller.New()}
 	var operators []string
 	for range d.Hosts {
-		a, err := FreeAddresses()
+		a, err := FreeAddresses("127.0.0.1")
 		if err != nil {
 			return nil, err
 		}
--- a/bench/site/site_test.go
+++ b/bench/site/site_test.go
@@ -27,7 +27,7 @@
 	if testing.Verbose() {
 		log = slog.New(slog.NewTextHandler(t.Output(), nil))
 	}
-	s, err := New(d, log, func(c *setup.Settings) { c.Callers.DrainMs = 100 })
+	s, err := New(d, log, func(c *setup.Settings) { c.Callers.DrainMs, c.Callers.ReadTimeoutMs = 100, 1000 })
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
 	must.NoError(t, s.StartHosts(ctx))
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -80,11 +80,32 @@
 // Ledger holds the calls of all organisations.
 type Ledger struct {
 	entries map[Key]Entry
+	// reserved lists the calls that each host may be running.
+	reserved map[core.HostID]map[Key]struct{}
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{entries: map[Key]Entry{}}
+	return &Ledger{entries: map[Key]Entry{}, reserved: map[core.HostID]map[Key]struct{}{}}
+}
+
+// put stores an entry and keeps the list of reserved calls.
+func (l *Ledger) put(k Key, e Entry) {
+	l.entries[k] = e
+	host := e.Holder.Host
+	if e.Phase != Reserved {
+		delete(l.reserved[host], k)
+		return
+	}
+	if l.reserved[host] == nil {
+		l.reserved[host] = map[Key]struct{}{}
+	}
+	l.reserved[host][k] = struct{}{}
+}
+
+func (l *Ledger) remove(k Key) {
+	delete(l.reserved[l.entries[k].Holder.Host], k)
+	delete(l.entries, k)
 }
 
 // Len returns the number of remembered calls.
@@ -110,7 +131,7 @@
 		return Ahead, Entry{}
 	}
 	e := Entry{Phase: Reserved, Holder: h, BodyHash: bodyHash, IssuedAt: issuedAt}
-	l.entries[k] = e
+	l.put(k, e)
 	return Granted, e
 }
 
@@ -136,7 +157,7 @@
 	}
 	e.Phase = Done
 	e.Answer = a
-	l.entries[k] = e
+	l.put(k, e)
 	return true
 }
 
@@ -146,7 +167,7 @@
 	if !ok || e.Phase == Done || e.Holder != h {
 		return false
 	}
-	delete(l.entries, k)
+	l.remove(k)
 	return true
 }
 
@@ -158,20 +179,21 @@
 	}
 	e.Phase = Done
 	e.Answer = a
-	l.entries[k] = e
+	l.put(k, e)
 	return true
 }
 
 // LoseHost marks every call reserved by the host's lives up to the given one as lost and returns their number.
 func (l *Ledger) LoseHost(host core.HostID, upTo core.Incarnation) int {
 	n := 0
-	for k, e := range l.entries {
-		if e.Phase != Reserved || e.Holder.Host != host || e.Holder.Incarnation > upTo {
+	for k := range l.reserved[host] {
+		e := l.entries[k]
+		if e.Holder.Incarnation > upTo {
 			continue
 		}
 		e.Phase = Lost
 		e.Answer = Answer{Outcome: core.Unknown, Reason: core.ReasonConnectionLost}
-		l.entries[k] = e
+		l.put(k, e)
 		n++
 	}
 	return n
@@ -181,7 +203,7 @@
 func (l *Ledger) Purge(now core.Millis) {
 	for k, e := range l.entries {
 		if e.IssuedAt < now-Retention {
-			delete(l.entries, k)
+			l.remove(k)
 		}
 	}
 }
@@ -208,7 +230,7 @@
 func Restore(list []Record) *Ledger {
 	l := New()
 	for _, r := range list {
-		l.entries[r.Key] = r.Entry
+		l.put(r.Key, r.Entry)
 	}
 	return l
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -92,7 +92,10 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(f.options.ReadTimeout.Duration()))
 	body, err := stdio.ReadAll(http.MaxBytesReader(w, c.Request().Body, f.options.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		// After an error the deadline stays, so that the server does not wait for the rest of the body.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, core.NewProblem(http.StatusRequestEntityTooLarge, core.NotRun, core.ReasonBodyTooLarge,
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -51,7 +51,7 @@
 		c.StatusCode(http.StatusInternalServerError)
 		return
 	}
-	c.ContentType("application/problem+json")
+	c.ResponseWriter().Header().Set("Content-Type", "application/problem+json")
 	c.StatusCode(p.Status)
 	_, _ = c.Write(raw)
 }
