--- /dev/null
+++ b/core/claim/claim_test.go
@@ -0,0 +1,58 @@
+package claim
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+)
+
+var shares = [core.PriorityCount]float64{0.5, 0.3, 0.1}
+
+func TestParts(t *testing.T) {
+	raw, err := os.ReadFile("testdata/parts.json")
+	must.NoError(t, err)
+	var rows []struct {
+		Name        string
+		Slots       float64
+		Hosts       int
+		Own, Others []Offer
+		Part        float64
+	}
+	must.NoError(t, json.Unmarshal(raw, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			must.InDelta(t, row.Part, Part(row.Slots, shares, row.Own, row.Others, row.Hosts), 0.001)
+		})
+	}
+}
+
+// TestPartsSumToTheWhole holds for any offers that all hosts know.
+func TestPartsSumToTheWhole(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		offers := make([][]Offer, 2+rng.IntN(7))
+		for h := range offers {
+			for o := range rng.IntN(6) {
+				offers[h] = append(offers[h], Offer{
+					Priority: core.Priority(rng.IntN(3)), Organisation: core.OrganisationID(rune('a' + o)), Slots: rng.Float64() * 90,
+				})
+			}
+		}
+		total := 0.0
+		for h, own := range offers {
+			var others [][]Offer
+			for i, o := range offers {
+				if i != h {
+					others = append(others, o)
+				}
+			}
+			total += Part(100, shares, Sum(own), Sum(others...), len(offers))
+		}
+		must.InDelta(t, 1, total, 0.001)
+	}
+}
--- /dev/null
+++ b/core/imports_test.go
@@ -0,0 +1,37 @@
+package core_test
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// pure lists the modules that decisions may use beside the standard library and core itself.
+var pure = []string{
+	"cyclamenford/core", "github.com/cespare/xxhash", "github.com/fxamacker/cbor", "github.com/HdrHistogram/", "github.com/x448/float16",
+}
+
+// TestDecisionsImportOnlyCoreAndPureLibraries keeps sockets, files and clocks out of core.
+func TestDecisionsImportOnlyCoreAndPureLibraries(t *testing.T) {
+	out, err := exec.Command("go", "list", "-f", `{{.ImportPath}}: {{join .Imports " "}}`, "cyclamenford/core/...").Output()
+	must.NoError(t, err)
+	for _, line := range strings.Split(strings.TrimSpace(string(out)), "\n") {
+		for _, imported := range strings.Fields(line)[1:] {
+			must.True(t, allowed(imported), must.Sprintf("%s imports %s", line[:strings.Index(line, ":")], imported))
+		}
+	}
+}
+
+func allowed(path string) bool {
+	if !strings.Contains(path, ".") && !strings.HasPrefix(path, "cyclamenford") {
+		return path != "os" && path != "net" && path != "net/http" && path != "os/exec"
+	}
+	for _, p := range pure {
+		if strings.HasPrefix(path, p) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/member/table_test.go
@@ -0,0 +1,52 @@
+package member
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+)
+
+type step struct {
+	At, Age     core.Millis
+	Incarnation core.Incarnation
+	Seq         uint64
+	Goodbye     bool
+	Change      string
+	Alive       *bool
+	Expired     bool
+}
+
+func TestAnnouncements(t *testing.T) {
+	raw, err := os.ReadFile("testdata/announcements.json")
+	must.NoError(t, err)
+	var rows []struct {
+		Name  string
+		Steps []step
+	}
+	must.NoError(t, json.Unmarshal(raw, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			table := New()
+			for i, s := range row.Steps {
+				runStep(t, table, i, s)
+			}
+		})
+	}
+}
+
+func runStep(t *testing.T, table *Table, i int, s step) {
+	if s.Change != "" {
+		a := core.Announcement{ID: "e", Incarnation: s.Incarnation, Seq: s.Seq, Goodbye: s.Goodbye}
+		must.Eq(t, s.Change, table.Announce(s.At, a, s.Age).String(), must.Sprintf("step %d", i))
+	}
+	if s.Expired {
+		must.SliceLen(t, 1, table.Expire(s.At))
+	}
+	if s.Alive != nil {
+		must.Eq(t, *s.Alive, table.Alive(s.At, "e"), must.Sprintf("step %d", i))
+	}
+}
