--- a/bench/site/site_test.go
+++ b/bench/site/site_test.go
@@ -13,6 +13,7 @@
 
 	"cyclamenford/bench/stand"
 	"cyclamenford/core"
+	"cyclamenford/core/state"
 	"cyclamenford/io/caller"
 	"cyclamenford/io/dial"
 	"cyclamenford/setup"
@@ -90,3 +91,24 @@
 	must.SliceLen(t, 4, runs)
 	must.Eq(t, dial.Run{Kind: core.Encode, Model: "survey-embed", Call: "embed"}, runs[0])
 }
+
+func TestOrdersReachTheirEndpointOnceAndInOrder(t *testing.T) {
+	s, ctx := startSite(t, oneHost())
+	for n := range 5 {
+		p := state.PlaceOrder{Endpoint: "runner-1", Kind: state.LoadModel, Target: fmt.Sprintf("model-%d", n)}
+		first, err := s.Operators.Order(ctx, p, fmt.Sprint("order", n))
+		must.NoError(t, err)
+		again, err := s.Operators.Order(ctx, p, fmt.Sprint("order", n))
+		must.NoError(t, err)
+		must.Eq(t, first.Fence, again.Fence)
+	}
+	must.NoError(t, await(ctx, "orders to be done", func() bool {
+		var list []state.Order
+		return s.Operators.Get(ctx, "/v1/orders", &list) == nil && len(list) == 5 && list[4].Phase == state.OrderDone
+	}))
+	var targets []string
+	for _, o := range s.Stand("runner-1").Orders() {
+		targets = append(targets, o.Target)
+	}
+	must.Eq(t, []string{"model-0", "model-1", "model-2", "model-3", "model-4"}, targets)
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+type echo struct{ stall chan struct{} }
+
+// Say returns its argument.
+func (echo) Say(text string, reply *string) error {
+	*reply = text
+	return nil
+}
+
+// Stall waits until the test ends.
+func (e echo) Stall(_ string, _ *string) error {
+	<-e.stall
+	return nil
+}
+
+func startServer(t *testing.T, key string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := l.Addr().String()
+	must.NoError(t, l.Close())
+	s := NewServer(address, []byte(key), nil, slog.New(slog.DiscardHandler))
+	stall := make(chan struct{})
+	must.NoError(t, s.Register("Echo", echo{stall}))
+	must.NoError(t, s.Start(context.Background()))
+	t.Cleanup(func() {
+		close(stall)
+		_ = s.Stop(context.Background())
+	})
+	return address
+}
+
+func TestCallsNeedTheDeploymentsKey(t *testing.T) {
+	address := startServer(t, "the right key")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var reply string
+	right := NewClient([]byte("the right key"), nil, nil)
+	must.NoError(t, right.Call(ctx, address, "Echo.Say", "hello", &reply))
+	must.Eq(t, "hello", reply)
+	wrong := NewClient([]byte("another key"), nil, nil)
+	must.ErrorIs(t, wrong.Call(ctx, address, "Echo.Say", "hello", &reply), ErrNotSent)
+}
+
+func TestAStalledCallEndsInTimeAndTheNextGetsANewConnection(t *testing.T) {
+	address := startServer(t, "the right key")
+	c := NewClient([]byte("the right key"), nil, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	var reply string
+	err := c.Call(ctx, address, "Echo.Stall", "x", &reply)
+	must.True(t, errors.Is(err, context.DeadlineExceeded))
+	must.NoError(t, c.Call(context.Background(), address, "Echo.Say", "again", &reply))
+	must.Eq(t, "again", reply)
+}
