Measure slopes, hops and decisions; start slow only beside warm kin; tell less

Cause: CAPACITY.md needs slopes; 2,000 streams at a fresh site were refused (QueueFull), as all endpoints but the first were in their slow start; hosts repeated totals that had not changed.

--- a/core/claim/meter.go
+++ b/core/claim/meter.go
@@ -13,6 +13,8 @@
 	memory = 2 * core.Second
 	// leastSlots is the offer below which an organisation counts as silent.
 	leastSlots = 0.01
+	// resolution is the number of steps in which a slot is told, so that offers encode in few bytes.
+	resolution = 64
 )
 
 // Meter smooths the offers of one host.
@@ -62,7 +64,7 @@
 			delete(m.rates, k)
 			return true
 		}
-		list = append(list, Offer{Priority: k.priority, Organisation: k.organisation, Weight: r.weight, Slots: r.slots})
+		list = append(list, Offer{Priority: k.priority, Organisation: k.organisation, Weight: r.weight, Slots: math.Round(r.slots*resolution) / resolution})
 		return false
 	})
 	return list
--- /dev/null
+++ b/core/desk/cost_test.go
@@ -0,0 +1,81 @@
+package desk
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/plan"
+	"cyclamenford/core/pool"
+)
+
+var stage = plan.Key{Pool: core.PoolID{Kind: core.Generate, Model: "m"}, Name: "p/s"}
+
+// busyDesk returns a desk with endpoints of 4 slots each and a number of waiting requests.
+func busyDesk(endpoints, organisations, waiting int) *Desk {
+	d := New("h", "a", rand.New(rand.NewPCG(1, 1)))
+	d.SetPolicy(0, Policy{Shares: [core.PriorityCount]float64{0.5, 0.3, 0.1}})
+	for i := range endpoints {
+		d.Announce(1, core.Announcement{
+			ID: core.EndpointID(fmt.Sprint("e", i)), Incarnation: 1, Seq: 1, Address: "x", Kind: core.Generate,
+			Models: []string{"m"}, Slots: 4, FailureDomain: "a",
+		}, 0)
+	}
+	d.Tick(10)
+	for i := range endpoints*5 + waiting {
+		d.Arrive(10, askOf(i, organisations))
+	}
+	return d
+}
+
+func askOf(i, organisations int) Ask {
+	return Ask{
+		Organisation: core.OrganisationID(fmt.Sprint("o", i%organisations)), Priority: core.Priority(i % 3),
+		Stages: []plan.Key{stage}, DeadlineAt: 1_000_000_000, Prefix: uint64(i%500) + 1,
+	}
+}
+
+// decide runs n requests through a busy desk: each arrives, and the one that ends lets the next start.
+func decide(d *Desk, n, organisations int) {
+	running := []uint64{1}
+	for i := range n {
+		a := askOf(i, organisations)
+		d.Feasible(20, a)
+		_, actions := d.Arrive(20, a)
+		for _, x := range append(actions, d.Finish(20, a, running[i%len(running)], 10, pool.Succeeded)...) {
+			if x.Dispatched() {
+				running = append(running, x.Ticket)
+			}
+		}
+	}
+}
+
+func BenchmarkDecision(b *testing.B) {
+	cases := []struct{ endpoints, organisations, waiting int }{
+		{20, 5, 0}, {200, 5, 0}, {7600, 5, 0}, {20, 200, 0}, {20, 2300, 0}, {20, 5, 300}, {20, 5, 3000}, {7600, 2300, 3000},
+	}
+	for _, c := range cases {
+		b.Run(fmt.Sprintf("endpoints=%d/organisations=%d/waiting=%d", c.endpoints, c.organisations, c.waiting), func(b *testing.B) {
+			d := busyDesk(c.endpoints, c.organisations, c.waiting)
+			b.ReportAllocs()
+			b.ResetTimer()
+			decide(d, b.N, c.organisations)
+		})
+	}
+}
+
+// TestDecisionsAllocateAboutTheSameAtEverySize bounds the slope of a decision by what repeats: its allocations.
+func TestDecisionsAllocateAboutTheSameAtEverySize(t *testing.T) {
+	allocations := func(endpoints, organisations, waiting int) float64 {
+		d := busyDesk(endpoints, organisations, waiting)
+		return testing.AllocsPerRun(5, func() { decide(d, 200, organisations) }) / 200
+	}
+	small := allocations(20, 5, 0)
+	for _, c := range [][3]int{{7600, 5, 0}, {20, 2300, 0}, {20, 5, 3000}} {
+		large := allocations(c[0], c[1], c[2])
+		must.LessEq(t, 2*small, large, must.Sprintf("endpoints %d, organisations %d, waiting %d", c[0], c[1], c[2]))
+	}
+}
--- a/core/desk/exchange.go
+++ b/core/desk/exchange.go
@@ -49,12 +49,14 @@
 
 // exchange holds this host's own totals and the last ones heard from each other host.
 type exchange struct {
-	own     map[servedKey]Served
+	own map[servedKey]Served
+	// told holds the totals of the last message; totals that have not changed are not sent again.
+	told    map[servedKey]float64
 	remotes map[core.HostID]*remoteHost
 }
 
 func newExchange() exchange {
-	return exchange{own: map[servedKey]Served{}, remotes: map[core.HostID]*remoteHost{}}
+	return exchange{own: map[servedKey]Served{}, told: map[servedKey]float64{}, remotes: map[core.HostID]*remoteHost{}}
 }
 
 func (x *exchange) serve(a Ask, cost float64) {
@@ -71,8 +73,11 @@
 			s.Offers = append(s.Offers, PoolOffers{Pool: id, Offers: offers})
 		}
 	}
-	for _, served := range d.exchange.own {
-		s.Served = append(s.Served, served)
+	for k, served := range d.exchange.own {
+		if d.exchange.told[k] != served.Cost {
+			d.exchange.told[k] = served.Cost
+			s.Served = append(s.Served, served)
+		}
 	}
 	slices.SortFunc(s.Served, compareServed)
 	return s
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -14,6 +14,8 @@
 	demandMemory = 2 * core.Second
 	// burstTime is how much of a rate may be saved up.
 	burstTime = 250 * core.Millis(1)
+	// demandSteps is the number of steps in which a demand of one is told, so that usage encodes in few bytes.
+	demandSteps = 64
 	// RemoteTTL is how long another host's usage counts after its last message.
 	RemoteTTL = 2 * core.Second
 	// concurrencyRetry is when a caller should return to a team whose slots are all taken.
@@ -199,9 +201,9 @@
 	var list []Usage
 	for id, t := range l.teams {
 		t.decay(now)
-		t.told, t.toldRunning = t.demand, t.running
+		t.told, t.toldRunning = math.Round(t.demand*demandSteps)/demandSteps, t.running
 		if t.running > 0 || t.demand > 0.01 {
-			list = append(list, Usage{Team: id, Running: t.running, Demand: t.demand})
+			list = append(list, Usage{Team: id, Running: t.running, Demand: t.told})
 		}
 	}
 	slices.SortFunc(list, func(a, b Usage) int { return cmp.Compare(a.Team, b.Team) })
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -51,6 +51,8 @@
 	// pace is the running median of milliseconds taken per millisecond expected.
 	pace  float64
 	slots int
+	// began is when the first of the endpoints joined.
+	began core.Millis
 	// part is the part of each endpoint's slots that this host may use.
 	part float64
 }
@@ -83,6 +85,10 @@
 	if !ok {
 		e = &endpoint{joined: now, freeAt: -1, slowness: 1, prefixes: map[uint64]uint64{}}
 		if len(r.endpoints) == 0 {
+			r.began = now
+		}
+		if now-r.began < rampTime {
+			// The pool itself is new: there are no warm kin that a slow start could lean on.
 			e.joined = now - rampTime
 		}
 		r.endpoints[a.ID] = e
