--- a/cmds/main.go
+++ b/cmds/main.go
@@ -40,7 +40,7 @@
 		Commands: []*cli.Command{
 			serveCommand(), demoCommand(), settingsCommand(), statusCommand(), hostsCommand(), endpointsCommand(),
 			poolsCommand(), ordersCommand(), quarantineCommand(), drainCommand(), explainCommand(), requestsCommand(),
-			stateCommand(), callCommand(), standinCommand(), exampleCommand(), slopeCommand(),
+			stateCommand(), callCommand(), standinCommand(), exampleCommand(), slopeCommand(), loadCommand(),
 		},
 	}
 	err := app.Run(ctx, args)
