Give each try of a call to the leader a reply of its own

Cause: a call that was given up after its time could still decode its late answer into the variable that the next try used. Found by reading while looking for refusals as BadHeader.

Change: a fresh reply for each try; the hint to the leader is read from answers alone.

Conclusion: kept; whether the refusals came from it is not shown yet.

--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -30,6 +30,8 @@
 	Fairness float64
 	// Reasons counts what was not answered by its outcome and reason.
 	Reasons map[string]int
+	// Details gives one example for each reason.
+	Details []string
 	mu      sync.Mutex
 	stages  map[string]*StageCost
 }
@@ -94,7 +96,11 @@
 	if err != nil {
 		r.Reasons["NoReply"]++
 	} else if reply.Outcome != core.Completed {
-		r.Reasons[string(reply.Outcome)+" "+string(reply.Reason)]++
+		name := string(reply.Outcome) + " " + string(reply.Reason)
+		r.Reasons[name]++
+		if r.Reasons[name] == 1 {
+			r.Details = append(r.Details, name+": "+reply.Detail)
+		}
 	}
 	var stages []flow.StageTime
 	if json.Unmarshal(reply.Stages, &stages) != nil {
--- a/cmds/load.go
+++ b/cmds/load.go
@@ -75,7 +75,11 @@
 		rows = append(rows, []string{s.Name, fmt.Sprint(s.Runs), fmt.Sprintf("%.1f", s.MeanMs), fmt.Sprint(s.Attempts)})
 	}
 	fmt.Fprintf(w, "\nJain's index over the teams' attainment: %.4f\n", r.Fairness)
-	fmt.Fprintf(w, "not answered: %v\n\n", r.Reasons)
+	fmt.Fprintf(w, "not answered: %v\n", r.Reasons)
+	for _, detail := range r.Details {
+		fmt.Fprintln(w, " ", detail)
+	}
+	fmt.Fprintln(w)
 	return printTable(w, []string{"STAGE", "RUNS", "MEAN MS", "ATTEMPTS"}, rows)
 }
 
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -139,11 +139,16 @@
 	f.mu.Unlock()
 	sent := f.clock.Now()
 	address := f.locator.address()
-	var reply keeper.FollowReply
+	reply := new(keeper.FollowReply)
 	callCtx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	err := f.client.Call(callCtx, address, keeper.ControlService+".Follow", args, &reply)
-	if err != nil || !reply.Leading {
+	err := f.client.Call(callCtx, address, keeper.ControlService+".Follow", args, reply)
+	if err != nil {
+		f.locator.failed(address, "")
+		pause(ctx, retryPause)
+		return
+	}
+	if !reply.Leading {
 		f.locator.failed(address, reply.LeaderAddress)
 		pause(ctx, retryPause)
 		return
@@ -154,7 +159,7 @@
 		pause(ctx, endedPause)
 		return
 	}
-	if err := f.apply(reply, sent); err != nil {
+	if err := f.apply(*reply, sent); err != nil {
 		f.log.Error("apply control state", "err", err)
 		pause(ctx, retryPause)
 	}
@@ -200,39 +205,43 @@
 	if err != nil {
 		return state.Reply{}, err
 	}
-	var reply keeper.ProposeReply
-	err = f.callLeader(ctx, "Propose", keeper.ProposeArgs{Command: raw}, func() (any, *keeper.Located) {
-		reply = keeper.ProposeReply{}
-		return &reply, &reply.Located
-	})
+	reply, err := callLeader[keeper.ProposeReply](ctx, f, "Propose", keeper.ProposeArgs{Command: raw})
 	return reply.Reply, err
 }
 
 // Query reads the control state as of now.
 func (f *Follower) Query(ctx context.Context, q io.Query) (io.Answer, error) {
-	var reply keeper.QueryReply
-	err := f.callLeader(ctx, "Query", keeper.QueryArgs{Query: q}, func() (any, *keeper.Located) {
-		reply = keeper.QueryReply{}
-		return &reply, &reply.Located
-	})
+	reply, err := callLeader[keeper.QueryReply](ctx, f, "Query", keeper.QueryArgs{Query: q})
 	return reply.Answer, err
 }
 
+// located is a reply that tells whether the leader has given it.
+type located interface {
+	Where() keeper.Located
+}
+
 // callLeader repeats a call until the leader has answered it or ctx ends.
-func (f *Follower) callLeader(ctx context.Context, method string, args any, fresh func() (any, *keeper.Located)) error {
+//
+// Each try has a reply of its own, since the answer to one that was given up may still come.
+func callLeader[R located](ctx context.Context, f *Follower, method string, args any) (R, error) {
 	for {
 		address := f.locator.address()
-		reply, located := fresh()
+		reply := new(R)
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := f.client.Call(callCtx, address, keeper.ControlService+"."+method, args, reply)
 		cancel()
-		if err == nil && located.Leading {
+		if err == nil && (*reply).Where().Leading {
 			f.locator.found(address)
-			return nil
+			return *reply, nil
+		}
+		hint := ""
+		if err == nil {
+			hint = (*reply).Where().LeaderAddress
 		}
-		f.locator.failed(address, located.LeaderAddress)
+		f.locator.failed(address, hint)
 		if ctx.Err() != nil {
-			return fmt.Errorf("%s: %w", method, errors.Join(io.ErrNoQuorum, err))
+			var zero R
+			return zero, fmt.Errorf("%s: %w", method, errors.Join(io.ErrNoQuorum, err))
 		}
 		pause(ctx, retryPause)
 	}
--- a/io/keeper/wire.go
+++ b/io/keeper/wire.go
@@ -24,6 +24,9 @@
 	LeaderAddress string
 }
 
+// Where returns the located part of a reply.
+func (l Located) Where() Located { return l }
+
 // ProposeArgs carries a command to the leader.
 type ProposeArgs struct{ Command []byte }
 
--- a/tests/scenario_test.go
+++ b/tests/scenario_test.go
@@ -126,7 +126,11 @@
 			d.answers++
 		}
 	}
+	callReasons := map[string]int{}
 	for _, c := range r.Calls {
+		for _, reply := range c.Replies {
+			callReasons[string(reply.Outcome)+" "+string(reply.Reason)]++
+		}
 		if n := len(c.Replies); n > 0 && c.Replies[n-1].Outcome == "Completed" {
 			d.calls++
 		}
@@ -136,8 +140,8 @@
 			d.changes++
 		}
 	}
-	d.text = fmt.Sprintf("answers %v, resumed %d, calls completed %d of %d, changes accepted %d of %d",
-		outcomes, resumed, d.calls, len(r.Calls), d.changes, len(r.Changes))
+	d.text = fmt.Sprintf("answers %v, resumed %d, calls completed %d of %d with replies %v, changes accepted %d of %d",
+		outcomes, resumed, d.calls, len(r.Calls), callReasons, d.changes, len(r.Changes))
 	return d
 }
 
