--- /dev/null
+++ b/bench/refs/doc.go
@@ -0,0 +1,2 @@
+// Package refs writes the settings reference from the commented structs.
+package refs
