--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -1,13 +1,11 @@
 package admin
 
 import (
-	"context"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 
@@ -16,6 +14,7 @@
 	"cyclamenford/io"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/front"
+	"cyclamenford/io/listen"
 )
 
 // maxBodyBytes bounds one subtree.
@@ -23,47 +22,19 @@
 
 // Admin serves operators.
 type Admin struct {
-	address string
+	*listen.Server
 	keys    []tree.Key
-	tls     *tls.Config
 	control io.Control
 	broker  *broker.Broker
 	log     *slog.Logger
-	server  *http.Server
 }
 
 // New returns an operators' interface for the given keys.
 func New(address string, keys []tree.Key, tlsConfig *tls.Config, c io.Control, b *broker.Broker, log *slog.Logger) *Admin {
-	return &Admin{address: address, keys: keys, tls: tlsConfig, control: c, broker: b, log: log}
-}
-
-// Start listens for operators.
-func (a *Admin) Start(context.Context) error {
-	l, err := net.Listen("tcp", a.address)
-	if err != nil {
-		return fmt.Errorf("listen for operators: %w", err)
-	}
-	if a.tls != nil {
-		l = tls.NewListener(l, a.tls)
-	}
-	a.server = &http.Server{
-		Handler: a.routes(), ReadHeaderTimeout: core.Second.Duration(),
-		ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug),
-	}
-	go func() {
-		if err := a.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			a.log.Error("operators' listener ended", "err", err)
-		}
-	}()
-	return nil
-}
-
-// Stop closes the listener.
-func (a *Admin) Stop(ctx context.Context) error {
-	if err := a.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut operators' listener down: %w", err)
-	}
-	return nil
+	a := &Admin{keys: keys, control: c, broker: b, log: log}
+	o := listen.Options{Name: "operators", Address: address, Tls: tlsConfig, HeaderTimeout: core.Second}
+	a.Server = listen.New(o, a.routes(), log)
+	return a
 }
 
 func (a *Admin) routes() http.Handler {
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -14,6 +14,7 @@
 	"cyclamenford/core/plan"
 	"cyclamenford/core/pool"
 	"cyclamenford/io"
+	"cyclamenford/io/loop"
 	"cyclamenford/io/meter"
 )
 
@@ -21,12 +22,11 @@
 
 // Broker runs the decisions of one host.
 type Broker struct {
+	*loop.Loop
 	clock   core.Clock
 	control io.Control
 	meter   *meter.Meter
 	log     *slog.Logger
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
 
 	mu       sync.Mutex
 	desk     *desk.Desk
@@ -37,40 +37,15 @@
 // New returns a broker for a host in the given failure domain.
 func New(domain core.FailureDomain, control io.Control, clock core.Clock, m *meter.Meter, log *slog.Logger) *Broker {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Broker{
+	b := &Broker{
 		clock: clock, control: control, meter: m, log: log,
 		desk: desk.New(control.Holder().Host, domain, rng), waiting: map[uint64]chan pool.Action{},
 	}
+	b.Loop = loop.New(tickEvery, func(context.Context) { b.tick() })
+	return b
 }
 
-// Start lets time pass for the decisions and follows the settings.
-func (b *Broker) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	b.cancel = cancel
-	b.wg.Go(func() { b.run(ctx) })
-	return nil
-}
-
-// Stop ends the passing of time.
-func (b *Broker) Stop(context.Context) error {
-	b.cancel()
-	b.wg.Wait()
-	return nil
-}
-
-func (b *Broker) run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			b.tick()
-		}
-	}
-}
-
+// tick lets time pass for the decisions and follows the settings.
 func (b *Broker) tick() {
 	image := b.control.Image()
 	b.mu.Lock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -17,6 +16,7 @@
 	"cyclamenford/io"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/flow"
+	"cyclamenford/io/listen"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/trace"
 )
@@ -46,7 +46,7 @@
 	trace   *trace.Service
 	log     *slog.Logger
 	keys    keyring
-	server  *http.Server
+	server  *listen.Server
 	leaving atomic.Bool
 }
 
@@ -56,32 +56,20 @@
 }
 
 // Start listens for callers.
-func (f *Front) Start(context.Context) error {
+func (f *Front) Start(ctx context.Context) error {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	f.routes(app)
 	if err := app.Build(); err != nil {
 		return fmt.Errorf("build callers' routes: %w", err)
 	}
-	l, err := net.Listen("tcp", f.options.Address)
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+	o := listen.Options{
+		Name: "callers", Address: f.options.Address, Tls: f.options.Tls,
+		HeaderTimeout: f.options.ReadTimeout, MaxHeaderBytes: f.options.MaxHeaderBytes,
+		Wrap: func(l net.Listener) net.Listener { return countingListener{Listener: l, meter: f.meter} },
 	}
-	l = countingListener{Listener: l, meter: f.meter}
-	if f.options.Tls != nil {
-		l = tls.NewListener(l, f.options.Tls)
-	}
-	f.server = &http.Server{
-		Handler: app, MaxHeaderBytes: f.options.MaxHeaderBytes,
-		ReadHeaderTimeout: f.options.ReadTimeout.Duration(),
-		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
-	}
-	go func() {
-		if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			f.log.Error("callers' listener ended", "err", err)
-		}
-	}()
-	return nil
+	f.server = listen.New(o, app, f.log)
+	return f.server.Start(ctx)
 }
 
 // Stop reports not ready, lets the balancer notice, and waits for the requests in flight.
@@ -93,10 +81,7 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	if err := f.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut callers' listener down: %w", errors.Join(err, f.server.Close()))
-	}
-	return nil
+	return f.server.Stop(ctx)
 }
 
 func (f *Front) routes(app *iris.Application) {
--- a/io/greet/greet.go
+++ b/io/greet/greet.go
@@ -1,19 +1,17 @@
 package greet
 
 import (
-	"context"
 	"crypto/tls"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 
 	"cyclamenford/core"
 	"cyclamenford/core/member"
 	"cyclamenford/io/front"
+	"cyclamenford/io/listen"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/share"
 )
@@ -23,49 +21,21 @@
 
 // Greeter serves endpoints.
 type Greeter struct {
-	address string
-	keys    []string
-	tls     *tls.Config
-	sharer  *share.Sharer
-	meter   *meter.Meter
-	log     *slog.Logger
-	server  *http.Server
+	*listen.Server
+	keys   []string
+	sharer *share.Sharer
+	meter  *meter.Meter
+	log    *slog.Logger
 }
 
 // New returns a greeter; keys are the hashes of the endpoints' keys, and none means that every endpoint may announce itself.
 func New(address string, keys []string, tlsConfig *tls.Config, s *share.Sharer, m *meter.Meter, log *slog.Logger) *Greeter {
-	return &Greeter{address: address, keys: keys, tls: tlsConfig, sharer: s, meter: m, log: log}
-}
-
-// Start listens for endpoints.
-func (g *Greeter) Start(context.Context) error {
-	l, err := net.Listen("tcp", g.address)
-	if err != nil {
-		return fmt.Errorf("listen for endpoints: %w", err)
-	}
-	if g.tls != nil {
-		l = tls.NewListener(l, g.tls)
-	}
+	g := &Greeter{keys: keys, sharer: s, meter: m, log: log}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/announce", g.announce)
-	g.server = &http.Server{
-		Handler: mux, ReadHeaderTimeout: core.Second.Duration(), ReadTimeout: core.Second.Duration(),
-		ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-	}
-	go func() {
-		if err := g.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			g.log.Error("endpoints' listener ended", "err", err)
-		}
-	}()
-	return nil
-}
-
-// Stop closes the listener.
-func (g *Greeter) Stop(ctx context.Context) error {
-	if err := g.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut endpoints' listener down: %w", err)
-	}
-	return nil
+	o := listen.Options{Name: "endpoints", Address: address, Tls: tlsConfig, HeaderTimeout: core.Second, ReadTimeout: core.Second}
+	g.Server = listen.New(o, mux, log)
+	return g
 }
 
 // Decode reads an announcement and checks it.
--- a/io/issue/issuer.go
+++ b/io/issue/issuer.go
@@ -14,12 +14,14 @@
 	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
 	"cyclamenford/io/keeper"
+	"cyclamenford/io/loop"
 )
 
 const planEvery = 100 * time.Millisecond
 
 // Issuer runs on every keeper and sends orders while its keeper leads.
 type Issuer struct {
+	*loop.Loop
 	keeper  *keeper.Keeper
 	control io.Control
 	broker  *broker.Broker
@@ -27,8 +29,6 @@
 	clock   core.Clock
 	key     string
 	log     *slog.Logger
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
 
 	mu      sync.Mutex
 	planner *fence.Planner
@@ -36,37 +36,12 @@
 
 // New returns an issuer; key proves the system to endpoints that check who orders.
 func New(k *keeper.Keeper, c io.Control, b *broker.Broker, client *dial.Client, clock core.Clock, key string, log *slog.Logger) *Issuer {
-	return &Issuer{keeper: k, control: c, broker: b, dial: client, clock: clock, key: key, log: log, planner: fence.New()}
-}
-
-// Start sends orders in the background.
-func (i *Issuer) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	i.cancel = cancel
-	i.wg.Go(func() { i.run(ctx) })
-	return nil
-}
-
-// Stop ends the sending; open orders go on from the next leader.
-func (i *Issuer) Stop(context.Context) error {
-	i.cancel()
-	i.wg.Wait()
-	return nil
-}
-
-func (i *Issuer) run(ctx context.Context) {
-	ticker := time.NewTicker(planEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			i.plan(ctx)
-		}
-	}
+	i := &Issuer{keeper: k, control: c, broker: b, dial: client, clock: clock, key: key, log: log, planner: fence.New()}
+	i.Loop = loop.New(planEvery, i.plan)
+	return i
 }
 
+// plan sends the orders that are due.
 func (i *Issuer) plan(ctx context.Context) {
 	issuing, ok := i.keeper.Issuing()
 	if !ok || len(issuing.Open) == 0 {
@@ -78,7 +53,7 @@
 	i.mu.Unlock()
 	for _, d := range decisions {
 		if d.Why == fence.Sent {
-			i.wg.Go(func() { i.send(ctx, d.Order) })
+			i.Go(func() { i.send(ctx, d.Order) })
 		}
 	}
 }
--- /dev/null
+++ b/io/listen/doc.go
@@ -0,0 +1,2 @@
+// Package listen runs an HTTP server on one address, with or without TLS, as a service.
+package listen
--- /dev/null
+++ b/io/loop/doc.go
@@ -0,0 +1,2 @@
+// Package loop runs a function again and again in the background, as a service.
+package loop
--- /dev/null
+++ b/io/loop/loop.go
@@ -0,0 +1,53 @@
+package loop
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Loop calls a function at a period between Start and Stop.
+type Loop struct {
+	period time.Duration
+	step   func(ctx context.Context)
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns a loop that is not running yet.
+func New(period time.Duration, step func(ctx context.Context)) *Loop {
+	return &Loop{period: period, step: step}
+}
+
+// Start begins the calls.
+func (l *Loop) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.wg.Go(func() { l.run(ctx) })
+	return nil
+}
+
+// Stop ends the calls and waits for the last one and for what it has started by Go.
+func (l *Loop) Stop(context.Context) error {
+	l.cancel()
+	l.wg.Wait()
+	return nil
+}
+
+// Go runs a function beside the loop; Stop waits for it.
+func (l *Loop) Go(f func()) {
+	l.wg.Go(f)
+}
+
+func (l *Loop) run(ctx context.Context) {
+	ticker := time.NewTicker(l.period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.step(ctx)
+		}
+	}
+}
--- a/io/share/share.go
+++ b/io/share/share.go
@@ -13,6 +13,7 @@
 	"cyclamenford/core/member"
 	"cyclamenford/io"
 	"cyclamenford/io/broker"
+	"cyclamenford/io/loop"
 	"cyclamenford/io/peer"
 )
 
@@ -43,14 +44,13 @@
 
 // Sharer sends this host's news to the others and takes in theirs.
 type Sharer struct {
+	*loop.Loop
 	self    core.HostID
 	control io.Control
 	broker  *broker.Broker
 	client  *peer.Client
 	clock   core.Clock
 	log     *slog.Logger
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
 
 	mu    sync.Mutex
 	fresh map[core.EndpointID]heard
@@ -58,10 +58,12 @@
 
 // New returns a sharer for a host.
 func New(self core.HostID, control io.Control, b *broker.Broker, client *peer.Client, clock core.Clock, log *slog.Logger) *Sharer {
-	return &Sharer{
+	s := &Sharer{
 		self: self, control: control, broker: b, client: client, clock: clock, log: log,
 		fresh: map[core.EndpointID]heard{},
 	}
+	s.Loop = loop.New(shareEvery, s.send)
+	return s
 }
 
 // Register offers the sharer's call on the server.
@@ -80,21 +82,6 @@
 	return nil
 }
 
-// Start sends news in the background.
-func (s *Sharer) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wg.Go(func() { s.run(ctx) })
-	return nil
-}
-
-// Stop ends the sending.
-func (s *Sharer) Stop(context.Context) error {
-	s.cancel()
-	s.wg.Wait()
-	return nil
-}
-
 // Announce takes in an announcement that has come straight from its endpoint; a change is spread at once.
 func (s *Sharer) Announce(a core.Announcement) member.Change {
 	change := s.broker.Announce(a, 0)
@@ -107,23 +94,11 @@
 	return change
 }
 
-func (s *Sharer) run(ctx context.Context) {
-	ticker := time.NewTicker(shareEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.send(ctx)
-		}
-	}
-}
-
+// send tells every other host what is new.
 func (s *Sharer) send(ctx context.Context) {
 	m := Message{Work: s.broker.Share(), Announcements: s.take()}
 	for _, address := range s.peers() {
-		s.wg.Go(func() {
+		s.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
 			defer cancel()
 			if err := s.client.Call(callCtx, address, Service+".Take", m, &struct{}{}); err != nil {
