--- /dev/null
+++ b/bench/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo shows each promise on a whole deployment inside one process.
+package demo
--- a/cmds/demo_steps.go
+++ b/bench/demo/steps.go
@@ -1,4 +1,4 @@
-package cmds
+package demo
 
 import (
 	"bytes"
@@ -74,7 +74,7 @@
 	}
 	fmt.Fprintf(d.w, "\n%d of %d held, in %v\n", len(d.results)-broken, len(d.results), time.Since(d.began).Round(100*time.Millisecond))
 	if broken > 0 {
-		return errBroken
+		return ErrBroken
 	}
 	return nil
 }
--- a/cmds/call.go
+++ b/cmds/call.go
@@ -8,6 +8,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/core"
 	"cyclamenford/io/caller"
 )
@@ -28,11 +30,11 @@
 }
 
 func callAction(ctx context.Context, c *cli.Command) error {
-	target, err := argument(c, 0, "TARGET BODY")
+	target, err := term.Argument(c, 0, "TARGET BODY")
 	if err != nil {
 		return err
 	}
-	body, err := argument(c, 1, "TARGET BODY")
+	body, err := term.Argument(c, 1, "TARGET BODY")
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmds/equip/doc.go
@@ -0,0 +1,2 @@
+// Package equip holds the subcommands of the test equipment: stand-ins, examples, load and slopes.
+package equip
--- a/cmds/equipment.go
+++ b/cmds/equip/equipment.go
@@ -1,4 +1,4 @@
-package cmds
+package equip
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/bench/site"
 	"cyclamenford/bench/stand"
 )
@@ -18,6 +20,11 @@
 // standinGrace is how long stand-ins may finish their work after SIGTERM.
 const standinGrace = 10 * time.Second
 
+// Commands returns the subcommands of the test equipment.
+func Commands() []*cli.Command {
+	return []*cli.Command{standinCommand(), exampleCommand(), loadCommand(), slopeCommand()}
+}
+
 func standinCommand() *cli.Command {
 	return &cli.Command{
 		Name: "standin", Usage: "run the stand-in endpoints of an example (test equipment)",
@@ -28,11 +35,11 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			raw, err := os.ReadFile(c.String("Endpoints"))
 			if err != nil {
-				return fmt.Errorf("%w: %w", errUsage, err)
+				return fmt.Errorf("%w: %w", term.ErrUsage, err)
 			}
 			var list []stand.Options
 			if err := json.Unmarshal(raw, &list); err != nil {
-				return fmt.Errorf("%w: %w", errUsage, err)
+				return fmt.Errorf("%w: %w", term.ErrUsage, err)
 			}
 			return runStands(ctx, c, list)
 		},
@@ -66,17 +73,17 @@
 	return &cli.Command{
 		Name: "example", Usage: "write the settings files of an example deployment", ArgsUsage: "NAME FOLDER",
 		Action: func(_ context.Context, c *cli.Command) error {
-			name, err := argument(c, 0, "NAME FOLDER")
+			name, err := term.Argument(c, 0, "NAME FOLDER")
 			if err != nil {
 				return err
 			}
-			folder, err := argument(c, 1, "NAME FOLDER")
+			folder, err := term.Argument(c, 1, "NAME FOLDER")
 			if err != nil {
 				return err
 			}
 			d, ok := site.ByName(name)
 			if !ok {
-				return fmt.Errorf("%w: NAME: found %q, expected Flueshare or SawtLoop", errUsage, name)
+				return fmt.Errorf("%w: NAME: found %q, expected Flueshare or SawtLoop", term.ErrUsage, name)
 			}
 			files, err := d.Files()
 			if err != nil {
--- a/cmds/load.go
+++ b/cmds/equip/load.go
@@ -1,4 +1,4 @@
-package cmds
+package equip
 
 import (
 	"context"
@@ -6,6 +6,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/bench/load"
 )
 
@@ -19,13 +21,13 @@
 		},
 		Commands: []*cli.Command{compareCommand()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			path, err := argument(c, 0, "FILE")
+			path, err := term.Argument(c, 0, "FILE")
 			if err != nil {
 				return err
 			}
 			s, err := load.Load(path)
 			if err != nil {
-				return fmt.Errorf("%w: %w", errUsage, err)
+				return fmt.Errorf("%w: %w", term.ErrUsage, err)
 			}
 			if rate := c.Float64("Rate"); rate > 0 {
 				s.Rate = rate
@@ -67,7 +69,7 @@
 		})
 	}
 	header := []string{"KIND", "NAME", "SENT", "IN TIME", "REFUSED", "LATE", "FAILED", "UNKNOWN", "NO REPLY", "FIRST MS", "GAP MS", "WHOLE MS"}
-	if err := printTable(w, header, rows); err != nil {
+	if err := term.PrintTable(w, header, rows); err != nil {
 		return err
 	}
 	rows = nil
@@ -80,7 +82,7 @@
 		fmt.Fprintln(w, " ", detail)
 	}
 	fmt.Fprintln(w)
-	return printTable(w, []string{"STAGE", "RUNS", "MEAN MS", "ATTEMPTS"}, rows)
+	return term.PrintTable(w, []string{"STAGE", "RUNS", "MEAN MS", "ATTEMPTS"}, rows)
 }
 
 func compareCommand() *cli.Command {
@@ -89,12 +91,12 @@
 		Action: func(_ context.Context, c *cli.Command) error {
 			var reports [2]*load.Report
 			for i := range reports {
-				path, err := argument(c, i, "REPORT REPORT")
+				path, err := term.Argument(c, i, "REPORT REPORT")
 				if err != nil {
 					return err
 				}
 				if reports[i], err = load.Read(path); err != nil {
-					return fmt.Errorf("%w: %w", errUsage, err)
+					return fmt.Errorf("%w: %w", term.ErrUsage, err)
 				}
 			}
 			return printComparison(c, reports[0], reports[1])
@@ -115,7 +117,7 @@
 			})
 		}
 	}
-	return printTable(c.Root().Writer, []string{"KIND", "NAME", "IN TIME", "FIRST P95", "WHOLE P50", "WHOLE P95", "WHOLE P99"}, rows)
+	return term.PrintTable(c.Root().Writer, []string{"KIND", "NAME", "IN TIME", "FIRST P95", "WHOLE P50", "WHOLE P95", "WHOLE P99"}, rows)
 }
 
 func ratioText(b, a float64) string {
--- a/cmds/slope.go
+++ b/cmds/equip/slope.go
@@ -1,4 +1,4 @@
-package cmds
+package equip
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/bench/slope"
 )
 
@@ -42,7 +44,7 @@
 		lines["reach, ms"] = append(lines["reach, ms"], slope.Point{Size: size, Value: f.ReachMs})
 	}
 	header := []string{"FOLLOWERS", "IDLE B/S EACH", "CHANGE B EACH", "IDLE CPU % ALL", "REACH MS", "CALLS/S"}
-	if err := printTable(w, header, rows); err != nil {
+	if err := term.PrintTable(w, header, rows); err != nil {
 		return err
 	}
 	for name, points := range lines {
@@ -68,5 +70,5 @@
 		}
 		rows = append(rows, []string{"snapshot", fmt.Sprintf("%d teams, %d calls", s[0], s[1]), fmt.Sprint(n)})
 	}
-	return printTable(w, []string{"WHAT", "SIZE", "BYTES"}, rows)
+	return term.PrintTable(w, []string{"WHAT", "SIZE", "BYTES"}, rows)
 }
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -6,10 +6,15 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/bench/demo"
+	"cyclamenford/cmds/equip"
+	"cyclamenford/cmds/opers"
+	"cyclamenford/cmds/term"
 	"cyclamenford/io/oper"
 )
 
@@ -23,12 +28,6 @@
 	exitBroken   = 5
 )
 
-// errBroken means that a promise did not hold.
-var errBroken = errors.New("a promise did not hold")
-
-// errUsage means that the command line or a file is not valid.
-var errUsage = errors.New("not valid")
-
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -37,11 +36,9 @@
 		Name: "cyclamenford", Usage: "serves multi-stage model pipelines", Writer: stdout, ErrWriter: stderr,
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), settingsCommand(), statusCommand(), hostsCommand(), endpointsCommand(),
-			poolsCommand(), ordersCommand(), quarantineCommand(), drainCommand(), explainCommand(), requestsCommand(),
-			stateCommand(), callCommand(), standinCommand(), exampleCommand(), slopeCommand(), loadCommand(),
-		},
+		Commands: slices.Concat(
+			[]*cli.Command{serveCommand(), demoCommand(), callCommand(), stateCommand()},
+			opers.Commands(), equip.Commands()),
 	}
 	err := app.Run(ctx, args)
 	if err != nil {
@@ -58,9 +55,9 @@
 		return exitConflict
 	case errors.Is(err, oper.ErrNoQuorum):
 		return exitNoQuorum
-	case errors.Is(err, oper.ErrInvalid), errors.Is(err, errUsage):
+	case errors.Is(err, oper.ErrInvalid), errors.Is(err, term.ErrUsage):
 		return exitUsage
-	case errors.Is(err, errBroken):
+	case errors.Is(err, demo.ErrBroken):
 		return exitBroken
 	}
 	return exitFailed
--- a/cmds/diff.go
+++ b/cmds/opers/diff.go
@@ -1,4 +1,4 @@
-package cmds
+package opers
 
 import (
 	"bytes"
--- /dev/null
+++ b/cmds/opers/doc.go
@@ -0,0 +1,2 @@
+// Package opers holds the operators' subcommands.
+package opers
--- a/cmds/oper.go
+++ b/cmds/opers/oper.go
@@ -1,10 +1,7 @@
-package cmds
+package opers
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"os"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -33,36 +30,10 @@
 	}
 }
 
-// argument returns the n-th argument, or an error that names what is missing.
-func argument(c *cli.Command, n int, what string) (string, error) {
-	if c.Args().Len() <= n {
-		return "", fmt.Errorf("%w: expected %s", errUsage, what)
+// Commands returns the operators' subcommands.
+func Commands() []*cli.Command {
+	return []*cli.Command{
+		settingsCommand(), statusCommand(), hostsCommand(), endpointsCommand(), poolsCommand(), ordersCommand(),
+		quarantineCommand(), drainCommand(), explainCommand(), requestsCommand(),
 	}
-	return c.Args().Get(n), nil
-}
-
-// show prints a value as JSON, or as a table of rows.
-func show(c *cli.Command, value any, header []string, rows [][]string) error {
-	w := c.Root().Writer
-	if !c.Bool("Json") {
-		return printTable(w, header, rows)
-	}
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	if err := e.Encode(value); err != nil {
-		return fmt.Errorf("print answer: %w", err)
-	}
-	return nil
-}
-
-// readDoc reads a file, or standard input for "-".
-func readDoc(path string) ([]byte, error) {
-	if path == "-" {
-		path = "/dev/stdin"
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("%w: read document: %w", errUsage, err)
-	}
-	return raw, nil
 }
--- a/cmds/settings.go
+++ b/cmds/opers/settings.go
@@ -1,4 +1,4 @@
-package cmds
+package opers
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/core/tree"
 	"cyclamenford/io/admin"
 	"cyclamenford/io/oper"
@@ -31,12 +33,12 @@
 		Name: "check", Usage: "check a host's settings file, or a tree with --Tree, without starting anything", ArgsUsage: "FILE",
 		Flags: []cli.Flag{&cli.BoolFlag{Name: "Tree", Usage: "the file is a settings tree as import takes it"}},
 		Action: func(_ context.Context, c *cli.Command) error {
-			path, err := argument(c, 0, "FILE")
+			path, err := term.Argument(c, 0, "FILE")
 			if err != nil {
 				return err
 			}
 			if err := checkFile(path, c.Bool("Tree")); err != nil {
-				return fmt.Errorf("%w: %w", errUsage, err)
+				return fmt.Errorf("%w: %w", term.ErrUsage, err)
 			}
 			fmt.Fprintln(c.Root().Writer, path, "is valid")
 			return nil
@@ -102,14 +104,14 @@
 			time.UnixMilli(int64(s.UnixMs)).UTC().Format(time.RFC3339),
 		})
 	}
-	return show(c, list, []string{"PATH", "VERSION", "REVISION", "AUTHOR", "TIME"}, rows)
+	return term.Show(c, list, []string{"PATH", "VERSION", "REVISION", "AUTHOR", "TIME"}, rows)
 }
 
 func settingsGet() *cli.Command {
 	return &cli.Command{
 		Name: "get", Usage: "print a subtree", ArgsUsage: "PATH", Flags: operatorFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			path, err := argument(c, 0, "PATH")
+			path, err := term.Argument(c, 0, "PATH")
 			if err != nil {
 				return err
 			}
@@ -136,15 +138,15 @@
 	return &cli.Command{
 		Name: "set", Usage: "replace a subtree by a JSON file, - for standard input", ArgsUsage: "PATH FILE", Flags: changeFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			path, err := argument(c, 0, "PATH FILE")
+			path, err := term.Argument(c, 0, "PATH FILE")
 			if err != nil {
 				return err
 			}
-			file, err := argument(c, 1, "PATH FILE")
+			file, err := term.Argument(c, 1, "PATH FILE")
 			if err != nil {
 				return err
 			}
-			doc, err := readDoc(file)
+			doc, err := term.ReadDoc(file)
 			if err != nil {
 				return err
 			}
@@ -157,7 +159,7 @@
 	return &cli.Command{
 		Name: "remove", Usage: "remove a team's subtree", ArgsUsage: "PATH", Flags: changeFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			path, err := argument(c, 0, "PATH")
+			path, err := term.Argument(c, 0, "PATH")
 			if err != nil {
 				return err
 			}
@@ -181,14 +183,14 @@
 		}
 	}
 	row := []string{string(a.Result), strconv.FormatUint(a.Revision, 10), strconv.FormatUint(a.Version, 10)}
-	return show(c, a, []string{"RESULT", "REVISION", "VERSION"}, [][]string{row})
+	return term.Show(c, a, []string{"RESULT", "REVISION", "VERSION"}, [][]string{row})
 }
 
 func settingsHistory() *cli.Command {
 	return &cli.Command{
 		Name: "history", Usage: "list the versions of a subtree", ArgsUsage: "PATH", Flags: operatorFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			path, err := argument(c, 0, "PATH")
+			path, err := term.Argument(c, 0, "PATH")
 			if err != nil {
 				return err
 			}
@@ -211,7 +213,7 @@
 	return &cli.Command{
 		Name: "diff", Usage: "compare two versions of a subtree line by line", ArgsUsage: "PATH FROM TO", Flags: operatorFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			path, err := argument(c, 0, "PATH FROM TO")
+			path, err := term.Argument(c, 0, "PATH FROM TO")
 			if err != nil {
 				return err
 			}
@@ -233,7 +235,7 @@
 }
 
 func versionArgument(c *cli.Command, n int, list []admin.Subtree) (admin.Subtree, error) {
-	text, err := argument(c, n, "PATH FROM TO")
+	text, err := term.Argument(c, n, "PATH FROM TO")
 	if err != nil {
 		return admin.Subtree{}, err
 	}
@@ -246,7 +248,7 @@
 			return s, nil
 		}
 	}
-	return admin.Subtree{}, fmt.Errorf("%w: version %q is not in the history", errUsage, text)
+	return admin.Subtree{}, fmt.Errorf("%w: version %q is not in the history", term.ErrUsage, text)
 }
 
 func settingsRollback() *cli.Command {
@@ -254,11 +256,11 @@
 		Name: "rollback", Usage: "set a subtree to an earlier version's document, as a new version", ArgsUsage: "PATH TO",
 		Flags: changeFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			path, err := argument(c, 0, "PATH TO")
+			path, err := term.Argument(c, 0, "PATH TO")
 			if err != nil {
 				return err
 			}
-			text, err := argument(c, 1, "PATH TO")
+			text, err := term.Argument(c, 1, "PATH TO")
 			if err != nil {
 				return err
 			}
@@ -279,13 +281,13 @@
 	return &cli.Command{
 		Name: "wait", Usage: "wait until a revision is in force everywhere", ArgsUsage: "REVISION", Flags: operatorFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			text, err := argument(c, 0, "REVISION")
+			text, err := term.Argument(c, 0, "REVISION")
 			if err != nil {
 				return err
 			}
 			revision, err := strconv.ParseUint(text, 10, 64)
 			if err != nil {
-				return fmt.Errorf("%w: REVISION: %w", errUsage, err)
+				return fmt.Errorf("%w: REVISION: %w", term.ErrUsage, err)
 			}
 			return o.Wait(ctx, revision)
 		}),
@@ -296,13 +298,13 @@
 	return &cli.Command{
 		Name: "import", Usage: "set every subtree of a file, whatever versions are there", ArgsUsage: "FILE", Flags: operatorFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			path, err := argument(c, 0, "FILE")
+			path, err := term.Argument(c, 0, "FILE")
 			if err != nil {
 				return err
 			}
 			docs, order, err := readTree(path)
 			if err != nil {
-				return fmt.Errorf("%w: %w", errUsage, err)
+				return fmt.Errorf("%w: %w", term.ErrUsage, err)
 			}
 			revision, err := o.Import(ctx, docs, order)
 			if err != nil {
--- a/cmds/views.go
+++ b/cmds/opers/views.go
@@ -1,4 +1,4 @@
-package cmds
+package opers
 
 import (
 	"context"
@@ -7,6 +7,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/core"
 	"cyclamenford/core/desk"
 	"cyclamenford/core/state"
@@ -31,7 +33,7 @@
 			for _, l := range s.Leases {
 				rows = append(rows, []string{string(l.Host), strconv.FormatUint(l.Revision, 10), strconv.FormatInt(int64(l.LeftMs), 10)})
 			}
-			return show(c, s, []string{"HOST", "REVISION", "LEASE LEFT MS"}, rows)
+			return term.Show(c, s, []string{"HOST", "REVISION", "LEASE LEFT MS"}, rows)
 		}),
 	}
 }
@@ -52,7 +54,7 @@
 				}
 				rows = append(rows, []string{string(h.ID), string(h.FailureDomain), state, h.Keeper})
 			}
-			return show(c, list, []string{"HOST", "FAILURE DOMAIN", "STATE", "DISK"}, rows)
+			return term.Show(c, list, []string{"HOST", "FAILURE DOMAIN", "STATE", "DISK"}, rows)
 		}),
 	}
 }
@@ -76,7 +78,7 @@
 					fmt.Sprintf("%d/%d", e.Load.Running, e.Slots), state,
 				})
 			}
-			return show(c, list, []string{"ENDPOINT", "KIND", "MODELS", "FAILURE DOMAIN", "RUNNING", "STATE"}, rows)
+			return term.Show(c, list, []string{"ENDPOINT", "KIND", "MODELS", "FAILURE DOMAIN", "RUNNING", "STATE"}, rows)
 		}),
 	}
 }
@@ -93,7 +95,7 @@
 			for _, p := range list {
 				rows = append(rows, []string{p.Pool, strconv.Itoa(p.Waiting), strconv.Itoa(p.Running), strconv.Itoa(p.Endpoints)})
 			}
-			return show(c, list, []string{"POOL", "WAITING", "RUNNING", "ENDPOINTS"}, rows)
+			return term.Show(c, list, []string{"POOL", "WAITING", "RUNNING", "ENDPOINTS"}, rows)
 		}),
 	}
 }
@@ -103,7 +105,7 @@
 		Name: "explain", Usage: "tell why a request was treated as it was, at the host that took it", ArgsUsage: "REQUEST",
 		Flags: operatorFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			id, err := argument(c, 0, "REQUEST")
+			id, err := term.Argument(c, 0, "REQUEST")
 			if err != nil {
 				return err
 			}
@@ -117,7 +119,7 @@
 					d.Stage, string(d.Endpoint), d.Order, d.Route, string(d.Reason), strconv.FormatInt(int64(d.WaitedMs), 10),
 				})
 			}
-			return show(c, list, []string{"STAGE", "ENDPOINT", "ORDER", "ROUTE", "REASON", "WAITED MS"}, rows)
+			return term.Show(c, list, []string{"STAGE", "ENDPOINT", "ORDER", "ROUTE", "REASON", "WAITED MS"}, rows)
 		}),
 	}
 }
@@ -126,11 +128,11 @@
 	return &cli.Command{
 		Name: "requests", Usage: "tell what became of a non-repeatable call", ArgsUsage: "ORGANISATION KEY", Flags: operatorFlags(),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			org, err := argument(c, 0, "ORGANISATION KEY")
+			org, err := term.Argument(c, 0, "ORGANISATION KEY")
 			if err != nil {
 				return err
 			}
-			key, err := argument(c, 1, "ORGANISATION KEY")
+			key, err := term.Argument(c, 1, "ORGANISATION KEY")
 			if err != nil {
 				return err
 			}
@@ -139,7 +141,7 @@
 				return err
 			}
 			row := []string{call.Phase.String(), string(call.Outcome), string(call.Host), string(call.Endpoint)}
-			return show(c, call, []string{"PHASE", "OUTCOME", "HOST", "ENDPOINT"}, [][]string{row})
+			return term.Show(c, call, []string{"PHASE", "OUTCOME", "HOST", "ENDPOINT"}, [][]string{row})
 		}),
 	}
 }
@@ -149,7 +151,7 @@
 		Name: "drain", Usage: "stop new work to an endpoint, or resume it with --Off", ArgsUsage: "ENDPOINT",
 		Flags: operatorFlags(&cli.BoolFlag{Name: "Off", Usage: "resume new work"}),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
-			endpoint, err := argument(c, 0, "ENDPOINT")
+			endpoint, err := term.Argument(c, 0, "ENDPOINT")
 			if err != nil {
 				return err
 			}
@@ -160,7 +162,7 @@
 			if err := o.Wait(ctx, a.Revision); err != nil {
 				return err
 			}
-			return show(c, a, []string{"RESULT", "REVISION"}, [][]string{{string(a.Result), strconv.FormatUint(a.Revision, 10)}})
+			return term.Show(c, a, []string{"RESULT", "REVISION"}, [][]string{{string(a.Result), strconv.FormatUint(a.Revision, 10)}})
 		}),
 	}
 }
@@ -185,7 +187,7 @@
 				}
 				rows = append(rows, []string{s.Content, string(s.Organisation), standing, strconv.Itoa(s.Crashes), string(s.Trial)})
 			}
-			return show(c, list, []string{"CONTENT", "ORGANISATION", "STANDING", "CRASHES", "TRIAL"}, rows)
+			return term.Show(c, list, []string{"CONTENT", "ORGANISATION", "STANDING", "CRASHES", "TRIAL"}, rows)
 		}),
 	}
 }
@@ -218,7 +220,7 @@
 func placeOrder(ctx context.Context, c *cli.Command, o *oper.Client) error {
 	priority, err := core.ParsePriority(c.String("Priority"))
 	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
+		return fmt.Errorf("%w: %w", term.ErrUsage, err)
 	}
 	opID := c.String("Operation")
 	if opID == "" {
@@ -241,5 +243,5 @@
 			strconv.FormatUint(o.Fence, 10), string(o.Place.Endpoint), string(o.Place.Kind), o.Place.Target, string(o.Phase), o.Detail,
 		})
 	}
-	return show(c, list, []string{"FENCE", "ENDPOINT", "KIND", "TARGET", "PHASE", "DETAIL"}, rows)
+	return term.Show(c, list, []string{"FENCE", "ENDPOINT", "KIND", "TARGET", "PHASE", "DETAIL"}, rows)
 }
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -6,6 +6,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/setup"
 )
 
@@ -16,7 +18,7 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s, err := setup.Load(c.String("Settings"))
 			if err != nil {
-				return fmt.Errorf("%w: %w", errUsage, err)
+				return fmt.Errorf("%w: %w", term.ErrUsage, err)
 			}
 			app, err := setup.NewApp(s, setup.NewLogger(c.Root().ErrWriter, s.Log))
 			if err != nil {
--- a/cmds/state.go
+++ b/cmds/state.go
@@ -10,6 +10,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
+
 	"cyclamenford/core/state"
 	"cyclamenford/io/disk"
 )
@@ -22,12 +24,12 @@
 }
 
 func openContents(c *cli.Command) (disk.Identity, disk.Contents, error) {
-	path, err := argument(c, 0, "FOLDER")
+	path, err := term.Argument(c, 0, "FOLDER")
 	if err != nil {
 		return disk.Identity{}, disk.Contents{}, err
 	}
 	if _, err := os.Stat(path); err != nil {
-		return disk.Identity{}, disk.Contents{}, fmt.Errorf("%w: %w", errUsage, err)
+		return disk.Identity{}, disk.Contents{}, fmt.Errorf("%w: %w", term.ErrUsage, err)
 	}
 	folder, err := disk.OpenFolder(path)
 	if err != nil {
@@ -59,7 +61,7 @@
 				string(id.Member()), strconv.FormatUint(view.Term, 10), strconv.FormatUint(view.SnapshotIndex, 10),
 				strconv.Itoa(view.Entries), strconv.FormatUint(last, 10), strconv.FormatInt(view.TornBytes, 10),
 			}
-			return show(c, view, []string{"MEMBER", "TERM", "SNAPSHOT", "ENTRIES", "LAST", "TORN BYTES"}, [][]string{row})
+			return term.Show(c, view, []string{"MEMBER", "TERM", "SNAPSHOT", "ENTRIES", "LAST", "TORN BYTES"}, [][]string{row})
 		},
 	}
 }
@@ -109,7 +111,7 @@
 			if err := verifyContents(held); err != nil {
 				return err
 			}
-			target, err := argument(c, 1, "FOLDER TARGET")
+			target, err := term.Argument(c, 1, "FOLDER TARGET")
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/cmds/term/doc.go
@@ -0,0 +1,2 @@
+// Package term holds what the subcommands share: arguments, tables and JSON output.
+package term
--- a/cmds/table.go
+++ b/cmds/term/table.go
@@ -1,4 +1,4 @@
-package cmds
+package term
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"text/tabwriter"
 )
 
-// printTable prints rows in aligned columns.
-func printTable(w io.Writer, header []string, rows [][]string) error {
+// PrintTable prints rows in aligned columns.
+func PrintTable(w io.Writer, header []string, rows [][]string) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, strings.Join(header, "\t"))
 	for _, row := range rows {
