--- a/bench/drill/load.go
+++ b/bench/drill/load.go
@@ -20,6 +20,8 @@
 	requestLimit = 8 * time.Second
 	// resendLimit is how often a non-repeatable call is sent until its outcome is known.
 	resendLimit = 12
+	// doubleEvery is the number of calls of which one is sent to two hosts at once.
+	doubleEvery = 3
 	pauseMax    = 60
 	changePause = 50 * time.Millisecond
 	changeLimit = 6 * time.Second
@@ -117,6 +119,9 @@
 		IdempotencyKey: key, DeadlineMs: 3000,
 	}
 	c := Call{Key: key}
+	if n%doubleEvery == 0 {
+		c.Replies = append(c.Replies, x.sendDoubled(q)...)
+	}
 	for range resendLimit {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		r, err := x.callers.Do(ctx, x.callerHosts(rand.IntN(len(x.processes))), q)
@@ -130,6 +135,22 @@
 	x.record.call(c)
 }
 
+// sendDoubled sends one call to two hosts at the same time, as a caller does whose first connect seemed lost.
+func (x *Drill) sendDoubled(q caller.Request) []caller.Reply {
+	replies := make([]caller.Reply, 2)
+	first := rand.IntN(len(x.processes))
+	var wg sync.WaitGroup
+	for i := range replies {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			replies[i], _ = x.callers.Do(ctx, x.callerHosts(first+i), q)
+		})
+	}
+	wg.Wait()
+	return replies
+}
+
 // changeSettings sets a team's limit at the version that it has read, racing the other workers.
 func (x *Drill) changeSettings(ctx context.Context, n int) {
 	ctx, cancel := context.WithTimeout(ctx, changeLimit)
--- /dev/null
+++ b/io/keeper/disk_test.go
@@ -0,0 +1,135 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/quorum"
+	"cyclamenford/core/state"
+	"cyclamenford/io/disk"
+	"cyclamenford/io/peer"
+	"cyclamenford/io/wall"
+)
+
+// fullFolder refuses to sync once it is told that the disk is full.
+type fullFolder struct {
+	disk.Folder
+	full *atomic.Bool
+}
+
+type fullFile struct {
+	disk.File
+	full *atomic.Bool
+}
+
+var errFull = errors.New("no space left on device")
+
+func (f fullFolder) Append(name string) (disk.File, error) {
+	file, err := f.Folder.Append(name)
+	return fullFile{file, f.full}, err
+}
+
+func (f fullFile) Sync() error {
+	if f.full.Load() {
+		return errFull
+	}
+	return f.File.Sync()
+}
+
+// trio is three keepers in this process, each on a disk that can fill up.
+type trio struct {
+	keepers [3]*Keeper
+	full    [3]*atomic.Bool
+}
+
+func startTrio(t *testing.T) *trio {
+	var founding []Address
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		founding = append(founding, Address{ID: core.HostID(fmt.Sprint("k", i)), Address: l.Addr().String()})
+		must.NoError(t, l.Close())
+	}
+	x := &trio{}
+	for i := range x.keepers {
+		x.full[i] = &atomic.Bool{}
+		x.keepers[i] = startKeeper(t, founding, i, x.full[i])
+	}
+	return x
+}
+
+func startKeeper(t *testing.T, founding []Address, i int, full *atomic.Bool) *Keeper {
+	log := slog.New(slog.DiscardHandler)
+	folder, err := disk.OpenFolder(filepath.Join(t.TempDir(), "data"))
+	must.NoError(t, err)
+	store, held, err := disk.Open(fullFolder{folder, full}, founding[i].ID, 1)
+	must.NoError(t, err)
+	client := peer.NewClient([]byte("a secret of the test"), nil, nil)
+	o := Options{Host: founding[i].ID, Founding: founding, Voters: 3, Patience: 60 * core.Second, Quorum: quorum.Defaults()}
+	k, err := New(o, store, held, client, wall.New(), log)
+	must.NoError(t, err)
+	server := peer.NewServer(founding[i].Address, []byte("a secret of the test"), nil, log)
+	must.NoError(t, k.Register(server))
+	must.NoError(t, k.Start(context.Background()))
+	must.NoError(t, server.Start(context.Background()))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = k.Stop(ctx)
+		_ = server.Stop(ctx)
+		_ = client.Stop(ctx)
+	})
+	return k
+}
+
+// leader waits for a keeper that leads, other than the given one.
+func (x *trio) leader(t *testing.T, not int) int {
+	deadline := time.Now().Add(30 * time.Second)
+	for time.Now().Before(deadline) {
+		for i, k := range x.keepers {
+			if i != not && k.locate().Leading {
+				return i
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("no keeper leads")
+	return -1
+}
+
+func drainCommand(t *testing.T, endpoint string) []byte {
+	raw, err := state.Command{Drain: &state.Drain{Endpoint: core.EndpointID(endpoint), On: true}}.Encode()
+	must.NoError(t, err)
+	return raw
+}
+
+func TestAKeeperWhoseDiskIsFullStepsDownAndAcceptsNothing(t *testing.T) {
+	x := startTrio(t)
+	first := x.leader(t, -1)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	_, err := x.keepers[first].commit(ctx, drainCommand(t, "before"))
+	must.NoError(t, err)
+
+	x.full[first].Store(true)
+	_, err = x.keepers[first].commit(ctx, drainCommand(t, "lost"))
+	must.Error(t, err)
+	must.ErrorIs(t, x.keepers[first].Failed(), errFull)
+	must.False(t, x.keepers[first].locate().Leading)
+
+	second := x.leader(t, first)
+	_, err = x.keepers[second].commit(ctx, drainCommand(t, "after"))
+	must.NoError(t, err)
+	image := x.keepers[second].machine.Image()
+	must.True(t, image.Drained["before"] && image.Drained["after"])
+}
