--- a/bench/site/site_test.go
+++ b/bench/site/site_test.go
@@ -20,7 +20,7 @@
 )
 
 // startSite runs a deployment with quick shutdowns for a test.
-func startSite(t *testing.T, d Deployment) (*Site, context.Context) {
+func startSite(t *testing.T, d Deployment, tune ...func(*setup.Settings)) (*Site, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	t.Cleanup(cancel)
@@ -28,7 +28,12 @@
 	if testing.Verbose() {
 		log = slog.New(slog.NewTextHandler(t.Output(), nil))
 	}
-	s, err := New(d, log, func(c *setup.Settings) { c.Callers.DrainMs, c.Callers.ReadTimeoutMs = 100, 1000 })
+	s, err := New(d, log, func(c *setup.Settings) {
+		c.Callers.DrainMs, c.Callers.ReadTimeoutMs = 100, 1000
+		for _, f := range tune {
+			f(c)
+		}
+	})
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
 	must.NoError(t, s.StartHosts(ctx))
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"cyclamenford/io"
 	"cyclamenford/io/keeper"
 	"cyclamenford/io/peer"
+	"cyclamenford/io/trace"
 )
 
 const (
@@ -28,6 +30,7 @@
 type Follower struct {
 	client  *peer.Client
 	clock   core.Clock
+	trace   *trace.Service
 	log     *slog.Logger
 	locator *locator
 	cancel  context.CancelFunc
@@ -42,9 +45,9 @@
 }
 
 // New returns a follower for this host that finds the keepers through the given addresses.
-func New(self state.Host, join []string, client *peer.Client, clock core.Clock, log *slog.Logger) *Follower {
+func New(self state.Host, join []string, client *peer.Client, clock core.Clock, t *trace.Service, log *slog.Logger) *Follower {
 	return &Follower{
-		client: client, clock: clock, log: log, locator: newLocator(join),
+		client: client, clock: clock, trace: t, log: log, locator: newLocator(join),
 		self: self, image: state.EmptyImage(), changed: make(chan struct{}),
 	}
 }
@@ -205,7 +208,11 @@
 	if err != nil {
 		return state.Reply{}, err
 	}
-	reply, err := callLeader[keeper.ProposeReply](ctx, f, "Propose", keeper.ProposeArgs{Command: raw})
+	ctx, span := f.trace.Span(ctx, "propose")
+	defer span.End()
+	args := keeper.ProposeArgs{Command: raw, Trace: http.Header{}}
+	f.trace.Inject(ctx, args.Trace)
+	reply, err := callLeader[keeper.ProposeReply](ctx, f, "Propose", args)
 	return reply.Reply, err
 }
 
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"cyclamenford/core/state"
 	"cyclamenford/io/disk"
 	"cyclamenford/io/peer"
+	"cyclamenford/io/trace"
 )
 
 const (
@@ -46,6 +47,8 @@
 	// Patience is how long a voter may be silent before a spare disk replaces it.
 	Patience core.Millis
 	Quorum   quorum.Settings
+	// Trace makes the spans of calls that this keeper answers.
+	Trace *trace.Service
 }
 
 // Keeper is one member of the replicated control state.
--- a/io/keeper/serve.go
+++ b/io/keeper/serve.go
@@ -55,7 +55,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), proposeLimit)
+	ctx, span := c.k.options.Trace.Span(c.k.options.Trace.Extract(context.Background(), args.Trace), "commit")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
 	defer cancel()
 	r, err := c.k.commit(ctx, raw)
 	if err != nil {
--- a/io/keeper/wire.go
+++ b/io/keeper/wire.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"net/http"
+
 	"cyclamenford/core"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
@@ -28,7 +30,11 @@
 func (l Located) Where() Located { return l }
 
 // ProposeArgs carries a command to the leader.
-type ProposeArgs struct{ Command []byte }
+type ProposeArgs struct {
+	Command []byte
+	// Trace carries the caller's span.
+	Trace http.Header
+}
 
 // ProposeReply is the answer to ProposeArgs.
 type ProposeReply struct {
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -83,21 +83,24 @@
 	}
 	w := wiring{app: a}
 	client := find[*peer.Client](&w, clientService)
-	k, err := keeper.New(a.keeperOptions(), store, held, client, a.clock, a.log)
+	o := a.keeperOptions()
+	o.Trace = find[*trace.Service](&w, traceService)
+	k, err := keeper.New(o, store, held, client, a.clock, a.log)
 	if err != nil {
 		return err
 	}
-	return w.register(keeperService, k, clientService)
+	return w.register(keeperService, k, clientService, traceService)
 }
 
 func (a *App) addFollow() error {
 	w := wiring{app: a}
 	client := find[*peer.Client](&w, clientService)
+	t := find[*trace.Service](&w, traceService)
 	self, err := a.self()
 	if err != nil {
 		return err
 	}
-	f := follow.New(self, a.settings.Join, client, a.clock, a.log)
+	f := follow.New(self, a.settings.Join, client, a.clock, t, a.log)
 	return w.register(followService, f, clientService, serverService)
 }
 
