--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"cyclamenford/core"
@@ -64,6 +65,40 @@
 	return sum(slices.Concat(offers...), nil)
 }
 
+// changedPart is the part by which an offer must differ from the one told to be told again.
+const changedPart = 0.15
+
+// Changed returns the present offers that differ much from those told; an offer that has ended is told as 0 slots.
+func Changed(told, present []Offer) []Offer {
+	var list []Offer
+	for _, o := range present {
+		before := find(told, o)
+		if math.Abs(o.Slots-before) > changedPart*max(before, 1) {
+			list = append(list, o)
+		}
+	}
+	for _, o := range told {
+		if o.Slots > 1 && find(present, o) == 0 {
+			o.Slots = 0
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// Merge returns the offers with the changed ones put in the place of their former values.
+func Merge(offers, changed []Offer) []Offer {
+	merged := make([]Offer, 0, len(offers)+len(changed))
+	for _, o := range offers {
+		if !slices.ContainsFunc(changed, func(c Offer) bool { return Compare(c, o) == 0 }) {
+			merged = append(merged, o)
+		}
+	}
+	merged = append(merged, changed...)
+	slices.SortFunc(merged, Compare)
+	return merged
+}
+
 func only(offers []Offer, p core.Priority) []Offer {
 	var list []Offer
 	for _, o := range offers {
--- a/core/desk/exchange.go
+++ b/core/desk/exchange.go
@@ -23,9 +23,11 @@
 type Shared struct {
 	Host        core.HostID
 	Incarnation core.Incarnation
-	Offers      []PoolOffers
-	Served      []Served
-	Usage       []quota.Usage
+	// Full tells that the offers replace all earlier ones; otherwise they are those that have changed much.
+	Full   bool
+	Offers []PoolOffers
+	Served []Served
+	Usage  []quota.Usage
 }
 
 // PoolOffers is what callers ask of one host for one pool.
@@ -43,7 +45,7 @@
 type remoteHost struct {
 	incarnation core.Incarnation
 	heard       core.Millis
-	offers      []PoolOffers
+	offers      map[core.PoolID][]claim.Offer
 	served      map[servedKey]float64
 }
 
@@ -51,12 +53,15 @@
 type exchange struct {
 	own map[servedKey]Served
 	// told holds the totals of the last message; totals that have not changed are not sent again.
-	told    map[servedKey]float64
-	remotes map[core.HostID]*remoteHost
+	told map[servedKey]float64
+	// toldOffers holds the offers that the others know of, and messages the number of messages so far.
+	toldOffers map[core.PoolID][]claim.Offer
+	messages   int
+	remotes    map[core.HostID]*remoteHost
 }
 
 func newExchange() exchange {
-	return exchange{own: map[servedKey]Served{}, told: map[servedKey]float64{}, remotes: map[core.HostID]*remoteHost{}}
+	return exchange{own: map[servedKey]Served{}, told: map[servedKey]float64{}, toldOffers: map[core.PoolID][]claim.Offer{}, remotes: map[core.HostID]*remoteHost{}}
 }
 
 func (x *exchange) serve(a Ask, cost float64) {
@@ -65,14 +70,31 @@
 	x.own[k] = Served{Pool: a.Pool(), Priority: a.Priority, Organisation: a.Organisation, Weight: a.Weight, Cost: s.Cost + cost}
 }
 
+// fullEvery is the number of messages of which one tells everything; the others tell what has changed much.
+const fullEvery = 5
+
 // Share returns what this host tells the others.
 func (d *Desk) Share(now core.Millis, host core.HostID, incarnation core.Incarnation) Shared {
-	s := Shared{Host: host, Incarnation: incarnation, Usage: d.limiter.Usage(now)}
+	x := &d.exchange
+	s := Shared{Host: host, Incarnation: incarnation, Usage: d.limiter.Usage(now), Full: x.messages%fullEvery == 0}
+	x.messages++
 	for _, id := range d.order {
-		if offers := d.pools[id].Offers(now); len(offers) > 0 {
-			s.Offers = append(s.Offers, PoolOffers{Pool: id, Offers: offers})
+		present := d.pools[id].Offers(now)
+		changed := claim.Changed(x.toldOffers[id], present)
+		if s.Full {
+			changed = present
+		}
+		if len(changed) > 0 {
+			s.Offers = append(s.Offers, PoolOffers{Pool: id, Offers: changed})
+			x.toldOffers[id] = claim.Merge(x.toldOffers[id], changed)
+		}
+		if s.Full {
+			x.toldOffers[id] = present
 		}
 	}
+	if !s.Full {
+		return s
+	}
 	for k, served := range d.exchange.own {
 		if d.exchange.told[k] != served.Cost {
 			d.exchange.told[k] = served.Cost
@@ -100,7 +122,12 @@
 		}
 	}
 	r.heard = now
-	r.offers = s.Offers
+	if s.Full || r.offers == nil {
+		r.offers = map[core.PoolID][]claim.Offer{}
+	}
+	for _, o := range s.Offers {
+		r.offers[o.Pool] = claim.Merge(r.offers[o.Pool], o.Offers)
+	}
 	d.chargeServed(r, s.Served)
 	d.sumOffers(now)
 }
@@ -129,8 +156,8 @@
 			delete(d.exchange.remotes, host)
 			continue
 		}
-		for _, o := range r.offers {
-			sums[o.Pool] = append(sums[o.Pool], o.Offers...)
+		for id, offers := range r.offers {
+			sums[id] = append(sums[id], offers...)
 		}
 	}
 	for _, id := range d.order {
--- a/io/share/share.go
+++ b/io/share/share.go
@@ -14,6 +14,7 @@
 	"cyclamenford/io"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/loop"
+	"cyclamenford/io/meter"
 	"cyclamenford/io/peer"
 )
 
@@ -50,6 +51,7 @@
 	broker  *broker.Broker
 	client  *peer.Client
 	clock   core.Clock
+	meter   *meter.Meter
 	log     *slog.Logger
 
 	mu    sync.Mutex
@@ -57,9 +59,9 @@
 }
 
 // New returns a sharer for a host.
-func New(self core.HostID, control io.Control, b *broker.Broker, client *peer.Client, clock core.Clock, log *slog.Logger) *Sharer {
+func New(self core.HostID, control io.Control, b *broker.Broker, client *peer.Client, clock core.Clock, m *meter.Meter, log *slog.Logger) *Sharer {
 	s := &Sharer{
-		self: self, control: control, broker: b, client: client, clock: clock, log: log,
+		self: self, control: control, broker: b, client: client, clock: clock, meter: m, log: log,
 		fresh: map[core.EndpointID]heard{},
 	}
 	s.Loop = loop.New(shareEvery, s.send)
@@ -96,6 +98,9 @@
 
 // send tells every other host what is new.
 func (s *Sharer) send(ctx context.Context) {
+	sent, received := s.client.Bytes()
+	s.meter.Set("peer_sent_bytes", sent)
+	s.meter.Set("peer_received_bytes", received)
 	m := Message{Work: s.broker.Share(), Announcements: s.take()}
 	for _, address := range s.peers() {
 		s.Go(func() {
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -125,7 +125,7 @@
 	f := find[*follow.Follower](&w, followService)
 	b := find[*broker.Broker](&w, brokerService)
 	client := find[*peer.Client](&w, clientService)
-	return w.register(shareService, share.New(a.settings.Host.ID, f, b, client, a.clock, a.log), brokerService)
+	return w.register(shareService, share.New(a.settings.Host.ID, f, b, client, a.clock, a.meter, a.log), brokerService)
 }
 
 func (a *App) addRunner() error {
