Stop exchanging served totals

Cause: hosts charged each other's service against the turns in their own queues, at half of the bytes between them. Since slots are divided by organisation and host (core/claim), it may be needless.

Change: the exchange of served totals and the charging are gone.

--- a/bench/slope/size.go
+++ b/bench/slope/size.go
@@ -29,7 +29,6 @@
 	for i := range organisations {
 		org := core.OrganisationID(fmt.Sprintf("organisation-%04d", i))
 		offers.Offers = append(offers.Offers, claim.Offer{Priority: core.Normal, Organisation: org, Weight: 1, Slots: 1.234375})
-		m.Work.Served = append(m.Work.Served, desk.Served{Pool: id, Priority: core.Normal, Organisation: org, Weight: 1, Cost: 123456})
 		m.Work.Usage = append(m.Work.Usage, quota.Usage{Team: core.TeamID(org), Running: 3, Demand: 1.546875})
 	}
 	m.Work.Offers = []desk.PoolOffers{offers}
--- a/core/desk/ask.go
+++ b/core/desk/ask.go
@@ -61,7 +61,6 @@
 	if v == pool.Succeeded {
 		d.estimate.Observe(now, a.Stages[0], took)
 	}
-	d.exchange.serve(a, max(float64(took), 1))
 	return d.pool(a.Pool()).Finish(now, ticket, v)
 }
 
--- a/core/fair/queue.go
+++ b/core/fair/queue.go
@@ -174,11 +174,6 @@
 	q.served[p] += cost
 }
 
-// Charge counts an organisation's cost served at this or another host against its turn here.
-func (q *Queue) Charge(p core.Priority, org core.OrganisationID, weight, cost float64) {
-	q.classes[p].charge(org, weight, cost)
-}
-
 func (q *Queue) choose(now core.Millis, spare func(core.Priority) bool) (core.Priority, Why, bool) {
 	q.decay(now)
 	total := 0.0
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -102,11 +102,6 @@
 	return p.offers.Offers(now)
 }
 
-// Charge counts cost that another host served for an organisation.
-func (p *Pool) Charge(priority core.Priority, org core.OrganisationID, weight, cost float64) {
-	p.queue.Charge(priority, org, weight, cost)
-}
-
 // Depth returns the numbers of waiting and running tickets.
 func (p *Pool) Depth() (waiting, active int) {
 	return len(p.waiting), len(p.running)
