Let the commands speak TLS, and show a deployment that does

Cause: hosts could demand TLS from callers and operators, and no command could speak it.

The stand-ins still speak plain text, so TLS towards endpoints is untried.

--- a/bench/drill/access.go
+++ b/bench/drill/access.go
@@ -14,7 +14,7 @@
 
 // OperatorsOf returns a client of one host's operators' interface.
 func (x *Drill) OperatorsOf(n int) *oper.Client {
-	return oper.New([]string{x.processes[n].settings.Listeners.Operators}, site.OperatorKey)
+	return oper.New([]string{x.processes[n].settings.Listeners.Operators}, site.OperatorKey, nil)
 }
 
 // Deployment returns what runs.
--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -49,7 +49,7 @@
 		d.Hosts = d.Hosts[:s.Hosts]
 	}
 	x := &Drill{
-		script: s, deployment: d, callers: caller.New(), record: NewRecord(),
+		script: s, deployment: d, callers: caller.New(nil), record: NewRecord(),
 		options: map[core.EndpointID]stand.Options{}, marks: map[core.EndpointID]int64{},
 	}
 	x.network = proxy.New(x.partyOf)
@@ -95,7 +95,7 @@
 		x.processes = append(x.processes, p)
 		operators = append(operators, s.Listeners.Operators)
 	}
-	x.operators = oper.New(operators, site.OperatorKey)
+	x.operators = oper.New(operators, site.OperatorKey, nil)
 	return nil
 }
 
@@ -226,7 +226,7 @@
 				continue
 			}
 			var list []struct{ ID string }
-			c := oper.New([]string{p.settings.Listeners.Operators}, site.OperatorKey)
+			c := oper.New([]string{p.settings.Listeners.Operators}, site.OperatorKey, nil)
 			if c.Get(ctx, "/v1/endpoints", &list) != nil || len(list) < len(x.options) {
 				return false
 			}
--- a/bench/drill/load.go
+++ b/bench/drill/load.go
@@ -203,7 +203,7 @@
 			continue
 		}
 		var s struct{ Version uint64 }
-		c := oper.New([]string{p.settings.Listeners.Operators}, "example-operator-key")
+		c := oper.New([]string{p.settings.Listeners.Operators}, "example-operator-key", nil)
 		if err := c.Get(ctx, "/v1/settings/"+path, &s); err != nil {
 			return err
 		}
--- a/bench/load/run.go
+++ b/bench/load/run.go
@@ -23,7 +23,7 @@
 // Run sends the scenario's requests, prints progress to w and returns what was measured.
 func Run(ctx context.Context, s Scenario, w io.Writer) (*Report, error) {
 	r := newReport(s)
-	client := caller.New()
+	client := caller.New(nil)
 	rng := rand.New(rand.NewPCG(s.Seed, 11))
 	began := time.Now()
 	stop := printProgress(w, r, began)
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("make data folder: %w", err)
 	}
-	s := &Site{Deployment: d, folder: folder, log: log, tune: tune, Callers: caller.New()}
+	s := &Site{Deployment: d, folder: folder, log: log, tune: tune, Callers: caller.New(nil)}
 	var operators []string
 	for range d.Hosts {
 		a, err := FreeAddresses("127.0.0.1")
@@ -46,7 +46,7 @@
 		s.Addresses = append(s.Addresses, a)
 		operators = append(operators, a.Operators)
 	}
-	s.Operators = oper.New(operators, OperatorKey)
+	s.Operators = oper.New(operators, OperatorKey, nil)
 	s.Hosts = make([]*setup.App, len(d.Hosts))
 	return s, nil
 }
--- a/bench/site/site_test.go
+++ b/bench/site/site_test.go
@@ -21,6 +21,12 @@
 
 // startSite runs a deployment with quick shutdowns for a test.
 func startSite(t *testing.T, d Deployment, tune ...func(*setup.Settings)) (*Site, context.Context) {
+	t.Helper()
+	return startSiteWith(t, d, func(*Site) {}, tune...)
+}
+
+// startSiteWith also lets the test change the site before its hosts start.
+func startSiteWith(t *testing.T, d Deployment, change func(*Site), tune ...func(*setup.Settings)) (*Site, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	t.Cleanup(cancel)
@@ -36,6 +42,7 @@
 	})
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
+	change(s)
 	must.NoError(t, s.StartHosts(ctx))
 	must.NoError(t, s.AwaitReady(ctx))
 	_, err = s.ImportTree(ctx)
--- /dev/null
+++ b/bench/site/tls_test.go
@@ -0,0 +1,74 @@
+package site
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/io/caller"
+	"cyclamenford/io/certs"
+	"cyclamenford/io/oper"
+	"cyclamenford/setup"
+)
+
+// selfSigned writes a certificate for 127.0.0.1 that is its own authority.
+func selfSigned(t *testing.T) certs.Files {
+	folder := t.TempDir()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	must.NoError(t, err)
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	must.NoError(t, err)
+	f := certs.Files{Certificate: filepath.Join(folder, "cert.pem"), Key: filepath.Join(folder, "key.pem")}
+	f.Authority = f.Certificate
+	must.NoError(t, os.WriteFile(f.Certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	must.NoError(t, os.WriteFile(f.Key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw}), 0o600))
+	return f
+}
+
+func TestADeploymentSpeaksTLSTowardsCallersOperatorsAndPeers(t *testing.T) {
+	files := selfSigned(t)
+	config, err := certs.CallerConfig(files)
+	must.NoError(t, err)
+	d := SawtLoop()
+	d.Hosts = d.Hosts[:3]
+	for i := range d.Hosts {
+		d.Hosts[i].Founding = true
+	}
+	tune := func(c *setup.Settings) {
+		c.Tls = setup.TLS{Callers: files, Operators: files, Peers: files}
+	}
+	s, ctx := startSiteWith(t, d, func(s *Site) {
+		var operators []string
+		for _, a := range s.Addresses {
+			operators = append(operators, a.Operators)
+		}
+		s.Operators, s.Callers = oper.New(operators, OperatorKey, config), caller.New(config)
+	}, tune)
+	r, err := s.Callers.Do(ctx, s.CallerHosts(1), caller.Request{
+		Path: "/v1/pipelines/layout", Key: d.Keys["clinics"], Body: body(1), Stream: true,
+	})
+	must.NoError(t, err)
+	must.Eq(t, core.Completed, r.Outcome)
+	_, err = caller.New(nil).Do(ctx, s.CallerHosts(1), caller.Request{Path: "/v1/pipelines/layout", Body: body(1)})
+	must.Error(t, err, must.Sprint("plain text was answered"))
+	must.Error(t, oper.New([]string{s.Addresses[0].Operators}, OperatorKey, nil).Get(ctx, "/v1/status", &struct{}{}))
+}
--- a/cmds/call.go
+++ b/cmds/call.go
@@ -17,14 +17,14 @@
 func callCommand() *cli.Command {
 	return &cli.Command{
 		Name: "call", Usage: "send a request as a caller: PIPELINE, or SERVICE/CALL, and a JSON body", ArgsUsage: "TARGET BODY",
-		Flags: []cli.Flag{
+		Flags: append(term.TLSFlags(),
 			&cli.StringSliceFlag{Name: "Hosts", Usage: "the callers' listeners as `IP:PORT`", Value: []string{"127.0.0.1:7101"}},
 			&cli.StringFlag{Name: "Key", Usage: "the team's bearer `KEY`", Required: true},
 			&cli.StringFlag{Name: "Priority", Usage: "Urgent, Normal or Bulk"},
 			&cli.Int64Flag{Name: "DeadlineMs", Usage: "the end-to-end deadline in `MS`"},
 			&cli.StringFlag{Name: "IdempotencyKey", Usage: "the `KEY` of a call that may not be repeated; a fresh one by default"},
 			&cli.BoolFlag{Name: "Whole", Usage: "wait for the whole answer instead of streaming it"},
-		},
+		),
 		Action: callAction,
 	}
 }
@@ -48,7 +48,11 @@
 			q.IdempotencyKey = caller.NewKey(core.Millis(time.Now().UnixMilli()), "call")
 		}
 	}
-	client := caller.New()
+	config, err := term.TLSConfig(c)
+	if err != nil {
+		return err
+	}
+	client := caller.New(config)
 	w := c.Root().Writer
 	client.OnText = func(text string) { fmt.Fprint(w, text) }
 	r, err := client.Do(ctx, c.StringSlice("Hosts"), q)
--- a/cmds/opers/oper.go
+++ b/cmds/opers/oper.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"cyclamenford/cmds/term"
 	"cyclamenford/io/oper"
 )
 
@@ -13,12 +15,12 @@
 const keyVariable = "CYCLAMENFORD_KEY"
 
 func operatorFlags(more ...cli.Flag) []cli.Flag {
-	return append([]cli.Flag{
+	return slices.Concat([]cli.Flag{
 		&cli.StringSliceFlag{Name: "Hosts", Usage: "the operators' listeners as `IP:PORT`", Value: []string{"127.0.0.1:7301"}},
 		&cli.StringFlag{Name: "Key", Usage: "the operator's `KEY`", Sources: cli.EnvVars(keyVariable)},
 		&cli.BoolFlag{Name: "Json", Usage: "print JSON for scripts"},
 		&cli.DurationFlag{Name: "Timeout", Usage: "give up after this `TIME`", Value: 30 * time.Second},
-	}, more...)
+	}, term.TLSFlags(), more)
 }
 
 // operatorAction runs f with a client and the flags' time limit.
@@ -26,7 +28,11 @@
 	return func(ctx context.Context, c *cli.Command) error {
 		ctx, cancel := context.WithTimeout(ctx, c.Duration("Timeout"))
 		defer cancel()
-		return f(ctx, c, oper.New(c.StringSlice("Hosts"), c.String("Key")))
+		config, err := term.TLSConfig(c)
+		if err != nil {
+			return err
+		}
+		return f(ctx, c, oper.New(c.StringSlice("Hosts"), c.String("Key"), config))
 	}
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 	maxLineBytes   = 1 << 20
 	maxAnswerBytes = 16 << 20
 	idlePerHost    = 256
+	idleTimeout    = 10 * time.Second
 	maxResumes     = 8
 	resumePause    = 50 * time.Millisecond
 )
@@ -63,16 +65,21 @@
 
 // Client sends requests to hosts.
 type Client struct {
-	http *http.Client
+	scheme string
+	http   *http.Client
 	// OnText is called with each piece of a streamed answer; nil for none.
 	OnText func(string)
 }
 
-// New returns a client.
-func New() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idlePerHost, ResponseHeaderTimeout: 0, IdleConnTimeout: 10 * time.Second,
+// New returns a client; tlsConfig is nil for plain HTTP.
+func New(tlsConfig *tls.Config) *Client {
+	c := &Client{scheme: "http", http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, TLSClientConfig: tlsConfig,
 	}}}
+	if tlsConfig != nil {
+		c.scheme = "https"
+	}
+	return c
 }
 
 // Do sends the request to the first host and resumes a cut stream at the following ones.
@@ -97,7 +104,7 @@
 }
 
 func (c *Client) send(ctx context.Context, host string, q Request) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base(host)+q.Path, bytes.NewReader(q.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme+"://"+host+q.Path, bytes.NewReader(q.Body))
 	if err != nil {
 		return nil, err
 	}
@@ -118,13 +125,6 @@
 	return c.http.Do(req)
 }
 
-func base(host string) string {
-	if strings.Contains(host, "://") {
-		return host
-	}
-	return "http://" + host
-}
-
 func readProblem(body io.Reader, r *Reply) error {
 	var p struct {
 		Outcome      core.Outcome `json:"outcome"`
@@ -182,7 +182,7 @@
 }
 
 func (c *Client) resume(ctx context.Context, host, key string, s *streamState) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base(host)+"/v1/streams/"+s.token, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+"://"+host+"/v1/streams/"+s.token, nil)
 	if err != nil {
 		return nil, fmt.Errorf("make resume: %w", err)
 	}
--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -119,3 +119,22 @@
 	}
 	return pool, nil
 }
+
+// CallerConfig returns settings for a client program: an authority alone, or with a certificate to show; nil without either.
+func CallerConfig(f Files) (*tls.Config, error) {
+	if f.Set() {
+		s, err := New(f)
+		if err != nil {
+			return nil, err
+		}
+		return s.Client()
+	}
+	if f.Authority == "" {
+		return nil, nil
+	}
+	pool, err := (&Source{files: f}).pool()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}, nil
+}
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,14 +33,20 @@
 
 // Client calls the operators' interface of one host after the other until one answers.
 type Client struct {
-	hosts []string
-	key   string
-	http  *http.Client
+	hosts  []string
+	key    string
+	scheme string
+	http   *http.Client
 }
 
-// New returns a client for the hosts' operators' listeners.
-func New(hosts []string, key string) *Client {
-	return &Client{hosts: hosts, key: key, http: &http.Client{}}
+// New returns a client for the hosts' operators' listeners; tlsConfig is nil for plain HTTP.
+func New(hosts []string, key string, tlsConfig *tls.Config) *Client {
+	c := &Client{hosts: hosts, key: key, scheme: "http", http: &http.Client{}}
+	if tlsConfig != nil {
+		c.scheme = "https"
+		c.http.Transport = &http.Transport{TLSClientConfig: tlsConfig}
+	}
+	return c
 }
 
 // NewOpID returns a fresh operation identifier.
@@ -163,7 +170,7 @@
 		ctx, cancel = context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 	}
-	req, err := http.NewRequestWithContext(ctx, method, base(host)+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+host+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("make request: %w", err)
 	}
@@ -204,10 +211,3 @@
 	}
 	return fmt.Errorf("%s: status %d: %s", host, status, f.Error)
 }
-
-func base(host string) string {
-	if strings.Contains(host, "://") {
-		return host
-	}
-	return "http://" + host
-}
