Take what all attempts share out of the pipelines, and end every trial

Change: io/tries holds grants, trials, blame and recording; GiveUp ends an attempt together with its trial.

--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -19,6 +19,7 @@
 	"cyclamenford/io"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
+	"cyclamenford/io/tries"
 )
 
 const (
@@ -42,7 +43,7 @@
 	if problem != nil {
 		return Answer{}, problem
 	}
-	if problem := r.broker.Feasible(o.ask(nil)); problem != nil {
+	if problem := r.Broker.Feasible(o.ask(nil)); problem != nil {
 		return Answer{}, problem
 	}
 	return o.run(ctx)
@@ -71,11 +72,11 @@
 	if err != nil {
 		return nil, core.NewProblem(http.StatusBadRequest, core.NotRun, core.ReasonBadHeader, "%v", err)
 	}
-	holder := r.control.Holder()
+	holder := r.Control.Holder()
 	holder.Attempt = newAttemptID(q.ID, c.Name)
 	content := contentOf(q.Settings.Organisation, s.Name, c.Name, q.Body)
-	if r.standing(content) == poison.Convicted {
-		return nil, quarantined(core.NotRun)
+	if r.Standing(content) == poison.Convicted {
+		return nil, tries.Quarantined(core.NotRun)
 	}
 	return &once{
 		runner: r, request: q, service: s, call: c, issuedAt: issuedAt, holder: holder, content: content,
@@ -87,7 +88,7 @@
 
 // run reserves the call and runs it, or returns what an earlier attempt has brought.
 func (o *once) run(ctx context.Context) (Answer, *core.Problem) {
-	reply, err := o.runner.control.Propose(ctx, state.Command{Reserve: &state.Reserve{
+	reply, err := o.runner.Control.Propose(ctx, state.Command{Reserve: &state.Reserve{
 		Key: o.key, IssuedAt: o.issuedAt, BodyHash: o.bodyHash, Holder: o.holder,
 	}})
 	if err != nil {
@@ -122,13 +123,13 @@
 	r := o.runner
 	var avoid []core.EndpointID
 	for try := 1; ; try++ {
-		g, problem := r.grant(ctx, o.ask(avoid), o.content)
+		g, problem := r.Grant(ctx, o.ask(avoid), o.content)
 		if problem != nil {
 			o.release()
 			return Answer{}, problem
 		}
-		if !r.control.Serving() {
-			r.broker.Finish(g, pool.Withdrawn)
+		if !r.Control.Serving() {
+			r.GiveUp(g, o.content, pool.Withdrawn)
 			o.release()
 			return Answer{}, core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonNoServingLease,
 				"this host has lost its serving lease").WithRetryAfter(core.Second)
@@ -137,11 +138,11 @@
 		if e == nil || e.Outcome != core.NotRun {
 			return o.finish(ctx, g, answer, e)
 		}
-		r.broker.Finish(g, verdictOf(ctx, e))
+		r.GiveUp(g, o.content, tries.VerdictOf(ctx, e))
 		avoid = append(avoid, g.Endpoint.ID)
-		if try >= maxDispatches || !r.broker.MayRetry() {
+		if try >= maxDispatches || !r.Broker.MayRetry() {
 			o.release()
-			return Answer{}, problemOf(e)
+			return Answer{}, tries.ProblemOf(e)
 		}
 	}
 }
@@ -151,7 +152,7 @@
 	return desk.Ask{
 		Request: q.ID, Organisation: q.Settings.Organisation, Weight: q.Settings.Weight, Priority: q.Priority,
 		Stages: []plan.Key{o.stage}, DeadlineAt: q.DeadlineAt, Avoid: avoid,
-		Alone: o.runner.standing(o.content) == poison.Suspected,
+		Alone: o.runner.Standing(o.content) == poison.Suspected,
 	}
 }
 
@@ -164,7 +165,7 @@
 		Call: o.call.Name, Input: o.request.Body, DeadlineMs: o.request.DeadlineAt - r.clock.Now(),
 		Priority: g.Action.EnginePriority(o.request.Priority), IdempotencyKey: o.endpointKey(),
 	}
-	result, err := r.dial.Call(ctx, g.Endpoint.Address, run, false)
+	result, err := r.Dial.Call(ctx, g.Endpoint.Address, run, false)
 	if err == nil {
 		return result, nil
 	}
@@ -186,12 +187,15 @@
 	a := ledger.Answer{Outcome: core.Completed, Status: http.StatusOK, Endpoint: g.Endpoint.ID, Body: result.Output}
 	if e != nil {
 		a = ledger.Answer{Outcome: e.Outcome, Reason: e.Reason, Status: http.StatusBadGateway, Endpoint: g.Endpoint.ID}
-		r.broker.Finish(g, verdictOf(ctx, e))
+		r.Broker.Finish(g, tries.VerdictOf(ctx, e))
 		if e.Broken {
-			r.blame(ctx, o.request, o.content, g.Endpoint)
+			r.Blame(ctx, o.request.ID, o.key.Organisation, o.content, g.Endpoint)
+		}
+		if g.Alone() {
+			r.EndTrial(o.content, g.Endpoint.ID, false)
 		}
 	} else {
-		r.settle(g, o.content, g.Alone())
+		r.Settle(g, o.content, g.Alone())
 	}
 	if a.Outcome == core.Unknown {
 		if body, ran := r.ranAt(ctx, g.Endpoint.Address, o.endpointKey()); ran {
@@ -207,21 +211,21 @@
 	c := state.Command{Finish: &state.Finish{Key: o.key, Holder: o.holder, Answer: a}}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
-	if _, err := o.runner.control.Propose(ctx, c); err != nil {
-		o.runner.recorder.record(c)
+	if _, err := o.runner.Control.Propose(ctx, c); err != nil {
+		o.runner.Record(c)
 	}
 }
 
 // release gives the reservation back with proof that nothing was sent.
 func (o *once) release() {
-	o.runner.recorder.record(state.Command{Release: &state.Release{Key: o.key, Holder: o.holder}})
+	o.runner.Record(state.Command{Release: &state.Release{Key: o.key, Holder: o.holder}})
 }
 
 // awaitFirst waits for the answer of the attempt that holds the reservation.
 func (o *once) awaitFirst(ctx context.Context) (Answer, *core.Problem) {
 	for {
-		wait(ctx, pendingPoll)
-		answer, err := o.runner.control.Query(ctx, io.Query{Call: &o.key})
+		tries.Wait(ctx, pendingPoll)
+		answer, err := o.runner.Control.Query(ctx, io.Query{Call: &o.key})
 		if err == nil && answer.Call == nil {
 			return o.run(ctx)
 		}
@@ -240,7 +244,7 @@
 	if e.Answer.Outcome != core.Unknown {
 		return answerOf(e.Answer)
 	}
-	for _, endpoint := range o.runner.broker.Endpoints() {
+	for _, endpoint := range o.runner.Broker.Endpoints() {
 		if !endpoint.Serves(o.service.Pool()) {
 			continue
 		}
@@ -249,7 +253,7 @@
 			continue
 		}
 		a := ledger.Answer{Outcome: core.Completed, Status: http.StatusOK, Endpoint: endpoint.ID, Body: body}
-		o.runner.recorder.record(state.Command{Resolve: &state.Resolve{Key: o.key, Answer: a}})
+		o.runner.Record(state.Command{Resolve: &state.Resolve{Key: o.key, Answer: a}})
 		return answerOf(a)
 	}
 	return answerOf(e.Answer)
@@ -270,5 +274,5 @@
 func (r *Runner) ranAt(ctx context.Context, address, key string) ([]byte, bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
-	return r.dial.Ran(ctx, address, key)
+	return r.Dial.Ran(ctx, address, key)
 }
--- a/io/flow/resume.go
+++ b/io/flow/resume.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return Answer{}, core.NewProblem(http.StatusForbidden, core.NotRun, core.ReasonForbidden, "%v", err)
 	}
-	stream, err := r.dial.Resume(ctx, p.Address, p.Attempt, after+1)
+	stream, err := r.Dial.Resume(ctx, p.Address, p.Attempt, after+1)
 	if err != nil {
 		return Answer{}, core.NewProblem(http.StatusGone, core.Failed, core.ReasonUnknownStream,
 			"the engine no longer has the stream: %v", err)
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -12,12 +12,14 @@
 	"cyclamenford/core"
 	"cyclamenford/core/desk"
 	"cyclamenford/core/plan"
+	"cyclamenford/core/poison"
 	"cyclamenford/core/tree"
 	"cyclamenford/io"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/trace"
+	"cyclamenford/io/tries"
 )
 
 // Options are the runner's settings.
@@ -31,24 +33,16 @@
 
 // Runner runs admitted requests.
 type Runner struct {
-	options  Options
-	control  io.Control
-	broker   *broker.Broker
-	dial     *dial.Client
-	clock    core.Clock
-	meter    *meter.Meter
-	trace    *trace.Service
-	log      *slog.Logger
-	recorder *recorder
-	active   sync.WaitGroup
+	*tries.Tries
+	options Options
+	clock   core.Clock
+	trace   *trace.Service
+	active  sync.WaitGroup
 }
 
 // New returns a runner.
 func New(o Options, control io.Control, b *broker.Broker, client *dial.Client, clock core.Clock, m *meter.Meter, t *trace.Service, log *slog.Logger) *Runner {
-	return &Runner{
-		options: o, control: control, broker: b, dial: client, clock: clock, meter: m, trace: t, log: log,
-		recorder: newRecorder(control, log),
-	}
+	return &Runner{Tries: tries.New(control, b, client, m, log), options: o, clock: clock, trace: t}
 }
 
 // Start does nothing; requests come from the front.
@@ -68,7 +62,7 @@
 	case <-ctx.Done():
 		return errors.New("requests were still running at the end of the shutdown time")
 	}
-	return r.recorder.stop(ctx)
+	return r.Settled(ctx)
 }
 
 // progress is what has become of one pipeline request so far.
@@ -98,11 +92,11 @@
 		request: q, target: p.Name, keys: keysOf(p, q.Priority), stages: p.Stages, outputs: map[string]json.RawMessage{},
 		prefix: prefixOf(q.Settings.Organisation, q.Body),
 	}
-	if problem := r.broker.Feasible(r.ask(g, 0, nil, false)); problem != nil {
+	if problem := r.Broker.Feasible(r.ask(g, 0, nil, false)); problem != nil {
 		return Answer{}, problem
 	}
 	for i := range p.Stages {
-		if problem := r.checkConvicted(g, i); problem != nil {
+		if problem := r.CheckConvicted(g.content(i)); problem != nil {
 			return Answer{}, problem
 		}
 	}
@@ -152,6 +146,11 @@
 	}
 }
 
+// content identifies what a stage is asked to do.
+func (g *progress) content(i int) poison.Content {
+	return contentOf(g.request.Settings.Organisation, g.target, g.stages[i].Name, g.request.Body)
+}
+
 func (g *progress) stagePrefix(i int) uint64 {
 	if g.stages[i].Kind != core.Generate {
 		return 0
--- a/io/flow/stream.go
+++ b/io/flow/stream.go
@@ -14,6 +14,7 @@
 	"cyclamenford/core/retry"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
+	"cyclamenford/io/tries"
 )
 
 const (
@@ -45,12 +46,12 @@
 func (r *Runner) streamStage(ctx context.Context, g *progress, i int) (Answer, *core.Problem) {
 	s := &streamRun{
 		runner: r, progress: g, index: i, next: 1, hash: xxhash.New(),
-		content: contentOf(g.request.Settings.Organisation, g.target, g.stages[i].Name, g.request.Body),
+		content: g.content(i),
 	}
 	began := r.clock.Now()
 	var avoid []core.EndpointID
 	for try := 1; ; try++ {
-		alone := r.standing(s.content) == poison.Suspected
+		alone := r.Standing(s.content) == poison.Suspected
 		a, last := s.attempt(ctx, avoid, alone)
 		if a.problem == nil {
 			g.times = append(g.times, StageTime{
@@ -59,17 +60,17 @@
 			})
 			return Answer{Count: last.Count, Checksum: last.Checksum}, nil
 		}
-		if !a.again || try >= retry.MaxAttempts || !r.broker.MayRetry() {
+		if !a.again || try >= retry.MaxAttempts || !r.Broker.MayRetry() {
 			return Answer{}, a.problem
 		}
 		avoid = append(avoid, a.grant.Endpoint.ID)
-		wait(ctx, r.broker.Backoff(try))
+		tries.Wait(ctx, r.Broker.Backoff(try))
 	}
 }
 
 func (s *streamRun) attempt(ctx context.Context, avoid []core.EndpointID, alone bool) (attempt, dial.Event) {
 	r := s.runner
-	g, problem := r.grant(ctx, r.ask(s.progress, s.index, avoid, alone), s.content)
+	g, problem := r.Grant(ctx, r.ask(s.progress, s.index, avoid, alone), s.content)
 	if problem != nil {
 		return attempt{problem: problem}, dial.Event{}
 	}
@@ -79,18 +80,15 @@
 	run.Prior, run.From = s.text.String(), s.next
 	last, err := s.read(ctx, g, run)
 	if err == nil {
-		r.settle(g, s.content, alone)
+		r.Settle(g, s.content, alone)
 		return attempt{grant: g}, last
 	}
 	if errors.Is(err, errSink) {
-		r.broker.Finish(g, pool.Withdrawn)
-		if alone {
-			r.endTrial(s.content, g.Endpoint.ID, false)
-		}
+		r.GiveUp(g, s.content, pool.Withdrawn)
 		return attempt{grant: g, problem: core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")}, last
 	}
 	if ctx.Err() == nil {
-		go r.dial.Cancel(g.Endpoint.Address, run.AttemptID)
+		go r.Dial.Cancel(g.Endpoint.Address, run.AttemptID)
 	}
 	return r.failed(ctx, s.progress, g, s.content, alone, err), last
 }
@@ -102,7 +100,7 @@
 	defer cancel()
 	watchdog := time.AfterFunc(stallTime, cancel)
 	defer watchdog.Stop()
-	stream, err := r.dial.Stream(ctx, g.Endpoint.Address, run)
+	stream, err := r.Dial.Stream(ctx, g.Endpoint.Address, run)
 	if err != nil {
 		return dial.Event{}, err
 	}
@@ -118,11 +116,11 @@
 		if err == nil || !errors.As(err, &e) || !e.Broken || resumes >= maxResumes || ctx.Err() != nil {
 			return last, err
 		}
-		again, resumeErr := r.dial.Resume(ctx, g.Endpoint.Address, run.AttemptID, s.next)
+		again, resumeErr := r.Dial.Resume(ctx, g.Endpoint.Address, run.AttemptID, s.next)
 		if resumeErr != nil {
 			return last, err
 		}
-		r.meter.Count("streams_resumed_total", 1)
+		r.Meter.Count("streams_resumed_total", 1)
 		stream = again
 	}
 }
--- a/io/flow/whole.go
+++ b/io/flow/whole.go
@@ -12,6 +12,7 @@
 	"cyclamenford/core/retry"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
+	"cyclamenford/io/tries"
 )
 
 // attempt is how one attempt of a stage ended.
@@ -44,9 +45,9 @@
 	w := &wholeRun{
 		runner: r, progress: g, index: i, done: make(chan attempt, retry.MaxAttempts),
 		granted: make(chan struct{}, retry.MaxAttempts),
-		content: contentOf(g.request.Settings.Organisation, g.target, g.stages[i].Name, g.request.Body),
+		content: g.content(i),
 	}
-	w.alone = r.standing(w.content) == poison.Suspected
+	w.alone = r.Standing(w.content) == poison.Suspected
 	began := r.clock.Now()
 	a := w.run(ctx)
 	if a.problem != nil {
@@ -73,14 +74,14 @@
 				return a
 			}
 			w.learn(a)
-			switch w.attempts.Failed(a.again, w.runner.broker.MayRetry) {
+			switch w.attempts.Failed(a.again, w.runner.Broker.MayRetry) {
 			case retry.GiveUp:
 				return a
 			case retry.Launch:
-				w.launch(ctx, w.runner.broker.Backoff(w.attempts.Started()), false)
+				w.launch(ctx, w.runner.Broker.Backoff(w.attempts.Started()), false)
 			}
 		case <-slow:
-			if !w.alone && w.attempts.Hedge(w.runner.broker.MayRetry) {
+			if !w.alone && w.attempts.Hedge(w.runner.Broker.MayRetry) {
 				w.launch(ctx, 0, true)
 			}
 		case <-ctx.Done():
@@ -91,7 +92,7 @@
 
 // patience is how long a dispatched first attempt may take before a second one starts beside it.
 func (w *wholeRun) patience() core.Millis {
-	tail := w.runner.broker.Tail(w.progress.keys[w.index])
+	tail := w.runner.Broker.Tail(w.progress.keys[w.index])
 	return retry.Patience(w.progress.request.Priority, tail)
 }
 
@@ -100,7 +101,7 @@
 	if a.grant.Endpoint.ID != "" {
 		w.avoid = append(w.avoid, a.grant.Endpoint.ID)
 	}
-	w.alone = w.alone || w.runner.standing(w.content) == poison.Suspected
+	w.alone = w.alone || w.runner.Standing(w.content) == poison.Suspected
 }
 
 func (w *wholeRun) ended(ctx context.Context) *core.Problem {
@@ -116,26 +117,14 @@
 	a := w.runner.ask(w.progress, w.index, w.avoid, w.alone)
 	a.Hedge = hedge
 	go func() {
-		wait(ctx, after)
+		tries.Wait(ctx, after)
 		w.done <- w.attempt(ctx, a)
 	}()
 }
 
-func wait(ctx context.Context, after core.Millis) {
-	if after <= 0 {
-		return
-	}
-	t := time.NewTimer(after.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (w *wholeRun) attempt(ctx context.Context, a desk.Ask) attempt {
 	r := w.runner
-	g, problem := r.grant(ctx, a, w.content)
+	g, problem := r.Grant(ctx, a, w.content)
 	if problem != nil {
 		return attempt{problem: problem}
 	}
@@ -143,10 +132,10 @@
 	ctx, span := r.trace.Span(ctx, "attempt", "endpoint", string(g.Endpoint.ID))
 	defer span.End()
 	run := r.run(w.progress, w.index, g)
-	result, err := r.dial.Call(ctx, g.Endpoint.Address, run, true)
+	result, err := r.Dial.Call(ctx, g.Endpoint.Address, run, true)
 	if err == nil {
 		w.progress.markRan()
-		r.settle(g, w.content, a.Alone)
+		r.Settle(g, w.content, a.Alone)
 		return attempt{result: result, grant: g}
 	}
 	return r.failed(ctx, w.progress, g, w.content, a.Alone, err)
--- a/io/flow/record.go
+++ b/io/tries/record.go
@@ -1,4 +1,4 @@
-package flow
+package tries
 
 import (
 	"context"
@@ -31,8 +31,8 @@
 	return &recorder{control: control, log: log, ctx: ctx, cancel: cancel}
 }
 
-// record commits a command, again and again while there is no quorum.
-func (r *recorder) record(c state.Command) {
+// Record commits a command, again and again while there is no quorum.
+func (r *recorder) Record(c state.Command) {
 	r.wg.Go(func() {
 		for r.ctx.Err() == nil {
 			ctx, cancel := context.WithTimeout(r.ctx, recordTimeout)
@@ -42,13 +42,13 @@
 				return
 			}
 			r.log.Warn("outcome not recorded yet", "err", err)
-			wait(r.ctx, recordPause)
+			Wait(r.ctx, recordPause)
 		}
 	})
 }
 
-// stop waits for the outcomes to be recorded.
-func (r *recorder) stop(ctx context.Context) error {
+// Settled waits for the outcomes to be recorded.
+func (r *recorder) Settled(ctx context.Context) error {
 	defer r.cancel()
 	idle := make(chan struct{})
 	go func() {
