Read and write the common event without a JSON codec

Cause: at 2,000 streams a host decodes and encodes 59,000 events a second.

Change: an event of plain text alone is cut out and put in directly; anything else goes through the codec as before.

--- a/io/dial/stream.go
+++ b/io/dial/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,12 @@
 
 const maxLineBytes = 1 << 20
 
+// The fields of a server-sent event.
+var (
+	idField   = []byte("id: ")
+	dataField = []byte("data: ")
+)
+
 // Stream reads the events of one attempt.
 type Stream struct {
 	body    io.ReadCloser
@@ -68,22 +75,22 @@
 	var e Event
 	var data string
 	for s.scanner.Scan() {
-		line := s.scanner.Text()
+		line := s.scanner.Bytes()
 		switch {
-		case line == "" && data != "":
+		case len(line) == 0 && data != "":
 			return finishEvent(e, data)
-		case strings.HasPrefix(line, "id: "):
-			seq, err := strconv.ParseUint(line[len("id: "):], 10, 64)
+		case bytes.HasPrefix(line, idField):
+			seq, err := strconv.ParseUint(string(line[len(idField):]), 10, 64)
 			if err != nil {
 				return Event{}, badStream(fmt.Errorf("event number: %w", err))
 			}
 			e.Seq = seq
-		case line == "event: done":
+		case string(line) == "event: done":
 			e.Done = true
-		case line == "event: failed":
+		case string(line) == "event: failed":
 			return Event{}, &Error{Outcome: core.Failed, Reason: core.ReasonEndpointFailed, Refused: true, Err: ErrCut}
-		case strings.HasPrefix(line, "data: "):
-			data = line[len("data: "):]
+		case bytes.HasPrefix(line, dataField):
+			data = string(line[len(dataField):])
 		}
 	}
 	err := s.scanner.Err()
@@ -93,7 +100,21 @@
 	return Event{}, &Error{Outcome: core.Unknown, Reason: core.ReasonConnectionLost, Broken: true, Err: err}
 }
 
+// plainText returns the text of a body that holds nothing else and no escapes, which is the common case.
+func plainText(data string) (string, bool) {
+	inner, ok := strings.CutPrefix(data, `{"Text":"`)
+	if !ok {
+		return "", false
+	}
+	text, ok := strings.CutSuffix(inner, `"}`)
+	return text, ok && !strings.ContainsAny(text, `"\`)
+}
+
 func finishEvent(e Event, data string) (Event, error) {
+	if text, ok := plainText(data); ok {
+		e.Text = text
+		return e, nil
+	}
 	var body struct {
 		Text     string
 		Count    uint64
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/kataras/iris/v12"
 
@@ -86,11 +87,33 @@
 
 // Event writes one numbered piece of text.
 func (s *sink) Event(seq uint64, text string) error {
-	quoted, err := json.Marshal(text)
+	s.buffer.Reset()
+	b := s.buffer.AvailableBuffer()
+	b = append(b, "id: "...)
+	b = strconv.AppendUint(b, seq, 10)
+	b = append(b, "\ndata: {\"Text\":"...)
+	b, err := appendQuoted(b, text)
 	if err != nil {
-		return fmt.Errorf("encode event: %w", err)
+		return err
+	}
+	s.buffer.Write(append(b, "}\n\n"...))
+	return s.flush()
+}
+
+// appendQuoted appends a text as a JSON string.
+func appendQuoted(b []byte, text string) ([]byte, error) {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c == '"' || c == '\\' || c >= utf8.RuneSelf {
+			quoted, err := json.Marshal(text)
+			if err != nil {
+				return nil, fmt.Errorf("encode event: %w", err)
+			}
+			return append(b, quoted...), nil
+		}
 	}
-	return s.write("id: %d\ndata: {\"Text\":%s}\n\n", seq, quoted)
+	b = append(b, '"')
+	b = append(b, text...)
+	return append(b, '"'), nil
 }
 
 func (s *sink) done(a flow.Answer) {
@@ -105,10 +128,15 @@
 	_ = s.write("event: problem\ndata: %s\n\n", raw)
 }
 
-// write sends one event; a caller that does not read it in time counts as gone.
+// write sends one event.
 func (s *sink) write(format string, args ...any) error {
 	s.buffer.Reset()
 	fmt.Fprintf(&s.buffer, format, args...)
+	return s.flush()
+}
+
+// flush sends the buffer; a caller that does not read it in time counts as gone.
+func (s *sink) flush() error {
 	if err := s.control.SetWriteDeadline(time.Now().Add(s.timeout)); err != nil {
 		return fmt.Errorf("set write deadline: %w", err)
 	}
