Leave text that is not valid UTF-8 to the codec

Cause: the fuzzer found {"Text":"\x9e"}: the direct way passed the byte on, the codec replaces it; a caller would have got a text whose checksum does not hold.

--- a/io/dial/stream.go
+++ b/io/dial/stream.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"cyclamenford/core"
 )
@@ -107,7 +108,15 @@
 		return "", false
 	}
 	text, ok := strings.CutSuffix(inner, `"}`)
-	return text, ok && !strings.ContainsAny(text, `"\`)
+	if !ok || !utf8.ValidString(text) {
+		return "", false
+	}
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c == '"' || c == '\\' {
+			return "", false
+		}
+	}
+	return text, true
 }
 
 func finishEvent(e Event, data string) (Event, error) {
