Count work in flight by a tally that may grow while it is waited for

Cause: the race detector found a WaitGroup that was added to while another goroutine waited for it, when a keeper stops with messages still leaving; that can end the process with a panic.

Change: io/loop.Tally for the keepers' outbox, the runner's requests and the recorder.

--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -36,7 +36,7 @@
 		return r.Pipeline(ctx, q, tree.Pipeline{Name: s.Name, Stages: []tree.Stage{{Name: c.Name, Kind: core.Plain, Model: s.Name}}})
 	}
 	r.active.Add(1)
-	defer r.active.Done()
+	defer r.active.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, (q.DeadlineAt - r.clock.Now()).Duration())
 	defer cancel()
 	o, problem := r.newOnce(q, s, c, key)
--- a/io/flow/resume.go
+++ b/io/flow/resume.go
@@ -70,7 +70,7 @@
 // Resume sends the rest of a stream after the event with the given number.
 func (r *Runner) Resume(ctx context.Context, q Request, token string, after uint64) (Answer, *core.Problem) {
 	r.active.Add(1)
-	defer r.active.Done()
+	defer r.active.Add(-1)
 	p, err := r.parseToken(token, q.Settings.Organisation)
 	if err != nil {
 		return Answer{}, core.NewProblem(http.StatusForbidden, core.NotRun, core.ReasonForbidden, "%v", err)
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"cyclamenford/core"
@@ -17,6 +17,7 @@
 	"cyclamenford/io"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/dial"
+	"cyclamenford/io/loop"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/trace"
 	"cyclamenford/io/tries"
@@ -37,7 +38,7 @@
 	options Options
 	clock   core.Clock
 	trace   *trace.Service
-	active  sync.WaitGroup
+	active  loop.Tally
 }
 
 // New returns a runner.
@@ -52,15 +53,8 @@
 
 // Stop waits for the requests in flight and the outcomes still to be recorded.
 func (r *Runner) Stop(ctx context.Context) error {
-	idle := make(chan struct{})
-	go func() {
-		r.active.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		return errors.New("requests were still running at the end of the shutdown time")
+	if err := r.active.Wait(ctx); err != nil {
+		return fmt.Errorf("requests were still running at the end of the shutdown time: %w", err)
 	}
 	return r.Settled(ctx)
 }
@@ -85,7 +79,7 @@
 // Pipeline runs every stage and returns the last one's output.
 func (r *Runner) Pipeline(ctx context.Context, q Request, p tree.Pipeline) (Answer, *core.Problem) {
 	r.active.Add(1)
-	defer r.active.Done()
+	defer r.active.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, (q.DeadlineAt - r.clock.Now()).Duration())
 	defer cancel()
 	g := &progress{
--- a/io/keeper/outbox.go
+++ b/io/keeper/outbox.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cyclamenford/core/quorum"
+	"cyclamenford/io/loop"
 	"cyclamenford/io/peer"
 )
 
@@ -25,7 +26,7 @@
 	cancel    context.CancelFunc
 	queues    map[quorum.Member]chan quorum.Message
 	mu        sync.Mutex
-	pending   sync.WaitGroup
+	pending   loop.Tally
 	wg        sync.WaitGroup
 }
 
@@ -43,7 +44,7 @@
 		select {
 		case o.queue(m.To) <- m:
 		default:
-			o.pending.Done()
+			o.pending.Add(-1)
 		}
 	}
 }
@@ -100,15 +101,10 @@
 
 // drain waits a little for the queues to empty.
 func (o *outbox) drain(ctx context.Context) {
-	empty := make(chan struct{})
-	go func() {
-		o.pending.Wait()
-		close(empty)
-	}()
-	select {
-	case <-empty:
-	case <-ctx.Done():
-	case <-time.After(drainTimeout):
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	if err := o.pending.Wait(ctx); err != nil {
+		o.log.Debug("messages to keepers were left at the end", "err", err)
 	}
 }
 
--- a/io/tries/record.go
+++ b/io/tries/record.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"log/slog"
-	"sync"
 	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
+	"cyclamenford/io/loop"
 )
 
 const (
@@ -23,7 +23,7 @@
 	log     *slog.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	pending loop.Tally
 }
 
 func newRecorder(control io.Control, log *slog.Logger) *recorder {
@@ -33,7 +33,7 @@
 
 // Record commits a command, again and again while there is no quorum.
 func (r *recorder) Record(c state.Command) {
-	r.wg.Go(func() {
+	r.pending.Go(func() {
 		for r.ctx.Err() == nil {
 			ctx, cancel := context.WithTimeout(r.ctx, recordTimeout)
 			_, err := r.control.Propose(ctx, c)
@@ -50,15 +50,8 @@
 // Settled waits for the outcomes to be recorded.
 func (r *recorder) Settled(ctx context.Context) error {
 	defer r.cancel()
-	idle := make(chan struct{})
-	go func() {
-		r.wg.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return errors.New("outcomes were still to be recorded at the end of the shutdown time")
+	if err := r.pending.Wait(ctx); err != nil {
+		return fmt.Errorf("outcomes were still to be recorded at the end of the shutdown time: %w", err)
 	}
+	return nil
 }
