--- a/bench/trial/fake.go
+++ b/bench/trial/fake.go
@@ -152,11 +152,12 @@
 	for _, w := range f.waiting {
 		queued += len(w)
 	}
-	a := f.announce
+	a := f.announce.WithLoad(core.Load{Running: f.running, Queued: queued, Seq: f.seq})
 	a.Seq = f.seq
-	a.Load = core.Load{Running: f.running, Queued: queued, Seq: f.seq}
 	a.CacheEvents = f.events
-	a.Goodbye = f.left
+	if f.left {
+		a = a.WithGoodbye()
+	}
 	f.events = nil
 	return a
 }
--- a/core/fair/queue.go
+++ b/core/fair/queue.go
@@ -86,11 +86,6 @@
 	return len(q.byID)
 }
 
-// LenOf returns the number of waiting items of one priority.
-func (q *Queue) LenOf(p core.Priority) int {
-	return q.classes[p].count
-}
-
 // CostAhead returns the waiting cost that fair order would serve before new work of the organisation.
 func (q *Queue) CostAhead(p core.Priority, org core.OrganisationID) float64 {
 	own := q.classes[p].costAhead(org)
@@ -164,12 +159,12 @@
 	w := q.classes[p].next()
 	q.remove(w)
 	q.classes[p].serve(w)
-	q.Serve(now, p, w.Cost)
+	q.count(now, p, w.Cost)
 	return w.Item, why, true
 }
 
-// Serve counts work of a priority that runs without having waited.
-func (q *Queue) Serve(now core.Millis, p core.Priority, cost float64) {
+// count adds work that starts to what its priority was served.
+func (q *Queue) count(now core.Millis, p core.Priority, cost float64) {
 	q.decay(now)
 	q.served[p] += cost
 }
--- a/core/poison/book.go
+++ b/core/poison/book.go
@@ -119,12 +119,6 @@
 	return true
 }
 
-// Tested reports whether a suspect is in a trial on the endpoint.
-func (b *Book) Tested(on core.EndpointID) bool {
-	_, busy := b.trials[on]
-	return busy
-}
-
 // Purge forgets old suspicions; convictions stay until an operator releases them.
 func (b *Book) Purge(now core.Millis) {
 	for c, e := range b.entries {
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -20,8 +20,6 @@
 // Budget decides how many retries and hedges one host may add to its first attempts.
 type Budget struct {
 	tokens float64
-	spent  uint64
-	denied uint64
 }
 
 // New returns a budget that allows a few retries at once.
@@ -37,19 +35,12 @@
 // Spend takes one retry and reports whether it was left.
 func (b *Budget) Spend() bool {
 	if b.tokens < 1 {
-		b.denied++
 		return false
 	}
 	b.tokens--
-	b.spent++
 	return true
 }
 
-// Counts returns how many retries were spent and how many denied.
-func (b *Budget) Counts() (spent, denied uint64) {
-	return b.spent, b.denied
-}
-
 // Backoff returns the wait before the attempt with the given number, with full jitter.
 func Backoff(rng *rand.Rand, attempt int) core.Millis {
 	ceiling := backoffMax
