--- a/bench/drill/record.go
+++ b/bench/drill/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/io/admin"
@@ -47,6 +48,9 @@
 	// Lost names the callers' listeners of the hosts that were killed.
 	Lost    map[string]bool
 	Crashes map[core.EndpointID]int
+	// CrashTimes are the times of these crashes since the record began.
+	CrashTimes []time.Duration
+	began      time.Time
 	// NewWork counts, for endpoints that have left, the runs begun after their mark.
 	NewWork map[core.EndpointID]int64
 	leader  int
@@ -56,7 +60,7 @@
 func NewRecord() *Record {
 	return &Record{
 		Effects: map[string]int{}, Seen: map[core.RequestID]int{}, Lost: map[string]bool{},
-		Crashes: map[core.EndpointID]int{}, NewWork: map[core.EndpointID]int64{}, leader: -1,
+		Crashes: map[core.EndpointID]int{}, NewWork: map[core.EndpointID]int64{}, leader: -1, began: time.Now(),
 	}
 }
 
@@ -82,6 +86,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Crashes[id]++
+	r.CrashTimes = append(r.CrashTimes, time.Since(r.began).Round(time.Millisecond))
 }
 
 func (r *Record) lose(host string) {
--- a/tests/scenario_test.go
+++ b/tests/scenario_test.go
@@ -85,6 +85,9 @@
 	r := x.Record()
 	done := summary(r)
 	t.Log(done.text)
+	if len(r.CrashTimes) > 0 {
+		t.Log("crashes at", r.CrashTimes)
+	}
 	var broken []string
 	broken = append(broken, drill.CheckAnswers(r, x.Expected)...)
 	broken = append(broken, drill.CheckNotRun(r)...)
