--- a/cmds/main.go
+++ b/cmds/main.go
@@ -16,6 +16,7 @@
 	"cyclamenford/cmds/opers"
 	"cyclamenford/cmds/term"
 	"cyclamenford/io/oper"
+	"cyclamenford/platform"
 )
 
 // The exit codes of the program.
@@ -37,7 +38,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: slices.Concat(
-			[]*cli.Command{serveCommand(), demoCommand(), callCommand(), stateCommand()},
+			[]*cli.Command{serveCommand(), platform.Command(), demoCommand(), callCommand(), stateCommand()},
 			opers.Commands(), equip.Commands()),
 	}
 	err := app.Run(ctx, args)
--- /dev/null
+++ b/core/sched/sched.go
@@ -0,0 +1,253 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"cyclamenford/core"
+	"cyclamenford/core/conf"
+)
+
+// Scheduler decides about all requests of a deployment; its caller passes the time with every event.
+type Scheduler struct {
+	now       core.Millis
+	services  map[string]*service
+	endpoints map[core.EndpointID]*endpoint
+	requests  map[Key]*request
+	calls     map[uint64]*call
+	lastCall  uint64
+	out       []Action
+}
+
+// service is the queues and the endpoints of one service.
+type service struct {
+	conf.Service
+	// endpoints are in the order of their names.
+	endpoints []*endpoint
+	// groups wait for a stage call, and waiting requests for an endpoint.
+	groups  []*group
+	waiting []*request
+	first   estimate
+}
+
+// request is one client attempt from its arrival to the end of its last attempt at an endpoint.
+type request struct {
+	Ask
+	arrived    core.Millis
+	aimAt      core.Millis
+	deadlineAt core.Millis
+	stages     []stageState
+	// unfinished counts the stages that have not ended.
+	unfinished int
+	attempts   int
+	tried      []core.EndpointID
+	at         *endpoint
+	granted    core.Millis
+	began      bool
+	// reading is the number of prompt tokens that the endpoint must read, held what the request occupies there.
+	reading, held int
+	remade        int
+	results       []made
+	// released tells that the inputs were given up when the first byte came.
+	released bool
+}
+
+// New returns a scheduler that knows no service and no endpoint.
+func New() *Scheduler {
+	return &Scheduler{
+		services: map[string]*service{}, endpoints: map[core.EndpointID]*endpoint{},
+		requests: map[Key]*request{}, calls: map[uint64]*call{},
+	}
+}
+
+// Take returns and clears what the shell must do.
+func (s *Scheduler) Take() []Action {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// Configure puts the services of a configuration in force.
+func (s *Scheduler) Configure(now core.Millis, services []conf.Service) {
+	s.now = now
+	for _, c := range services {
+		known, ok := s.services[c.Name]
+		if !ok {
+			known = &service{first: estimate{value: firstByteGuess}}
+			s.services[c.Name] = known
+		}
+		known.Service = c
+	}
+	for _, e := range s.endpoints {
+		s.attach(e)
+	}
+	s.pump()
+}
+
+// Arrive takes a request in; the answer comes as a Grant or a Refuse.
+func (s *Scheduler) Arrive(now core.Millis, a Ask) {
+	s.now = now
+	if _, known := s.requests[a.Key]; known {
+		return
+	}
+	r := &request{Ask: a, arrived: now, aimAt: now + a.Aim, deadlineAt: now + a.Left}
+	r.stages = make([]stageState, len(a.Stages))
+	for i, ask := range a.Stages {
+		r.stages[i] = newStage(ask)
+		if ask.Pieces > 0 {
+			r.unfinished++
+		}
+	}
+	if expected := s.predict(r); expected > a.Left {
+		s.refuse(r, core.ReasonDeadlineInfeasible, expected)
+		return
+	}
+	s.requests[a.Key] = r
+	s.advance(r)
+	s.pump()
+}
+
+// Leave forgets a request whose client has gone or whose host has given it up.
+func (s *Scheduler) Leave(now core.Millis, key Key) {
+	s.now = now
+	if r, ok := s.requests[key]; ok {
+		s.drop(r)
+		s.pump()
+	}
+}
+
+// Began tells that a request's first byte has come back from its endpoint.
+func (s *Scheduler) Began(now core.Millis, key Key) {
+	s.now = now
+	r, ok := s.requests[key]
+	if !ok || r.at == nil || r.began {
+		return
+	}
+	r.began = true
+	r.at.reading -= r.reading
+	s.learnFirstByte(r)
+	s.release(r)
+	s.pump()
+}
+
+// Ended tells how an attempt ended; with again set, the request wants another endpoint.
+func (s *Scheduler) Ended(now core.Millis, key Key, how Ending, again bool) {
+	s.now = now
+	r, ok := s.requests[key]
+	if !ok {
+		return
+	}
+	if r.at != nil {
+		s.learnEnding(r, how)
+		s.leaveEndpoint(r)
+	}
+	switch {
+	case !again:
+		s.drop(r)
+	case how == GoneInput && r.remade < maxRemakes:
+		r.remade++
+		r.attempts--
+		s.remake(r)
+	case r.released && len(r.stages) > 0:
+		s.remake(r)
+	default:
+		s.queue(r)
+	}
+	s.pump()
+}
+
+// Tick lets time pass: what can no longer be served is refused.
+func (s *Scheduler) Tick(now core.Millis) {
+	s.now = now
+	s.hurryCalls()
+	for _, r := range s.ordered() {
+		if r.at == nil && now+s.least(r) > r.deadlineAt {
+			s.refuse(r, core.ReasonDeadlineExceeded, s.least(r))
+			s.drop(r)
+		}
+	}
+	s.pump()
+}
+
+// ordered returns the requests in the order of their keys, so that equal events give equal actions.
+func (s *Scheduler) ordered() []*request {
+	list := make([]*request, 0, len(s.requests))
+	for _, r := range s.requests {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *request) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Seq, b.Seq))
+}
+
+// advance queues the stages whose inputs are there, or the request itself once all are done.
+func (s *Scheduler) advance(r *request) {
+	if r.unfinished == 0 {
+		s.queue(r)
+		return
+	}
+	for i := range r.stages {
+		st := &r.stages[i]
+		if st.started || st.Pieces == 0 || !r.inputsReady(st.After) {
+			continue
+		}
+		st.started = true
+		s.addGroup(r, i)
+	}
+}
+
+// queue lets a request wait for an endpoint.
+func (s *Scheduler) queue(r *request) {
+	svc, ok := s.services[r.Service]
+	if !ok || r.attempts >= r.MaxAttempts {
+		s.refuse(r, core.ReasonNoEndpoint, 0)
+		s.drop(r)
+		return
+	}
+	svc.waiting = append(svc.waiting, r)
+}
+
+// drop forgets a request and gives back all that it holds.
+func (s *Scheduler) drop(r *request) {
+	s.leaveEndpoint(r)
+	s.release(r)
+	s.unqueue(r)
+	delete(s.requests, r.Key)
+}
+
+func (s *Scheduler) unqueue(r *request) {
+	for _, svc := range s.services {
+		svc.waiting = slices.DeleteFunc(svc.waiting, func(x *request) bool { return x == r })
+		svc.groups = slices.DeleteFunc(svc.groups, func(g *group) bool { return g.request == r })
+	}
+}
+
+func (s *Scheduler) refuse(r *request, why core.Reason, expected core.Millis) {
+	s.out = append(s.out, Action{Refuse: &Refuse{
+		Key: r.Key, ID: r.ID, Reason: why, RetryAfter: s.retryAfter(r, expected),
+		Expected: expected, Left: r.deadlineAt - s.now,
+	}})
+}
+
+// pump starts every call and grants every request that can go now.
+func (s *Scheduler) pump() {
+	for _, name := range s.serviceNames() {
+		svc := s.services[name]
+		if svc.Pieces != nil {
+			s.startCalls(svc)
+		}
+		s.place(svc)
+	}
+}
+
+func (s *Scheduler) serviceNames() []string {
+	names := make([]string, 0, len(s.services))
+	for name := range s.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/sched/stage.go
@@ -0,0 +1,322 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"cyclamenford/core"
+)
+
+const (
+	// maxRemakes is how often a request's inputs are made again after they were lost, which covers the loss of one endpoint and one more.
+	maxRemakes = 2
+	// maxTries is how often one piece is sent to endpoints that fail it.
+	maxTries = 4
+	// rankWeight is how many milliseconds sooner the work of one rank must be due to go before the next more urgent rank; most aims are 1 to 5 s.
+	rankWeight = core.Second
+	// crossWeight is the milliseconds by which a megabyte of result in another failure domain is put back: about its transfer and its price.
+	crossWeight = 20.0
+	// overdueFactor times the expected time is when a call's pieces are started elsewhere as well; endpoints' own speeds differ by up to 1.3.
+	overdueFactor = 2
+	// overdueSlack is added to it for the time on the network.
+	overdueSlack = 150 * core.Millis(1)
+	megabyte     = 1 << 20
+)
+
+// stageState is what has been prepared of one stage.
+type stageState struct {
+	StageAsk
+	started bool
+	left    int
+	handles []string
+	tries   int
+}
+
+func newStage(a StageAsk) stageState {
+	return stageState{StageAsk: a, left: a.Pieces, handles: make([]string, a.Pieces)}
+}
+
+// group is the pieces of one stage of one request that wait for a call.
+type group struct {
+	request *request
+	stage   int
+	pieces  []int
+}
+
+// call is one call in progress at a stage's endpoint.
+type call struct {
+	number   uint64
+	at       *endpoint
+	items    []Item
+	started  core.Millis
+	expected core.Millis
+	overdue  bool
+	bytes    int64
+}
+
+func (r *request) inputsReady(after []int) bool {
+	for _, i := range after {
+		if r.stages[i].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// inputs returns the handles of all pieces of the given stages.
+func (r *request) inputs(stages []int) []string {
+	var list []string
+	for _, i := range stages {
+		list = append(list, r.stages[i].handles...)
+	}
+	return list
+}
+
+// finalStages returns the stages that no other stage follows.
+func (r *request) finalStages() []int {
+	followed := map[int]bool{}
+	for _, st := range r.stages {
+		for _, a := range st.After {
+			followed[a] = true
+		}
+	}
+	var final []int
+	for i := range r.stages {
+		if !followed[i] {
+			final = append(final, i)
+		}
+	}
+	return final
+}
+
+func (s *Scheduler) addGroup(r *request, stage int) {
+	st := &r.stages[stage]
+	g := &group{request: r, stage: stage}
+	for i, h := range st.handles {
+		if h == "" {
+			g.pieces = append(g.pieces, i)
+		}
+	}
+	svc, ok := s.services[st.Service]
+	if !ok {
+		s.refuse(r, core.ReasonNoEndpoint, 0)
+		s.drop(r)
+		return
+	}
+	svc.groups = append(svc.groups, g)
+}
+
+// rank orders work: what can still be on time goes first, by when it must start, and urgent ranks before others.
+func (s *Scheduler) rank(r *request, rest core.Millis) core.Millis {
+	start := r.aimAt - rest
+	if start < s.now {
+		start = max(s.now, r.deadlineAt-rest)
+	}
+	return start + core.Millis(r.Priority)*rankWeight
+}
+
+// startCalls gives each idle endpoint of a stage's service the pieces that are due first.
+func (s *Scheduler) startCalls(svc *service) {
+	for len(svc.groups) > 0 {
+		e := s.idlest(svc)
+		if e == nil {
+			return
+		}
+		items, bytes := s.fill(svc, e)
+		if len(items) == 0 {
+			return
+		}
+		s.startCall(svc, e, items, bytes)
+	}
+}
+
+// idlest returns the fastest endpoint that can start a call now, or nil.
+func (s *Scheduler) idlest(svc *service) *endpoint {
+	var best *endpoint
+	for _, e := range svc.endpoints {
+		if e.calls >= max(1, svc.Pieces.Slots) || !e.usable(s.now) || e.room(svc) <= 0 {
+			continue
+		}
+		if best == nil || e.speed.value < best.speed.value {
+			best = e
+		}
+	}
+	return best
+}
+
+// fill takes the most urgent pieces out of the queue, as many as a call and the endpoint's room hold.
+func (s *Scheduler) fill(svc *service, e *endpoint) ([]Item, int64) {
+	keys := make(map[*group]float64, len(svc.groups))
+	for _, g := range svc.groups {
+		key := float64(s.rank(g.request, s.rest(g.request, g.stage)))
+		if home := s.home(g.request); home != "" && home != e.FailureDomain {
+			key += crossWeight * float64(g.request.stages[g.stage].Bytes) * float64(len(g.pieces)) / megabyte
+		}
+		keys[g] = key
+	}
+	slices.SortStableFunc(svc.groups, func(a, b *group) int { return cmp.Compare(keys[a], keys[b]) })
+	var items []Item
+	var bytes int64
+	room := e.room(svc)
+	for _, g := range svc.groups {
+		size := g.request.stages[g.stage].Bytes
+		for len(g.pieces) > 0 && len(items) < max(1, svc.Pieces.Batch) && (bytes+size <= room || len(items) == 0) {
+			items = append(items, s.item(g.request, g.stage, g.pieces[0]))
+			g.pieces = g.pieces[1:]
+			bytes += size
+		}
+	}
+	svc.groups = slices.DeleteFunc(svc.groups, func(g *group) bool { return len(g.pieces) == 0 })
+	return items, bytes
+}
+
+func (s *Scheduler) item(r *request, stage, piece int) Item {
+	i := Item{
+		Key: r.Key, ID: r.ID, Stage: stage, Piece: piece, Left: r.deadlineAt - s.now,
+		Bytes: r.stages[stage].Bytes,
+	}
+	if st := r.stages[stage]; len(st.After) == 0 {
+		i.PieceKey = r.PieceKey
+	} else {
+		i.Inputs = r.inputs(st.After)
+	}
+	return i
+}
+
+func (s *Scheduler) startCall(svc *service, e *endpoint, items []Item, bytes int64) {
+	s.lastCall++
+	expected := core.Millis(e.speed.value * (svc.Pieces.CallTime + float64(len(items))*svc.Pieces.ItemTime))
+	c := &call{number: s.lastCall, at: e, items: items, started: s.now, expected: expected, bytes: bytes}
+	s.calls[c.number] = c
+	e.calls++
+	e.bytes += bytes
+	s.out = append(s.out, Action{Call: &Call{
+		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected,
+	}})
+}
+
+// CallDone tells what a call brought: a result for each item, or none and how the call ended.
+func (s *Scheduler) CallDone(now core.Millis, number uint64, results []ItemResult, how Ending) {
+	s.now = now
+	c, ok := s.calls[number]
+	if !ok {
+		return
+	}
+	delete(s.calls, number)
+	c.at.calls--
+	if how == Served && len(results) == len(c.items) {
+		s.learnCall(c)
+		for i, r := range results {
+			s.pieceDone(c, c.items[i], r)
+		}
+	} else {
+		c.at.bytes -= c.bytes
+		c.at.failed(now, how)
+		for _, i := range c.items {
+			s.again(i, how != Rejected)
+		}
+	}
+	s.pump()
+}
+
+func (s *Scheduler) pieceDone(c *call, i Item, result ItemResult) {
+	r, ok := s.requests[i.Key]
+	wanted := ok && r.stages[i.Stage].handles[i.Piece] == ""
+	switch {
+	case result.Handle == "":
+		c.at.bytes -= i.Bytes
+		s.pieceFailed(i, result.Reason)
+		return
+	case !wanted:
+		c.at.bytes -= i.Bytes
+		s.out = append(s.out, Action{Free: &Free{Address: c.at.Address, Handles: []string{result.Handle}}})
+		return
+	}
+	st := &r.stages[i.Stage]
+	st.handles[i.Piece] = result.Handle
+	st.left--
+	r.note(result.Handle, c.at)
+	if st.left == 0 {
+		r.unfinished--
+		s.advance(r)
+	}
+}
+
+func (s *Scheduler) pieceFailed(i Item, why ItemReason) {
+	r, ok := s.requests[i.Key]
+	if !ok {
+		return
+	}
+	if why == ItemGone && r.remade < maxRemakes {
+		r.remade++
+		s.remake(r)
+		return
+	}
+	s.again(i, why != ItemNoRoom)
+}
+
+// again queues one piece once more; counted failures are bounded.
+func (s *Scheduler) again(i Item, counted bool) {
+	r, ok := s.requests[i.Key]
+	if !ok || r.stages[i.Stage].handles[i.Piece] != "" {
+		return
+	}
+	st := &r.stages[i.Stage]
+	if counted {
+		st.tries++
+	}
+	if st.tries > maxTries*max(1, st.Pieces) {
+		s.refuse(r, core.ReasonEndpointFailed, 0)
+		s.drop(r)
+		return
+	}
+	svc := s.services[st.Service]
+	for _, g := range svc.groups {
+		if g.request == r && g.stage == i.Stage {
+			if !slices.Contains(g.pieces, i.Piece) {
+				g.pieces = append(g.pieces, i.Piece)
+			}
+			return
+		}
+	}
+	svc.groups = append(svc.groups, &group{request: r, stage: i.Stage, pieces: []int{i.Piece}})
+}
+
+// remake prepares all inputs of a request again after one was lost.
+func (s *Scheduler) remake(r *request) {
+	s.release(r)
+	r.released = false
+	s.unqueue(r)
+	r.unfinished = 0
+	for i := range r.stages {
+		r.stages[i] = newStage(r.stages[i].StageAsk)
+		if r.stages[i].Pieces > 0 {
+			r.unfinished++
+		}
+	}
+	s.advance(r)
+}
+
+// hurryCalls starts the pieces of overdue calls elsewhere as well.
+func (s *Scheduler) hurryCalls() {
+	for _, number := range s.callNumbers() {
+		c := s.calls[number]
+		if c.overdue || s.now-c.started < c.expected*overdueFactor+overdueSlack {
+			continue
+		}
+		c.overdue = true
+		c.at.slowed(s.now)
+		for _, i := range c.items {
+			s.again(i, false)
+		}
+	}
+}
+
+func (s *Scheduler) callNumbers() []uint64 {
+	list := make([]uint64, 0, len(s.calls))
+	for n := range s.calls {
+		list = append(list, n)
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/core/sched/types.go
@@ -0,0 +1,176 @@
+package sched
+
+import (
+	"cyclamenford/core"
+	"cyclamenford/core/conf"
+)
+
+// Key names one client attempt: the life of the entry host that took it in, and a number there.
+type Key struct {
+	Host core.HostID
+	Life core.Incarnation
+	Seq  uint64
+}
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt is what a generating endpoint must read before the first token.
+type Prompt struct {
+	Parts []Part
+	// Tokens is the length of the prompt, and Output the most tokens that may be generated.
+	Tokens int
+	Output int
+}
+
+// StageAsk is the part of a request that one stage must prepare.
+type StageAsk struct {
+	Service string
+	After   []int
+	Pieces  int
+	Bytes   int64
+}
+
+// Ask is a request that an entry host wants to have placed.
+type Ask struct {
+	Key     Key
+	ID      core.RequestID
+	Route   string
+	Service string
+	Class   conf.Class
+	// Priority is the rank of the request, 0 first.
+	Priority int
+	// FailureDomain is that of the entry host.
+	FailureDomain core.FailureDomain
+	// Aim and Left are what remains until the aim and until the deadline; Aim may be negative.
+	Aim, Left core.Millis
+	Prompt    Prompt
+	Stages    []StageAsk
+	// PieceKey is handed to the stages that need no other stage's results.
+	PieceKey string
+	// MaxAttempts is the number of endpoints that the request may be sent to.
+	MaxAttempts int
+}
+
+// Endpoint is one endpoint as it last announced itself.
+type Endpoint struct {
+	ID            core.EndpointID
+	Incarnation   core.Incarnation
+	Address       string
+	FailureDomain core.FailureDomain
+	Service       string
+	Slots         int
+	// Cold is how much longer the endpoint is slow after its start.
+	Cold core.Millis
+}
+
+// Ending says how an attempt at an endpoint ended.
+type Ending string
+
+// The endings of an attempt.
+const (
+	// Served attempts brought a whole answer.
+	Served Ending = "Served"
+	// Erred attempts brought a whole answer with the endpoint's own failure.
+	Erred Ending = "Erred"
+	// Rejected attempts were not run, by the endpoint's own word.
+	Rejected Ending = "Rejected"
+	// Unreachable attempts never reached the endpoint.
+	Unreachable Ending = "Unreachable"
+	// Broken attempts ended without a whole answer after they were sent.
+	Broken Ending = "Broken"
+	// Late attempts had not been answered when their time was up.
+	Late Ending = "Late"
+	// Abandoned attempts were given up because the client left.
+	Abandoned Ending = "Abandoned"
+	// GoneInput attempts were not run because a prepared input no longer existed.
+	GoneInput Ending = "GoneInput"
+	// OtherEndpoint attempts met another endpoint at the address.
+	OtherEndpoint Ending = "OtherEndpoint"
+)
+
+// Item is one piece in a call to a stage's endpoint.
+type Item struct {
+	Key   Key
+	ID    core.RequestID
+	Stage int
+	Piece int
+	// Left is what remains until the request's deadline.
+	Left core.Millis
+	// PieceKey is set for stages that need no results, Inputs for the others.
+	PieceKey string
+	Inputs   []string
+	// Bytes is the approximate size of the result.
+	Bytes int64
+}
+
+// ItemResult is what became of one piece: the handle of its result, or the reason why there is none.
+type ItemResult struct {
+	Handle string
+	Reason ItemReason
+}
+
+// ItemReason says why a piece has no result.
+type ItemReason string
+
+// The reasons of a stage's endpoint.
+const (
+	ItemLate   ItemReason = "Late"
+	ItemGone   ItemReason = "Gone"
+	ItemNoRoom ItemReason = "NoRoom"
+	ItemFailed ItemReason = "Failed"
+)
+
+// Action is one decision that the shell must carry out; exactly one part is set.
+type Action struct {
+	Grant  *Grant
+	Refuse *Refuse
+	Call   *Call
+	Free   *Free
+}
+
+// Grant lets an entry host send a request to an endpoint.
+type Grant struct {
+	Key      Key
+	ID       core.RequestID
+	Endpoint core.EndpointID
+	Address  string
+	Inputs   []string
+	// Attempt counts the endpoints that the request was granted, from 1.
+	Attempt int
+	// Waited is the time since the request arrived, Expected the predicted time to the first byte.
+	Waited, Expected core.Millis
+	// Cached is the number of prompt tokens that the endpoint is believed to hold.
+	Cached int
+}
+
+// Refuse gives a request up.
+type Refuse struct {
+	Key    Key
+	ID     core.RequestID
+	Reason core.Reason
+	// RetryAfter is when a new attempt is expected to be served.
+	RetryAfter core.Millis
+	// Expected and Left are the predicted and the remaining time that decided.
+	Expected, Left core.Millis
+}
+
+// Call runs pieces at a stage's endpoint.
+type Call struct {
+	Number   uint64
+	Endpoint core.EndpointID
+	Address  string
+	Service  string
+	Items    []Item
+	// Expected is the predicted time of the call.
+	Expected core.Millis
+}
+
+// Free tells an endpoint that results are no longer needed.
+type Free struct {
+	Address string
+	Handles []string
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -32,6 +32,22 @@
 	PlaceOrder   *PlaceOrder   `cbor:",omitempty"`
 	FinishOrder  *FinishOrder  `cbor:",omitempty"`
 	PurgeExpired *PurgeExpired `cbor:",omitempty"`
+
+	ReplaceConfig  *ReplaceConfig  `cbor:",omitempty"`
+	RetireEndpoint *RetireEndpoint `cbor:",omitempty"`
+}
+
+// ReplaceConfig puts a whole configuration in force unless one with the same or a higher version is.
+type ReplaceConfig struct {
+	Version uint64
+	// Doc is the configuration as the operator sent it.
+	Doc []byte
+}
+
+// RetireEndpoint ends new work to an endpoint's life for good; a later life with the same name is not concerned.
+type RetireEndpoint struct {
+	Endpoint    core.EndpointID
+	Incarnation core.Incarnation
 }
 
 // SetSettings replaces one subtree if its version is still the expected one; an empty document removes a team.
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -20,6 +20,10 @@
 	hostPrefix     = "Host/"
 	drainPrefix    = "Drain/"
 	poisonPrefix   = "Poison/"
+	retiredPrefix  = "Retired/"
+	configKey      = "Config/"
+	// skippedKey marks a change that a later one has overtaken.
+	skippedKey = "Skipped/"
 )
 
 // Host is one life of a host as the control state knows it.
@@ -58,6 +62,9 @@
 	Hosts    map[core.HostID]Host
 	Drained  map[core.EndpointID]bool
 	Poison   map[poison.Content]poison.Entry
+	// Config is the operator's whole configuration; Retired lists the lives of endpoints that get no new work.
+	Config  Config
+	Retired map[core.EndpointID]Retirement
 }
 
 // EmptyImage returns the image at revision 0.
@@ -65,6 +72,7 @@
 	return Image{
 		values: map[string][]byte{}, Hosts: map[core.HostID]Host{},
 		Drained: map[core.EndpointID]bool{}, Poison: map[poison.Content]poison.Entry{},
+		Retired: map[core.EndpointID]Retirement{},
 	}
 }
 
@@ -75,6 +83,7 @@
 	next.Hosts = maps.Clone(i.Hosts)
 	next.Drained = maps.Clone(i.Drained)
 	next.Poison = maps.Clone(i.Poison)
+	next.Retired = maps.Clone(i.Retired)
 	for _, d := range deltas {
 		if d.Revision <= i.Revision {
 			continue
@@ -136,6 +145,10 @@
 		return applyEntry(i.Drained, core.EndpointID(name), d.Value)
 	case poisonPrefix:
 		return i.applyPoison(name, d.Value)
+	case retiredPrefix:
+		return applyEntry(i.Retired, core.EndpointID(name), d.Value)
+	case configKey:
+		return i.applyConfig(d.Value)
 	}
 	return nil
 }
@@ -153,6 +166,15 @@
 	return nil
 }
 
+func (i *Image) applyConfig(raw []byte) error {
+	var c Config
+	if err := cbor.Unmarshal(raw, &c); err != nil {
+		return fmt.Errorf("decode configuration: %w", err)
+	}
+	i.Config = c
+	return nil
+}
+
 func (i *Image) applySettings(path string, raw []byte) error {
 	var s Subtree
 	if len(raw) > 0 {
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -132,6 +132,10 @@
 		return m.placeOrder(*c.PlaceOrder)
 	case c.FinishOrder != nil:
 		return m.finishOrder(*c.FinishOrder)
+	case c.ReplaceConfig != nil:
+		return m.replaceConfig(*c.ReplaceConfig)
+	case c.RetireEndpoint != nil:
+		return m.retireEndpoint(*c.RetireEndpoint)
 	case c.PurgeExpired != nil:
 		m.calls.Purge(m.unix)
 		m.suspects.Purge(m.unix)
--- /dev/null
+++ b/io/assign/assigner.go
@@ -0,0 +1,266 @@
+package assign
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenford/core"
+	"cyclamenford/core/conf"
+	"cyclamenford/core/sched"
+	"cyclamenford/core/state"
+	"cyclamenford/io"
+	"cyclamenford/io/keeper"
+	"cyclamenford/io/loop"
+	"cyclamenford/io/meter"
+	"cyclamenford/io/peer"
+	"cyclamenford/io/pipe"
+)
+
+const (
+	tickEvery = 20 * time.Millisecond
+	// announceTimeout leaves time within the second that an endpoint waits for its answer.
+	announceTimeout = 800 * time.Millisecond
+	// silentBeats is how many announcements an endpoint may miss before it is forgotten; they may come seconds late.
+	silentBeats = 5
+	// callGrace is added to a stage call's longest expected time before it is given up.
+	callGrace = 4 * core.Second
+	// freeTimeout bounds a call that gives results up.
+	freeTimeout = time.Second
+	// maxStageAnswer bounds the answer to a stage call: its items are short handles.
+	maxStageAnswer = 1 << 20
+)
+
+// Leader is the keeper on which the assigner runs.
+type Leader interface {
+	Leading() (term uint64, ok bool)
+	Located() keeper.Located
+	Image() state.Image
+	Commit(ctx context.Context, c state.Command) (state.Reply, error)
+}
+
+// Options are the settings of an assigner.
+type Options struct {
+	// AnnounceEvery is how often endpoints announce themselves.
+	AnnounceEvery core.Millis
+}
+
+// Assigner is the scheduler's shell on one keeper; it decides while the keeper leads.
+type Assigner struct {
+	*loop.Loop
+	options Options
+	leader  Leader
+	dialect io.Dialect
+	pipe    *pipe.Client
+	clock   core.Clock
+	meter   *meter.Meter
+	log     *slog.Logger
+
+	mu      sync.Mutex
+	term    uint64
+	sched   *sched.Scheduler
+	roster  *roster
+	waiting map[sched.Key]chan sched.Action
+	version uint64
+}
+
+// New returns an assigner that is not running yet.
+func New(o Options, l Leader, d io.Dialect, p *pipe.Client, clock core.Clock, m *meter.Meter, log *slog.Logger) *Assigner {
+	a := &Assigner{options: o, leader: l, dialect: d, pipe: p, clock: clock, meter: m, log: log}
+	a.Loop = loop.New(tickEvery, a.tick)
+	a.reset()
+	return a
+}
+
+// Register offers the assigner's calls on the server.
+func (a *Assigner) Register(s *peer.Server) error {
+	return s.Register(Service, &calls{a})
+}
+
+func (a *Assigner) reset() {
+	a.sched = sched.New()
+	a.roster = newRoster(a.options.AnnounceEvery * silentBeats)
+	for _, w := range a.waiting {
+		close(w)
+	}
+	a.waiting = map[sched.Key]chan sched.Action{}
+	a.version = 0
+}
+
+// lead makes sure that this keeper leads, and starts anew with each term.
+func (a *Assigner) lead() bool {
+	term, ok := a.leader.Leading()
+	if !ok {
+		if a.term != 0 {
+			a.log.Info("assigner stopped: this keeper no longer leads", "term", a.term)
+			a.term = 0
+			a.reset()
+		}
+		return false
+	}
+	if term != a.term {
+		a.term = term
+		a.reset()
+		a.log.Info("assigner started: this keeper leads", "term", term)
+	}
+	a.configure()
+	return true
+}
+
+// configure puts a new configuration in force in the scheduler.
+func (a *Assigner) configure() {
+	c := a.leader.Image().Config
+	if c.Version == a.version {
+		return
+	}
+	config, err := a.dialect.Config(c.Doc)
+	if err != nil {
+		a.log.Error("stored configuration cannot be read", "version", c.Version, "err", err)
+		return
+	}
+	a.version = c.Version
+	a.sched.Configure(a.clock.Now(), config.Services)
+	a.log.Info("configuration in force", "version", c.Version, "services", len(config.Services))
+}
+
+func (a *Assigner) tick(context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.lead() {
+		return
+	}
+	now := a.clock.Now()
+	for _, id := range a.roster.lapsed(now) {
+		a.log.Warn("endpoint forgotten: silent for too long", "endpoint", id, "silence_ms", a.roster.silence)
+		a.sched.Part(now, id)
+	}
+	a.sched.Tick(now)
+	a.carryOut()
+}
+
+// carryOut does what the scheduler has decided.
+func (a *Assigner) carryOut() {
+	for _, x := range a.sched.Take() {
+		switch {
+		case x.Grant != nil:
+			a.log.Info("granted", "request", x.Grant.ID, "endpoint", x.Grant.Endpoint, "attempt", x.Grant.Attempt,
+				"waited_ms", x.Grant.Waited, "expected_ms", x.Grant.Expected, "cached_tokens", x.Grant.Cached, "config", a.version)
+			a.meter.Observe("assign_wait_ms", int64(x.Grant.Waited))
+			a.answer(x.Grant.Key, x)
+		case x.Refuse != nil:
+			a.log.Info("refused", "request", x.Refuse.ID, "reason", x.Refuse.Reason, "expected_ms", x.Refuse.Expected,
+				"left_ms", x.Refuse.Left, "retry_after_ms", x.Refuse.RetryAfter, "config", a.version)
+			a.meter.Count("assign_refused_total", 1, "reason", string(x.Refuse.Reason))
+			a.answer(x.Refuse.Key, x)
+		case x.Call != nil:
+			a.meter.Observe("stage_call_items", int64(len(x.Call.Items)), "service", x.Call.Service)
+			call := *x.Call
+			term := a.term
+			a.Go(func() { a.callStage(term, call) })
+		case x.Free != nil:
+			free := *x.Free
+			a.Go(func() { a.freeResults(free) })
+		}
+	}
+}
+
+func (a *Assigner) answer(key sched.Key, x sched.Action) {
+	if w, ok := a.waiting[key]; ok {
+		delete(a.waiting, key)
+		w <- x
+	}
+}
+
+// callStage runs one call and tells the scheduler what it brought.
+func (a *Assigner) callStage(term uint64, c sched.Call) {
+	results, how, err := a.runStage(c)
+	ids := make([]core.RequestID, 0, len(c.Items))
+	for _, i := range c.Items {
+		if !slices.Contains(ids, i.ID) {
+			ids = append(ids, i.ID)
+		}
+	}
+	a.log.Info("stage call ended", "service", c.Service, "endpoint", c.Endpoint, "call", c.Number, "how", how,
+		"pieces", len(c.Items), "expected_ms", c.Expected, "requests", ids, "err", err)
+	a.meter.Count("stage_calls_total", 1, "service", c.Service, "how", string(how))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.lead() || a.term != term {
+		return
+	}
+	a.sched.CallDone(a.clock.Now(), c.Number, results, how)
+	a.carryOut()
+}
+
+func (a *Assigner) runStage(c sched.Call) ([]sched.ItemResult, sched.Ending, error) {
+	call, err := a.dialect.StageCall(c.Endpoint, c.Items)
+	if err != nil {
+		return nil, sched.Broken, err
+	}
+	longest := c.Expected*3 + callGrace
+	ctx, cancel := context.WithTimeout(context.Background(), longest.Duration())
+	defer cancel()
+	resp, err := a.pipe.Do(ctx, request(c.Address, call))
+	if err != nil {
+		return nil, sendEnding(err), err
+	}
+	defer resp.Close()
+	verdict := a.dialect.Verdict(resp.Status, resp.Header)
+	body, err := resp.ReadAll(maxStageAnswer)
+	switch {
+	case err != nil:
+		return nil, sched.Broken, err
+	case verdict.Other:
+		return nil, sched.OtherEndpoint, nil
+	case verdict.NotRun:
+		return nil, sched.Rejected, nil
+	case resp.Status/100 != 2:
+		return nil, sched.Erred, fmt.Errorf("status %d", resp.Status)
+	}
+	results, err := a.dialect.StageResults(body)
+	if err != nil {
+		return nil, sched.Broken, err
+	}
+	return results, sched.Served, nil
+}
+
+func (a *Assigner) freeResults(f sched.Free) {
+	call, err := a.dialect.FreeResults(f.Handles)
+	if err != nil {
+		a.log.Error("encode results to free", "err", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	resp, err := a.pipe.Do(ctx, request(f.Address, call))
+	if err != nil {
+		// The results end by themselves after a few seconds.
+		a.log.Debug("results not freed", "address", f.Address, "err", err)
+		return
+	}
+	defer resp.Close()
+	if _, err := resp.ReadAll(maxStageAnswer); err != nil {
+		a.log.Debug("read answer to freed results", "address", f.Address, "err", err)
+	}
+}
+
+func request(address string, c io.Call) pipe.Request {
+	return pipe.Request{Address: address, Method: c.Method, Target: c.Path, Host: address, Header: c.Header, Body: c.Body}
+}
+
+func sendEnding(err error) sched.Ending {
+	if pipe.NotSent(err) {
+		return sched.Unreachable
+	}
+	return sched.Broken
+}
+
+// Known returns the service of an endpoint in the configuration in force, for callers that need its kind.
+func (a *Assigner) Known(id core.EndpointID) (conf.Service, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sched.ServiceOf(id)
+}
--- /dev/null
+++ b/io/assign/calls.go
@@ -0,0 +1,135 @@
+package assign
+
+import (
+	"context"
+
+	"cyclamenford/core"
+	"cyclamenford/core/sched"
+	"cyclamenford/core/state"
+	"cyclamenford/io/keeper"
+)
+
+type calls struct{ a *Assigner }
+
+// Place waits until a request has an endpoint or is refused.
+func (c *calls) Place(args PlaceArgs, reply *PlaceReply) error {
+	return c.a.wait(args.Ask.Key, reply, func(now core.Millis) { c.a.sched.Arrive(now, args.Ask) })
+}
+
+// Again waits until a request whose attempt ended has another endpoint or is refused.
+func (c *calls) Again(args AgainArgs, reply *PlaceReply) error {
+	return c.a.wait(args.Key, reply, func(now core.Millis) { c.a.sched.Ended(now, args.Key, args.How, true) })
+}
+
+// Tell takes events in.
+func (c *calls) Tell(args EventsArgs, reply *keeper.Located) error {
+	a := c.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	*reply = a.leader.Located()
+	if !a.lead() {
+		return nil
+	}
+	now := a.clock.Now()
+	for _, e := range args.Events {
+		if e.Began {
+			a.sched.Began(now, e.Key)
+			continue
+		}
+		if w, ok := a.waiting[e.Key]; ok {
+			close(w)
+			delete(a.waiting, e.Key)
+		}
+		a.sched.Ended(now, e.Key, e.How, false)
+	}
+	a.carryOut()
+	return nil
+}
+
+func (a *Assigner) wait(key sched.Key, reply *PlaceReply, event func(now core.Millis)) error {
+	a.mu.Lock()
+	reply.Located = a.leader.Located()
+	if !a.lead() {
+		a.mu.Unlock()
+		reply.Leading = false
+		return nil
+	}
+	w := make(chan sched.Action, 1)
+	a.waiting[key] = w
+	event(a.clock.Now())
+	a.carryOut()
+	a.mu.Unlock()
+	x, ok := <-w
+	if !ok {
+		reply.Located = keeper.Located{}
+		return nil
+	}
+	reply.Leading = true
+	reply.Grant, reply.Refuse = x.Grant, x.Refuse
+	return nil
+}
+
+// Announce takes in what an endpoint says of itself; a goodbye is committed before it is acknowledged.
+func (c *calls) Announce(args Announcement, reply *AnnounceReply) error {
+	a := c.a
+	a.mu.Lock()
+	reply.Located = a.leader.Located()
+	if !a.lead() {
+		a.mu.Unlock()
+		reply.Leading = false
+		return nil
+	}
+	a.mu.Unlock()
+	if args.Gone || args.Leaving {
+		if err := a.retire(args); err != nil {
+			reply.Detail = err.Error()
+			return nil
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.lead() {
+		reply.Located = keeper.Located{}
+		return nil
+	}
+	reply.Taken = true
+	now := a.clock.Now()
+	if args.Gone {
+		delete(a.roster.known, args.Endpoint.ID)
+		a.sched.Part(now, args.Endpoint.ID)
+		a.carryOut()
+		return nil
+	}
+	if a.roster.take(now, args, a.leader.Image().Retired) == stale {
+		return nil
+	}
+	a.sched.Join(now, args.Endpoint, args.Leaving)
+	a.carryOut()
+	return nil
+}
+
+// retire commits that an endpoint's life has ended, so that the next leader knows it too.
+func (a *Assigner) retire(args Announcement) error {
+	life := args.Endpoint.Incarnation
+	a.mu.Lock()
+	if known, ok := a.roster.known[args.Endpoint.ID]; ok && life == 0 {
+		life = known.Endpoint.Incarnation
+	}
+	a.mu.Unlock()
+	if life == 0 {
+		// Nothing is known of this life, so every one that began before now is ended.
+		life = core.Incarnation(a.clock.Unix())
+	}
+	if ended, ok := a.leader.Image().Retired[args.Endpoint.ID]; ok && ended.Incarnation >= life {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	command := state.Command{RetireEndpoint: &state.RetireEndpoint{Endpoint: args.Endpoint.ID, Incarnation: life}}
+	if _, err := a.leader.Commit(ctx, command); err != nil {
+		a.log.Warn("leaving endpoint not recorded", "endpoint", args.Endpoint.ID, "err", err)
+		return err
+	}
+	a.log.Info("endpoint leaves", "endpoint", args.Endpoint.ID, "incarnation", life, "goodbye", args.Gone)
+	return nil
+}
--- /dev/null
+++ b/io/assign/roster.go
@@ -0,0 +1,68 @@
+package assign
+
+import (
+	"cyclamenford/core"
+	"cyclamenford/core/state"
+)
+
+// roster remembers the last announcement of each endpoint.
+type roster struct {
+	// silence is how long an endpoint may be silent before it is forgotten.
+	silence core.Millis
+	known   map[core.EndpointID]entry
+}
+
+type entry struct {
+	Announcement
+	heard core.Millis
+}
+
+// Standing says what an announcement means for the endpoint.
+type standing int
+
+const (
+	// stale announcements come from an ended life, or were overtaken.
+	stale standing = iota
+	// current announcements are acted on.
+	current
+)
+
+func newRoster(silence core.Millis) *roster {
+	return &roster{silence: silence, known: map[core.EndpointID]entry{}}
+}
+
+// take orders an announcement by the endpoint's life and its sequence number, against the lives that have ended.
+func (r *roster) take(now core.Millis, a Announcement, retired map[core.EndpointID]state.Retirement) standing {
+	e := a.Endpoint
+	if ended, ok := retired[e.ID]; ok && ended.Incarnation >= e.Incarnation && !a.Leaving {
+		return stale
+	}
+	known, ok := r.known[e.ID]
+	if ok && (known.Endpoint.Incarnation > e.Incarnation ||
+		known.Endpoint.Incarnation == e.Incarnation && known.Seq >= a.Seq) {
+		return stale
+	}
+	for id, other := range r.known {
+		if id == e.ID || other.Endpoint.Address != e.Address {
+			continue
+		}
+		if other.Endpoint.Incarnation > e.Incarnation {
+			return stale
+		}
+		delete(r.known, id)
+	}
+	r.known[e.ID] = entry{Announcement: a, heard: now}
+	return current
+}
+
+// lapsed removes and returns the endpoints that have been silent for too long.
+func (r *roster) lapsed(now core.Millis) []core.EndpointID {
+	var gone []core.EndpointID
+	for id, e := range r.known {
+		if now-e.heard > r.silence {
+			gone = append(gone, id)
+			delete(r.known, id)
+		}
+	}
+	return gone
+}
--- a/io/control.go
+++ b/io/control.go
@@ -37,6 +37,8 @@
 	Status bool
 	// AppliedBy asks whether every serving host has applied the revision.
 	AppliedBy uint64
+	// Config asks for the operator's whole configuration.
+	Config bool
 }
 
 // Answer is the reply to a query.
@@ -48,6 +50,7 @@
 	// InForce tells that every serving host has applied the revision; Behind lists the others.
 	InForce bool
 	Behind  []core.HostID
+	Config  *state.Config
 }
 
 // Status describes the keepers as their leader sees them.
--- /dev/null
+++ b/io/entry/run.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"cyclamenford/core"
+	"cyclamenford/core/conf"
+	"cyclamenford/core/sched"
+	relay "cyclamenford/io"
+	"cyclamenford/io/pipe"
+)
+
+const (
+	// freshIdle is how long a connection may have been idle that carries what may not be repeated: an endpoint that
+	// closes it meanwhile would leave the outcome unknown.
+	freshIdle = core.Second
+	// maxAnswer bounds an answer that is read whole before it is passed on.
+	maxAnswer = 16 << 20
+)
+
+// answer is an endpoint's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run carries the request to endpoints until one has answered or nothing more may be tried.
+func (r *request) run(ctx context.Context, w http.ResponseWriter) {
+	e := r.entry
+	grant, problem := r.place(ctx)
+	out := newWriter(w, e.clock)
+	for {
+		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			r.end(out, sched.Abandoned, nil)
+			return
+		}
+		if problem == nil {
+			problem = r.allowed()
+		}
+		if problem != nil {
+			r.end(out, sched.Abandoned, problem)
+			return
+		}
+		r.attempts++
+		how, done := r.attempt(ctx, grant, out)
+		if done {
+			r.end(out, how, nil)
+			return
+		}
+		if !r.again(how) {
+			r.end(out, how, r.failure(how))
+			return
+		}
+		e.log.Info("attempt ended", "request", r.in.ID, "endpoint", grant.Endpoint, "attempt", r.attempts, "how", how, "next", "again")
+		grant, problem = r.placeAgain(ctx, how)
+		if problem != nil && how != sched.Rejected && how != sched.Unreachable && how != sched.GoneInput && how != sched.OtherEndpoint {
+			problem = r.failure(how)
+		}
+	}
+}
+
+// failure is what a client is told when the last attempt ended so.
+func (r *request) failure(how sched.Ending) *core.Problem {
+	switch how {
+	case sched.Rejected, sched.Unreachable, sched.GoneInput, sched.OtherEndpoint:
+		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonEndpointRefused,
+			"no endpoint took the request").WithRetryAfter(fullRetry)
+	case sched.Late:
+		return core.NewProblem(http.StatusGatewayTimeout, core.Unknown, core.ReasonDeadlineExceeded, "no answer in time")
+	}
+	return core.NewProblem(http.StatusBadGateway, core.Unknown, core.ReasonConnectionLost, "the endpoint broke off")
+}
+
+// end answers the client if nothing has been, and tells the scheduler and the log.
+func (r *request) end(out *writer, how sched.Ending, p *core.Problem) {
+	e := r.entry
+	e.events.ended(r.key, how)
+	if p != nil && p.Outcome != core.NotRun && r.kept != nil && !out.started {
+		out.whole(r.kept)
+		p = nil
+	}
+	status, reason := out.status, core.Reason("")
+	if p != nil {
+		status, reason = p.Status, p.Reason
+	}
+	e.log.Info("request ended", "request", r.in.ID, "route", r.route.Name, "organisation", r.organisation.Name,
+		"status", status, "how", how, "reason", reason, "attempts", r.attempts,
+		"took_ms", e.clock.Now()-r.arrived, "first_ms", out.firstAfter(r.arrived), "config", e.table.Load().Config().Version)
+	e.meter.Count("requests_total", 1, "status", statusClass(status), "reason", string(reason))
+	e.meter.Observe("request_ms", int64(e.clock.Now()-r.arrived))
+	switch {
+	case p != nil && !out.started:
+		e.refuse(out.w, r.in.ID, p)
+	case out.started && !out.finished:
+		// Only a cut connection shows the client that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse answers a request with a failure of the relay's own.
+func (e *Entry) refuse(w http.ResponseWriter, id core.RequestID, p *core.Problem) {
+	e.log.Info("request refused", "request", id, "status", p.Status, "outcome", p.Outcome, "reason", p.Reason,
+		"detail", p.Detail, "retry_after_ms", p.RetryAfter)
+	e.dialect.Refusal(w.Header(), id, p)
+	w.WriteHeader(p.Status)
+}
+
+// attempt sends the request to one endpoint; done tells that the client has its answer.
+func (r *request) attempt(ctx context.Context, g *sched.Grant, out *writer) (sched.Ending, bool) {
+	e := r.entry
+	urgency := -1
+	if r.generates {
+		urgency = r.urgency()
+	}
+	header := e.dialect.Outgoing(r.http.Header, relay.Outgoing{
+		Endpoint: g.Endpoint, Organisation: r.organisation.Name, Left: r.deadline - e.clock.Now(),
+		Urgency: urgency, Inputs: g.Inputs, LastEvent: out.last,
+	})
+	ask := pipe.Request{
+		Address: g.Address, Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host, Header: header, Body: r.body,
+		Belongs: func(resp *http.Response) bool {
+			id := e.dialect.Verdict(resp.StatusCode, resp.Header).ID
+			return id == "" || id == r.in.ID
+		},
+	}
+	if !r.repeatable() {
+		ask.Fresh = freshIdle
+	}
+	resp, err := e.pipe.Do(ctx, ask)
+	if err != nil {
+		e.log.Info("endpoint failed", "request", r.in.ID, "endpoint", g.Endpoint, "attempt", r.attempts, "err", err)
+		return r.lost(ctx, err), false
+	}
+	defer resp.Close()
+	v := e.dialect.Verdict(resp.Status, resp.Header)
+	switch {
+	case v.Other:
+		return sched.OtherEndpoint, false
+	case v.NotRun && v.GoneInput:
+		return sched.GoneInput, false
+	case v.NotRun:
+		return sched.Rejected, false
+	case !v.Signed:
+		return sched.Broken, false
+	}
+	e.events.began(r.key)
+	if r.route.Class == conf.Stream && resp.Status == http.StatusOK {
+		how := r.stream(ctx, resp, out)
+		return how, how == sched.Served
+	}
+	return r.whole(ctx, resp, out)
+}
+
+// whole reads an answer to its end before any of it is passed on.
+func (r *request) whole(ctx context.Context, resp *pipe.Response, out *writer) (sched.Ending, bool) {
+	body, err := resp.ReadAll(maxAnswer)
+	if err != nil {
+		return r.lost(ctx, err), false
+	}
+	if out.started {
+		return sched.Erred, false
+	}
+	a := &answer{status: resp.Status, header: resp.Header, body: body}
+	if resp.Status >= http.StatusInternalServerError && r.again(sched.Erred) {
+		r.kept = a
+		return sched.Erred, false
+	}
+	out.whole(a)
+	if resp.Status >= http.StatusInternalServerError {
+		return sched.Erred, true
+	}
+	return sched.Served, true
+}
+
+// lost says what an error proves of an attempt.
+func (r *request) lost(ctx context.Context, err error) sched.Ending {
+	switch {
+	case pipe.NotSent(err):
+		return sched.Unreachable
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return sched.Late
+	case ctx.Err() != nil:
+		return sched.Abandoned
+	}
+	return sched.Broken
+}
+
+// lowestUrgency is the last rank that engines know.
+const lowestUrgency = 9
+
+func (r *request) urgency() int {
+	rank := r.route.Priority
+	if r.organisation.Priority != nil {
+		rank = *r.organisation.Priority
+	}
+	return min(lowestUrgency, max(0, rank))
+}
+
+func statusClass(status int) string {
+	return string(rune('0'+status/100)) + "xx"
+}
--- /dev/null
+++ b/io/entry/stream.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cyclamenford/core"
+	"cyclamenford/core/sched"
+	"cyclamenford/io/pipe"
+)
+
+const eventBuffer = 4 << 10
+
+// writer passes an answer to the client and remembers how far it got.
+type writer struct {
+	w        http.ResponseWriter
+	started  bool
+	finished bool
+	status   int
+	clock    core.Clock
+	// first is when the header of the answer was passed on, 0 before.
+	first core.Millis
+	// last is the identifier of the last event passed on, -1 before the first.
+	last int64
+}
+
+func newWriter(w http.ResponseWriter, c core.Clock) *writer { return &writer{w: w, clock: c, last: -1} }
+
+// hop lists the headers that concern one connection only.
+var hop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func (o *writer) header(status int, h http.Header) {
+	dropped := slices.Clone(hop)
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		dropped = append(dropped, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+	}
+	for name, values := range h {
+		if !slices.Contains(dropped, name) {
+			o.w.Header()[name] = values
+		}
+	}
+	o.started, o.status, o.first = true, status, o.clock.Now()
+	o.w.WriteHeader(status)
+}
+
+// firstAfter returns the time from an arrival to the header of the answer, -1 if there was none.
+func (o *writer) firstAfter(arrived core.Millis) core.Millis {
+	if !o.started {
+		return -1
+	}
+	return o.first - arrived
+}
+
+// whole passes a whole answer on.
+func (o *writer) whole(a *answer) {
+	a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	o.header(a.status, a.header)
+	// A client that has left by now is noticed at its connection.
+	_, err := o.w.Write(a.body)
+	o.finished = err == nil
+}
+
+// stream passes events on as they come, each one whole, and says how the stream ended.
+func (r *request) stream(ctx context.Context, resp *pipe.Response, out *writer) sched.Ending {
+	if !out.started {
+		out.header(resp.Status, resp.Header)
+	}
+	flush := http.NewResponseController(out.w)
+	reader := bufio.NewReaderSize(resp, eventBuffer)
+	var event []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		event = append(event, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
+			out.finished = true
+			return sched.Served
+		}
+		if err != nil {
+			return r.lost(ctx, err)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue
+		}
+		id, numbered := eventID(event)
+		if !numbered || id > out.last {
+			if _, err := out.w.Write(event); err != nil {
+				return sched.Abandoned
+			}
+			if reader.Buffered() == 0 {
+				if err := flush.Flush(); err != nil {
+					return sched.Abandoned
+				}
+			}
+			if numbered {
+				out.last = id
+			}
+		}
+		event = event[:0]
+	}
+}
+
+// eventID returns the number of an event, if it has one.
+func eventID(event []byte) (int64, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -212,13 +212,13 @@
 	defer span.End()
 	args := keeper.ProposeArgs{Command: raw, Trace: http.Header{}}
 	f.trace.Inject(ctx, args.Trace)
-	reply, err := callLeader[keeper.ProposeReply](ctx, f, "Propose", args)
+	reply, err := CallLeader[keeper.ProposeReply](ctx, f, keeper.ControlService+".Propose", args)
 	return reply.Reply, err
 }
 
 // Query reads the control state as of now.
 func (f *Follower) Query(ctx context.Context, q io.Query) (io.Answer, error) {
-	reply, err := callLeader[keeper.QueryReply](ctx, f, "Query", keeper.QueryArgs{Query: q})
+	reply, err := CallLeader[keeper.QueryReply](ctx, f, keeper.ControlService+".Query", keeper.QueryArgs{Query: q})
 	return reply.Answer, err
 }
 
@@ -227,15 +227,18 @@
 	Where() keeper.Located
 }
 
-// callLeader repeats a call until the leader has answered it or ctx ends.
+// Leader returns where the leader is believed to answer its peers.
+func (f *Follower) Leader() string { return f.locator.address() }
+
+// CallLeader repeats a call until the leader has answered it or ctx ends.
 //
 // Each try has a reply of its own, since the answer to one that was given up may still come.
-func callLeader[R located](ctx context.Context, f *Follower, method string, args any) (R, error) {
+func CallLeader[R located](ctx context.Context, f *Follower, method string, args any) (R, error) {
 	for {
 		address := f.locator.address()
 		reply := new(R)
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := f.client.Call(callCtx, address, keeper.ControlService+"."+method, args, reply)
+		err := f.client.Call(callCtx, address, method, args, reply)
 		cancel()
 		if err == nil && (*reply).Where().Leading {
 			f.locator.found(address)
--- a/io/keeper/disk_test.go
+++ b/io/keeper/disk_test.go
@@ -76,7 +76,7 @@
 	store, held, err := disk.Open(fullFolder{folder, full}, founding[i].ID, 1)
 	must.NoError(t, err)
 	client := peer.NewClient([]byte("a secret of the test"), nil, nil)
-	o := Options{Host: founding[i].ID, Founding: founding, Voters: 3, Patience: 60 * core.Second, Quorum: quorum.Defaults(), Trace: trace.New(trace.Options{})}
+	o := Options{Host: founding[i].ID, Address: founding[i].Address, Founding: founding, Voters: 3, Patience: 60 * core.Second, Quorum: quorum.Defaults(), Trace: trace.New(trace.Options{})}
 	k, err := New(o, store, held, client, wall.New(), log)
 	must.NoError(t, err)
 	server := peer.NewServer(founding[i].Address, []byte("a secret of the test"), nil, log)
--- a/io/keeper/found.go
+++ b/io/keeper/found.go
@@ -2,16 +2,22 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
+	"cyclamenford/core"
 	"cyclamenford/core/quorum"
 	"cyclamenford/io/disk"
 )
 
 const (
-	meetEvery   = 100 * time.Millisecond
-	meetTimeout = time.Second
+	meetEvery = 100 * time.Millisecond
+	// meetTimeout is several round trips; a keeper that is not up yet is asked again.
+	meetTimeout = 300 * time.Millisecond
+	// foundPatience is how long the founder waits for the last wanted voter.
+	foundPatience = 4 * core.Second
 )
 
 // foundingTerm and foundingIndex are the position at which every deployment starts.
@@ -20,23 +26,20 @@
 	foundingIndex = 1
 )
 
-func (k *Keeper) foundsDeployment() bool {
-	return len(k.options.Founding) > 0 && k.options.Founding[0].ID == k.options.Host
-}
-
-// found starts a deployment once every founding keeper has shown an empty disk; one that is not empty ends the attempt.
-func (k *Keeper) found(ctx context.Context) {
+// meet introduces this keeper to the founding ones and to all that it knows, until a leader is known.
+//
+// The first founding keeper also starts the deployment.
+func (k *Keeper) meet(ctx context.Context) {
 	ticker := time.NewTicker(meetEvery)
 	defer ticker.Stop()
+	began := k.clock.Now()
+	exists := k.options.Rejoin
 	for {
-		config, met, founded := k.meetAll(ctx)
-		if founded {
-			k.log.Info("a deployment exists; waiting to be taken in")
-			return
-		}
-		if met {
-			k.startDeployment(ctx, config)
-			return
+		if k.leaderless() {
+			exists = k.meetAll(ctx) || exists
+			if voters, ok := k.foundingVoters(began); ok && !exists {
+				k.startDeployment(ctx, voters)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -46,28 +49,85 @@
 	}
 }
 
-// meetAll asks every founding keeper for its disk; met tells that all have answered.
-func (k *Keeper) meetAll(ctx context.Context) (config quorum.Config, met, founded bool) {
-	config = quorum.Config{Voters: []quorum.Member{k.Member()}}
-	for _, a := range k.options.Founding[1:] {
-		callCtx, cancel := context.WithTimeout(ctx, meetTimeout)
-		var reply MeetReply
-		err := k.client.Call(callCtx, a.Address, ControlService+".Meet", MeetArgs{Member: k.Member()}, &reply)
-		cancel()
-		if err != nil {
-			return config, false, false
-		}
-		if reply.Founded {
-			return config, false, true
-		}
-		config.Voters = append(config.Voters, reply.Member)
+func (k *Keeper) leaderless() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.view.leader == "" && k.failed == nil
+}
+
+// meetAll exchanges contacts with every keeper in reach and reports whether one belongs to a deployment.
+func (k *Keeper) meetAll(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, meetTimeout)
+	defer cancel()
+	args := MeetArgs{
+		Member: k.Member(), Address: k.options.Address, Known: k.contacts.all(),
+		Empty: len(k.options.Founding) > 0 && !k.store.Identity().Founded && !k.options.Rejoin,
 	}
-	slices.Sort(config.Voters)
-	return config, true, false
+	k.contacts.introduce(args)
+	addresses := map[string]bool{}
+	for _, a := range k.options.Founding {
+		addresses[a.Address] = true
+	}
+	for _, a := range args.Known {
+		addresses[a] = true
+	}
+	delete(addresses, k.options.Address)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	founded := k.store.Identity().Founded
+	for _, address := range slices.Sorted(maps.Keys(addresses)) {
+		wg.Go(func() {
+			var reply MeetReply
+			if err := k.client.Call(ctx, address, ControlService+".Meet", args, &reply); err != nil {
+				k.log.Debug("keeper not met", "address", address, "err", err)
+				return
+			}
+			k.contacts.introduce(MeetArgs{Member: reply.Member, Address: address, Known: reply.Known})
+			mu.Lock()
+			defer mu.Unlock()
+			founded = founded || reply.Founded
+		})
+	}
+	wg.Wait()
+	return founded
+}
+
+// foundingVoters returns the voters of a new deployment once enough empty disks have been met.
+//
+// A set smaller than wanted must still leave a majority as large as that of the wanted one.
+func (k *Keeper) foundingVoters(began core.Millis) ([]quorum.Member, bool) {
+	if len(k.options.Founding) == 0 || k.options.Founding[0].Address != k.options.Address || k.store.Identity().Founded {
+		return nil, false
+	}
+	wanted := max(k.options.Voters, len(k.options.Founding))
+	met := k.contacts.waiting()
+	enough := len(met) >= wanted ||
+		k.clock.Now()-began > foundPatience && len(met) >= len(k.options.Founding) && len(met)/2 == wanted/2
+	if !enough {
+		return nil, false
+	}
+	listed := map[string]bool{}
+	for _, a := range k.options.Founding {
+		listed[a.Address] = true
+	}
+	voters := slices.SortedFunc(maps.Keys(met), func(a, b quorum.Member) int {
+		switch {
+		case listed[met[a]] && !listed[met[b]]:
+			return -1
+		case !listed[met[a]] && listed[met[b]]:
+			return 1
+		case a < b:
+			return -1
+		}
+		return 1
+	})
+	voters = voters[:min(wanted, len(voters))]
+	slices.Sort(voters)
+	return voters, true
 }
 
-func (k *Keeper) startDeployment(ctx context.Context, config quorum.Config) {
-	base := quorum.Snapshot{Index: foundingIndex, Term: foundingTerm, Config: config}
+func (k *Keeper) startDeployment(ctx context.Context, voters []quorum.Member) {
+	base := quorum.Snapshot{Index: foundingIndex, Term: foundingTerm, Config: quorum.Config{Voters: voters}}
 	f := func() {
 		if k.node.LastIndex() > 0 || k.store.Identity().Founded {
 			return
@@ -77,10 +137,11 @@
 			return
 		}
 		k.startNode(disk.Contents{HardState: quorum.HardState{Term: foundingTerm}, Snapshot: base})
-		k.log.Info("deployment founded", "voters", config.Voters)
+		k.log.Info("deployment founded", "voters", voters)
 	}
 	select {
 	case k.calls <- f:
 	case <-ctx.Done():
+	case <-k.done:
 	}
 }
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -40,8 +40,12 @@
 // Options are the settings of a keeper.
 type Options struct {
 	Host core.HostID
-	// Founding lists the keepers that start a new deployment; the first one founds it.
+	// Address is where this keeper answers its peers.
+	Address string
+	// Founding lists the keepers that start a new deployment; the first one founds it. Identifiers may be missing.
 	Founding []Address
+	// Rejoin keeps an empty disk from founding: the deployment exists already.
+	Rejoin bool
 	// Voters is the wanted number of voting keepers.
 	Voters int
 	// Patience is how long a voter may be silent before a spare disk replaces it.
@@ -68,6 +72,8 @@
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
 
+	contacts *contacts
+
 	// The loop alone uses these.
 	node      *quorum.Node
 	waiters   map[uint64]waiter
@@ -125,7 +131,8 @@
 		reads: make(chan read, inboxLength), calls: make(chan func()), done: make(chan struct{}),
 		waiters: map[uint64]waiter{}, readers: map[uint64]read{}, changed: make(chan struct{}),
 	}
-	k.outbox = newOutbox(client, k.addressOf, log)
+	k.contacts = newContacts(o.Address, store.Identity().Member(), held.Entries)
+	k.outbox = newOutbox(o.Address, client, k.addressOf, log)
 	if err := k.resetMachine(held.Snapshot.Data); err != nil {
 		return nil, err
 	}
@@ -174,9 +181,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
 	k.wg.Go(func() { k.loop(ctx) })
-	if !k.store.Identity().Founded && k.foundsDeployment() {
-		k.wg.Go(func() { k.found(ctx) })
-	}
+	k.wg.Go(func() { k.meet(ctx) })
 	return nil
 }
 
@@ -426,6 +431,9 @@
 
 // addressOf returns where a member's host answers.
 func (k *Keeper) addressOf(m quorum.Member) string {
+	if a := k.contacts.address(m); a != "" {
+		return a
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if h, ok := k.machine.Image().Hosts[m.Host()]; ok && h.PeerAddress != "" {
--- a/io/keeper/outbox.go
+++ b/io/keeper/outbox.go
@@ -19,6 +19,8 @@
 
 // outbox sends messages to each member in order, and drops them when a member is too slow.
 type outbox struct {
+	// from is where this keeper answers its peers.
+	from      string
 	client    *peer.Client
 	addressOf func(quorum.Member) string
 	log       *slog.Logger
@@ -30,10 +32,10 @@
 	wg        sync.WaitGroup
 }
 
-func newOutbox(client *peer.Client, addressOf func(quorum.Member) string, log *slog.Logger) *outbox {
+func newOutbox(from string, client *peer.Client, addressOf func(quorum.Member) string, log *slog.Logger) *outbox {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &outbox{
-		client: client, addressOf: addressOf, log: log, ctx: ctx, cancel: cancel,
+		from: from, client: client, addressOf: addressOf, log: log, ctx: ctx, cancel: cancel,
 		queues: map[quorum.Member]chan quorum.Message{},
 	}
 }
@@ -94,7 +96,7 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, deliverTimeout)
 	defer cancel()
-	if err := o.client.Call(ctx, address, QuorumService+".Deliver", Batch{Messages: batch}, &struct{}{}); err != nil {
+	if err := o.client.Call(ctx, address, QuorumService+".Deliver", Batch{From: batch[0].From, Address: o.from, Messages: batch}, &struct{}{}); err != nil {
 		o.log.Debug("message to keeper not delivered", "to", to, "err", err)
 	}
 }
--- a/io/keeper/serve.go
+++ b/io/keeper/serve.go
@@ -19,6 +19,7 @@
 
 // Deliver takes in messages of the replicated log.
 func (c *quorumCalls) Deliver(args Batch, _ *struct{}) error {
+	c.k.contacts.learn(args.From, args.Address)
 	for _, m := range args.Messages {
 		select {
 		case c.k.inbox <- m:
@@ -31,10 +32,11 @@
 
 type controlCalls struct{ k *Keeper }
 
-// Meet tells which disk this is and whether it belongs to a deployment.
-func (c *controlCalls) Meet(_ MeetArgs, reply *MeetReply) error {
+// Meet takes a keeper's introduction in and tells which disk this is.
+func (c *controlCalls) Meet(args MeetArgs, reply *MeetReply) error {
+	c.k.contacts.introduce(args)
 	id := c.k.store.Identity()
-	*reply = MeetReply{Member: id.Member(), Founded: id.Founded}
+	*reply = MeetReply{Member: id.Member(), Founded: id.Founded, Known: c.k.contacts.all()}
 	return nil
 }
 
@@ -204,6 +206,9 @@
 		if e, ok := k.machine.Call(*q.Call); ok {
 			a.Call = &e
 		}
+	case q.Config:
+		c := k.machine.Image().Config
+		a.Config = &c
 	case q.Status:
 		a.Status = k.status()
 	case q.AppliedBy > 0:
@@ -227,3 +232,31 @@
 	}
 	return s
 }
+
+// Leading returns the term in which this keeper leads with a valid lease, or false.
+func (k *Keeper) Leading() (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.view
+	return v.term, v.role == quorum.Leader && v.ready && v.leaseUntil > k.clock.Now()
+}
+
+// Image returns the published image that this keeper has applied.
+func (k *Keeper) Image() state.Image {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Image()
+}
+
+// Commit proposes a command of this leader's own and waits until it is applied.
+func (k *Keeper) Commit(ctx context.Context, c state.Command) (state.Reply, error) {
+	c.Unix = k.clock.Unix()
+	raw, err := c.Encode()
+	if err != nil {
+		return state.Reply{}, err
+	}
+	return k.commit(ctx, raw)
+}
+
+// Located tells whether this keeper leads, or where the leader answers its peers.
+func (k *Keeper) Located() Located { return k.locate() }
--- a/io/keeper/wire.go
+++ b/io/keeper/wire.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"errors"
 	"net/http"
 
 	"cyclamenford/core"
@@ -15,8 +16,15 @@
 	ControlService = "Control"
 )
 
-// Batch carries messages of the replicated log.
-type Batch struct{ Messages []quorum.Message }
+// ErrNoLeader means that no leading keeper is known.
+var ErrNoLeader = errors.New("no keeper is known to lead")
+
+// Batch carries messages of the replicated log, and where their sender answers.
+type Batch struct {
+	From     quorum.Member
+	Address  string
+	Messages []quorum.Message
+}
 
 // Located tells a caller where the leader may be.
 type Located struct {
@@ -73,13 +81,18 @@
 	Answer io.Answer
 }
 
-// MeetArgs introduces an empty disk that waits for the first founding.
-type MeetArgs struct{ Member quorum.Member }
+// MeetArgs introduces a keeper and the keepers that it knows.
+type MeetArgs struct {
+	Member  quorum.Member
+	Address string
+	// Empty tells that the disk waits for the first founding.
+	Empty bool
+	Known map[quorum.Member]string
+}
 
-// MeetReply names the answering disk and tells whether it belongs to a replicated log.
+// MeetReply names the answering disk, the keepers that it knows, and tells whether it belongs to a replicated log.
 type MeetReply struct {
 	Member  quorum.Member
 	Founded bool
-	// Config is the membership that the answering disk was founded with.
-	Config quorum.Config
+	Known   map[quorum.Member]string
 }
--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -21,7 +21,9 @@
 	Tls *tls.Config
 	// HeaderTimeout bounds the reading of a request's header, and ReadTimeout that of the whole request, 0 for no bound.
 	HeaderTimeout, ReadTimeout core.Millis
-	MaxHeaderBytes             int
+	// IdleTimeout is how long a connection may wait for its next request, 0 for no bound.
+	IdleTimeout    core.Millis
+	MaxHeaderBytes int
 	// Wrap may put something around the listener; nil for nothing.
 	Wrap func(net.Listener) net.Listener
 }
@@ -38,7 +40,8 @@
 	return &Server{options: o, log: log, http: &http.Server{
 		Handler: h, MaxHeaderBytes: o.MaxHeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout.Duration(), ReadTimeout: o.ReadTimeout.Duration(),
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		IdleTimeout: o.IdleTimeout.Duration(),
+		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}}
 }
 
@@ -62,6 +65,11 @@
 	return nil
 }
 
+// CloseIdle closes the connections that carry no request, and every other one after its answer; new ones are still taken.
+func (s *Server) CloseIdle() {
+	s.http.SetKeepAlivesEnabled(false)
+}
+
 // Stop closes the listener and waits for the requests in flight; those still there when ctx ends are cut off.
 func (s *Server) Stop(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err != nil {
--- a/setup/app.go
+++ b/setup/app.go
@@ -23,19 +23,21 @@
 
 // The names under which a host's services find each other.
 const (
-	traceService  = "Trace"
-	clientService = "PeerClient"
-	serverService = "PeerServer"
-	keeperService = "Keeper"
-	followService = "Follow"
-	brokerService = "Broker"
-	dialService   = "Dial"
-	shareService  = "Share"
-	runnerService = "Runner"
-	greetService  = "Greet"
-	adminService  = "Admin"
-	frontService  = "Front"
-	issuerService = "Issuer"
+	traceService   = "Trace"
+	clientService  = "PeerClient"
+	serverService  = "PeerServer"
+	keeperService  = "Keeper"
+	followService  = "Follow"
+	brokerService  = "Broker"
+	dialService    = "Dial"
+	shareService   = "Share"
+	runnerService  = "Runner"
+	greetService   = "Greet"
+	adminService   = "Admin"
+	frontService   = "Front"
+	issuerService  = "Issuer"
+	assignService  = "Assign"
+	metricsService = "Metrics"
 )
 
 // App is one host with all its services.
@@ -141,7 +143,7 @@
 
 func (a *App) keeperOptions() keeper.Options {
 	o := keeper.Options{
-		Host: a.settings.Host.ID, Voters: a.settings.Keepers.Voters,
+		Host: a.settings.Host.ID, Address: a.settings.Listeners.peersAddress(), Voters: a.settings.Keepers.Voters,
 		Patience: a.settings.Keepers.PatienceMs, Quorum: a.quorumSettings(),
 	}
 	for _, f := range a.settings.Founding {
--- /dev/null
+++ b/setup/relay.go
@@ -0,0 +1,249 @@
+package setup
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+
+	"cyclamenford/core"
+	"cyclamenford/core/kernel"
+	"cyclamenford/core/quorum"
+	"cyclamenford/core/state"
+	"cyclamenford/io"
+	"cyclamenford/io/assign"
+	"cyclamenford/io/disk"
+	"cyclamenford/io/entry"
+	"cyclamenford/io/follow"
+	"cyclamenford/io/keeper"
+	"cyclamenford/io/listen"
+	"cyclamenford/io/logs"
+	"cyclamenford/io/meter"
+	"cyclamenford/io/peer"
+	"cyclamenford/io/pipe"
+	"cyclamenford/io/trace"
+	"cyclamenford/io/wall"
+)
+
+const (
+	// memoryShare is the part of the allowed memory at which the collector works harder; stacks and buffers take the rest.
+	memoryShare = 0.7
+	// controlHeader bounds how long an announcement or an operator's call may take to send its header.
+	controlHeader = 5 * core.Second
+	controlIdle   = 60 * core.Second
+	// stopReserve is left of the grace time for the end of the process itself.
+	stopReserve = 500 * core.Millis(1)
+	// voterFactor times the tolerance and one more voters keep a majority after that many losses.
+	voterFactor = 2
+)
+
+// Outside is what the platform's adapter brings: its dialect, and the handler of its control calls.
+type Outside struct {
+	Dialect io.Dialect
+	Control func(r assign.Remote, port string, log *slog.Logger) http.Handler
+}
+
+// Relay is one host of a relay deployment with all its services.
+type Relay struct {
+	settings RelaySettings
+	outside  Outside
+	log      *slog.Logger
+	clock    core.Clock
+	meter    *meter.Meter
+	kernel   *kernel.Kernel
+	lines    *logs.Writer
+}
+
+// NewRelay wires a host from checked settings; nothing runs yet.
+func NewRelay(s RelaySettings, o Outside, out *logs.Writer) (*Relay, error) {
+	handler := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: logLevels[s.Log.Level]})
+	r := &Relay{
+		settings: s, outside: o, log: slog.New(handler).With("host", s.Host.ID), clock: wall.New(),
+		meter: meter.New(), kernel: kernel.New(), lines: out,
+	}
+	if s.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMb) * (1 << 20)))
+	}
+	for _, step := range []func() error{r.addPeers, r.addKeeper, r.addFollow, r.addAssign, r.addControl, r.addEntry, r.addMetrics} {
+		if err := step(); err != nil {
+			return nil, fmt.Errorf("wire host %s: %w", s.Host.ID, err)
+		}
+	}
+	return r, nil
+}
+
+// Start starts every service.
+func (r *Relay) Start(ctx context.Context) error {
+	if err := r.lines.Start(ctx); err != nil {
+		return err
+	}
+	if err := r.kernel.Start(ctx); err != nil {
+		return fmt.Errorf("start host: %w", err)
+	}
+	r.log.Info("host has started", "clients", r.settings.Listeners.Clients, "control", r.settings.Listeners.Control,
+		"seeds", r.settings.Seeds, "bootstrap", r.settings.Bootstrap)
+	return nil
+}
+
+// Stop shuts the host down gracefully within its grace time.
+func (r *Relay) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, (r.settings.grace() - stopReserve).Duration())
+	defer cancel()
+	r.log.Info("host is stopping", "grace_ms", r.settings.grace())
+	err := r.kernel.Stop(ctx)
+	r.log.Info("host has stopped", "err", err)
+	if err := r.lines.Stop(ctx); err != nil {
+		return fmt.Errorf("flush log: %w", err)
+	}
+	return err
+}
+
+// Failed returns the error that ended the keeper, or nil while it works.
+func (r *Relay) Failed() error {
+	k, err := kernel.Find[*keeper.Keeper](r.kernel, keeperService)
+	if err != nil {
+		// A host without a disk has no keeper that could fail.
+		return nil
+	}
+	return k.Failed()
+}
+
+func (r *Relay) localIP() net.IP {
+	// Check has made sure that the address has a host.
+	host, _, _ := net.SplitHostPort(r.settings.Listeners.Peers)
+	return net.ParseIP(host)
+}
+
+func (r *Relay) addPeers() error {
+	key := []byte(r.settings.Keys.Cluster)
+	if err := r.kernel.Register(clientService, peer.NewClient(key, nil, r.localIP())); err != nil {
+		return err
+	}
+	if err := r.kernel.Register(traceService, trace.New(trace.Options{Export: trace.ExportNone})); err != nil {
+		return err
+	}
+	if err := r.kernel.Register(dialService, pipe.New(pipe.Options{From: r.localIP(), Clock: r.clock})); err != nil {
+		return err
+	}
+	return r.kernel.Register(serverService, peer.NewServer(r.settings.Listeners.Peers, key, nil, r.log), clientService)
+}
+
+func (r *Relay) addKeeper() error {
+	if r.settings.Host.DataFolder == "" {
+		return nil
+	}
+	folder, err := disk.OpenFolder(r.settings.Host.DataFolder)
+	if err != nil {
+		return err
+	}
+	store, held, err := disk.Open(folder, r.settings.Host.ID, core.Incarnation(r.clock.Unix()))
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	w := wiring{kernel: r.kernel}
+	client := find[*peer.Client](&w, clientService)
+	t := find[*trace.Service](&w, traceService)
+	server := find[*peer.Server](&w, serverService)
+	o := keeper.Options{
+		Host: r.settings.Host.ID, Address: r.settings.Listeners.Peers, Rejoin: !r.settings.Bootstrap,
+		Voters: voterFactor*r.settings.FaultTolerance + 1, Patience: r.settings.Keepers.PatienceMs,
+		Quorum: quorum.Defaults(), Trace: t,
+	}
+	o.Quorum.ElectionTimeout = r.settings.Keepers.ElectionTimeoutMs
+	for _, a := range r.settings.join() {
+		o.Founding = append(o.Founding, keeper.Address{Address: a})
+	}
+	k, err := keeper.New(o, store, held, client, r.clock, r.log)
+	if err != nil {
+		return err
+	}
+	if w.err != nil {
+		return w.err
+	}
+	if err := k.Register(server); err != nil {
+		return err
+	}
+	return w.register(keeperService, k, clientService, traceService)
+}
+
+func (r *Relay) addFollow() error {
+	w := wiring{kernel: r.kernel}
+	client := find[*peer.Client](&w, clientService)
+	t := find[*trace.Service](&w, traceService)
+	self := state.Host{
+		ID: r.settings.Host.ID, Incarnation: core.Incarnation(r.clock.Unix()),
+		FailureDomain: r.settings.Host.FailureDomain, PeerAddress: r.settings.Listeners.Peers,
+	}
+	if k, err := kernel.Find[*keeper.Keeper](r.kernel, keeperService); err == nil {
+		self.Keeper = string(k.Member())
+	}
+	f := follow.New(self, r.settings.join(), client, r.clock, t, r.log)
+	return w.register(followService, f, clientService, serverService)
+}
+
+func (r *Relay) addAssign() error {
+	if r.settings.Host.DataFolder == "" {
+		return nil
+	}
+	w := wiring{kernel: r.kernel}
+	k := find[*keeper.Keeper](&w, keeperService)
+	p := find[*pipe.Client](&w, dialService)
+	server := find[*peer.Server](&w, serverService)
+	if w.err != nil {
+		return w.err
+	}
+	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs}
+	a := assign.New(o, k, r.outside.Dialect, p, r.clock, r.meter, r.log)
+	if err := a.Register(server); err != nil {
+		return err
+	}
+	return w.register(assignService, a, keeperService, dialService)
+}
+
+func (r *Relay) addControl() error {
+	address := r.settings.Listeners.Control
+	if address == "" {
+		return nil
+	}
+	w := wiring{kernel: r.kernel}
+	f := find[*follow.Follower](&w, followService)
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("control listener: %w", err)
+	}
+	handler := r.outside.Control(assign.Remote{Follower: f}, port, r.log)
+	o := listen.Options{Name: "control", Address: address, HeaderTimeout: controlHeader, IdleTimeout: controlIdle}
+	return w.register(adminService, listen.New(o, handler, r.log), followService, assignService)
+}
+
+func (r *Relay) addEntry() error {
+	if r.settings.Listeners.Clients == "" {
+		return nil
+	}
+	w := wiring{kernel: r.kernel}
+	f := find[*follow.Follower](&w, followService)
+	p := find[*pipe.Client](&w, dialService)
+	client := find[*peer.Client](&w, clientService)
+	o := entry.Options{
+		Host: r.settings.Host.ID, FailureDomain: r.settings.Host.FailureDomain,
+		Address: r.settings.Listeners.Clients, Ready: r.settings.Listeners.Ready,
+		Rotation: r.settings.RotationMs, Grace: r.settings.grace() - 2*stopReserve,
+	}
+	e := entry.New(o, f, r.outside.Dialect, p, client, r.clock, r.meter, r.log)
+	return w.register(frontService, e, followService, dialService)
+}
+
+func (r *Relay) addMetrics() error {
+	address := r.settings.Listeners.Metrics
+	if address == "" {
+		return nil
+	}
+	handler := http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+		if err := r.meter.Write(out); err != nil {
+			r.log.Debug("answer with metrics", "err", err)
+		}
+	})
+	return r.kernel.Register(metricsService, listen.New(listen.Options{Name: "metrics", Address: address}, handler, r.log))
+}
--- /dev/null
+++ b/setup/relay_settings.go
@@ -0,0 +1,124 @@
+package setup
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"cyclamenford/core"
+	"cyclamenford/core/tree"
+)
+
+// RelaySettings is the settings file of one host of a relay deployment: an entry host, or a keeper with a disk.
+type RelaySettings struct {
+	Host      HostSettings
+	Listeners RelayListeners
+	// Seeds lists, as IP:PORT, listeners of some keepers; only their IPs count.
+	Seeds []string
+	// PeerPort is the port on which every host of the deployment answers its peers.
+	PeerPort int
+	// Bootstrap tells that the whole deployment starts for the first time.
+	Bootstrap bool
+	// FaultTolerance is the number of keepers that may be lost at once.
+	FaultTolerance int
+	// AnnounceEveryMs is how often endpoints announce themselves.
+	AnnounceEveryMs core.Millis
+	// GraceSeconds is the time from SIGTERM to SIGKILL.
+	GraceSeconds float64
+	// RotationMs is how long the balancer may send new clients to a host that says it is not ready.
+	RotationMs core.Millis
+	// MemoryMb is the memory that the process may use.
+	MemoryMb int
+	Keys     struct {
+		// Cluster is the secret that all hosts of the deployment share.
+		Cluster string
+	}
+	Keepers KeeperSettings
+	Log     RelayLogSettings
+}
+
+// RelayListeners are the addresses, as IP:PORT, on which a host answers; those that its role lacks are empty.
+type RelayListeners struct {
+	// Clients takes requests, Ready the balancer's questions.
+	Clients, Ready string
+	// Control takes announcements and operators' calls.
+	Control string
+	// Metrics serves counters and histograms.
+	Metrics string
+	Peers   string
+}
+
+// RelayLogSettings choose what is logged, and how much at most.
+type RelayLogSettings struct {
+	Level          string
+	BytesPerSecond int
+}
+
+// RelayDefaults returns the settings that a file need not give.
+func RelayDefaults() RelaySettings {
+	s := RelaySettings{
+		// A balancer that asks once a second takes a host out after two misses.
+		RotationMs: 3 * core.Second,
+		// What process managers commonly allow at least.
+		GraceSeconds: 8,
+		// A few times the usual period of announcements would forget endpoints whose announcement is late.
+		AnnounceEveryMs: core.Second,
+		Keepers:         Defaults().Keepers,
+		// About 150 lines a second.
+		Log: RelayLogSettings{Level: "Info", BytesPerSecond: 48 << 10},
+	}
+	return s
+}
+
+// LoadRelay reads a settings file over the defaults and checks it.
+func LoadRelay(path string) (RelaySettings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return RelaySettings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s := RelayDefaults()
+	if err := tree.Decode(raw, &s); err != nil {
+		return RelaySettings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, s.Check()
+}
+
+// Check returns every fault of the settings, each with its path, the found and the expected value.
+func (s RelaySettings) Check() error {
+	c := &checker{}
+	c.want(s.Host.ID != "", "Host.ID", `""`, "a name")
+	c.want(s.Host.FailureDomain != "", "Host.FailureDomain", `""`, "a name")
+	c.want((s.Listeners.Clients == "") == (s.Listeners.Ready == ""), "Listeners.Ready", s.Listeners.Ready, "one beside Clients")
+	c.want(s.Listeners.Clients != "" || s.Listeners.Control != "", "Listeners", "none", "Clients or Control")
+	c.want(s.Listeners.Control == "" || s.Host.DataFolder != "", "Host.DataFolder", `""`, "a folder, since Control is set")
+	c.address("Listeners.Peers", s.Listeners.Peers)
+	for i, a := range s.Seeds {
+		c.address(fmt.Sprintf("Seeds[%d]", i), a)
+	}
+	c.want(len(s.Seeds) > 0, "Seeds", "none", "at least one address")
+	c.want(s.PeerPort > 0, "PeerPort", s.PeerPort, "a port")
+	c.want(s.FaultTolerance >= 0 && s.FaultTolerance <= 3, "FaultTolerance", s.FaultTolerance, "0 to 3")
+	c.span("AnnounceEveryMs", s.AnnounceEveryMs, 10, maxHour)
+	c.want(s.GraceSeconds >= 1, "GraceSeconds", s.GraceSeconds, "1 or more")
+	_, known := logLevels[s.Log.Level]
+	c.want(known, "Log.Level", s.Log.Level, "Debug, Info, Warn or Error")
+	return errors.Join(c.errs...)
+}
+
+// grace returns the time from SIGTERM to SIGKILL.
+func (s RelaySettings) grace() core.Millis {
+	return core.Millis(s.GraceSeconds * float64(core.Second))
+}
+
+// join returns the peer addresses behind the seeds.
+func (s RelaySettings) join() []string {
+	var list []string
+	for _, seed := range s.Seeds {
+		// Check has made sure that every seed has a host.
+		host, _, _ := net.SplitHostPort(seed)
+		list = append(list, net.JoinHostPort(host, strconv.Itoa(s.PeerPort)))
+	}
+	return list
+}
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -22,8 +22,8 @@
 
 // wiring collects what one service needs, and the first error.
 type wiring struct {
-	app *App
-	err error
+	kernel *kernel.Kernel
+	err    error
 }
 
 // find returns a service by its name, or the zero value after an error.
@@ -32,7 +32,7 @@
 	if w.err != nil {
 		return zero
 	}
-	s, err := kernel.Find[T](w.app.kernel, name)
+	s, err := kernel.Find[T](w.kernel, name)
 	w.err = err
 	return s
 }
@@ -52,7 +52,7 @@
 	if w.err != nil {
 		return w.err
 	}
-	return w.app.kernel.Register(name, s, needs...)
+	return w.kernel.Register(name, s, needs...)
 }
 
 func (a *App) addTrace() error {
@@ -63,7 +63,7 @@
 }
 
 func (a *App) addPeers() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	server := w.listener(a.settings.Tls.Peers)
 	client, err := clientTLS(a.settings.Tls.Peers)
 	if err != nil {
@@ -81,7 +81,7 @@
 	if err != nil || store == nil {
 		return err
 	}
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	client := find[*peer.Client](&w, clientService)
 	o := a.keeperOptions()
 	o.Trace = find[*trace.Service](&w, traceService)
@@ -93,7 +93,7 @@
 }
 
 func (a *App) addFollow() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	client := find[*peer.Client](&w, clientService)
 	t := find[*trace.Service](&w, traceService)
 	self, err := a.self()
@@ -105,7 +105,7 @@
 }
 
 func (a *App) addBroker() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	f := find[*follow.Follower](&w, followService)
 	return w.register(brokerService, broker.New(a.settings.Host.FailureDomain, f, a.clock, a.meter, a.log), followService)
 }
@@ -115,13 +115,13 @@
 	if err != nil {
 		return err
 	}
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	t := find[*trace.Service](&w, traceService)
 	return w.register(dialService, dial.New(config, a.localIP(), t), traceService)
 }
 
 func (a *App) addShare() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	f := find[*follow.Follower](&w, followService)
 	b := find[*broker.Broker](&w, brokerService)
 	client := find[*peer.Client](&w, clientService)
@@ -129,7 +129,7 @@
 }
 
 func (a *App) addRunner() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	f := find[*follow.Follower](&w, followService)
 	b := find[*broker.Broker](&w, brokerService)
 	client := find[*dial.Client](&w, dialService)
@@ -147,7 +147,7 @@
 	if a.settings.Host.DataFolder == "" {
 		return nil
 	}
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	k := find[*keeper.Keeper](&w, keeperService)
 	f := find[*follow.Follower](&w, followService)
 	b := find[*broker.Broker](&w, brokerService)
@@ -158,7 +158,7 @@
 
 // addServer registers the calls that this host answers, before the server starts.
 func (a *App) addServer() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	server := find[*peer.Server](&w, serverService)
 	s := find[*share.Sharer](&w, shareService)
 	if w.err != nil {
@@ -178,7 +178,7 @@
 }
 
 func (a *App) addGreet() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	config := w.listener(a.settings.Tls.Endpoints)
 	s := find[*share.Sharer](&w, shareService)
 	g := greet.New(a.settings.Listeners.Endpoints, a.settings.Keys.Endpoints, config, s, a.meter, a.log)
@@ -186,7 +186,7 @@
 }
 
 func (a *App) addAdmin() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	config := w.listener(a.settings.Tls.Operators)
 	f := find[*follow.Follower](&w, followService)
 	b := find[*broker.Broker](&w, brokerService)
@@ -195,7 +195,7 @@
 }
 
 func (a *App) addFront() error {
-	w := wiring{app: a}
+	w := wiring{kernel: a.kernel}
 	config := w.listener(a.settings.Tls.Callers)
 	f := find[*follow.Follower](&w, followService)
 	b := find[*broker.Broker](&w, brokerService)
