--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -53,6 +53,7 @@
 	*loop.Loop
 	options Options
 	leader  Leader
+	caller  Caller
 	dialect io.Dialect
 	pipe    *pipe.Client
 	clock   core.Clock
@@ -65,11 +66,12 @@
 	roster  *roster
 	waiting map[sched.Key]chan sched.Action
 	version uint64
+	standby standby
 }
 
 // New returns an assigner that is not running yet.
-func New(o Options, l Leader, d io.Dialect, p *pipe.Client, clock core.Clock, m *meter.Meter, log *slog.Logger) *Assigner {
-	a := &Assigner{options: o, leader: l, dialect: d, pipe: p, clock: clock, meter: m, log: log}
+func New(o Options, l Leader, c Caller, d io.Dialect, p *pipe.Client, clock core.Clock, m *meter.Meter, log *slog.Logger) *Assigner {
+	a := &Assigner{options: o, leader: l, caller: c, dialect: d, pipe: p, clock: clock, meter: m, log: log}
 	a.Loop = loop.New(tickEvery, a.tick)
 	a.reset()
 	return a
@@ -105,6 +107,9 @@
 		a.term = term
 		a.reset()
 		a.log.Info("assigner started: this keeper leads", "term", term)
+		a.configure()
+		a.takeOver(a.clock.Now())
+		return true
 	}
 	a.configure()
 	return true
@@ -126,10 +131,11 @@
 	a.log.Info("configuration in force", "version", c.Version, "services", len(config.Services))
 }
 
-func (a *Assigner) tick(context.Context) {
+func (a *Assigner) tick(ctx context.Context) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.lead() {
+		a.copyEndpoints(ctx)
 		return
 	}
 	now := a.clock.Now()
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -108,6 +108,20 @@
 	return nil
 }
 
+// Known lists the endpoints, for a keeper that may have to lead next.
+func (c *calls) Known(_ KnownArgs, reply *Endpoints) error {
+	a := c.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply.Located = a.leader.Located()
+	if !a.lead() {
+		reply.Leading = false
+		return nil
+	}
+	reply.Known = a.roster.list(a.clock.Now())
+	return nil
+}
+
 // retire commits that an endpoint's life has ended, so that the next leader knows it too.
 func (a *Assigner) retire(args Announcement) error {
 	life := args.Endpoint.Incarnation
--- a/io/assign/roster.go
+++ b/io/assign/roster.go
@@ -1,6 +1,9 @@
 package assign
 
 import (
+	"maps"
+	"slices"
+
 	"cyclamenford/core"
 	"cyclamenford/core/state"
 )
@@ -66,3 +69,27 @@
 	}
 	return gone
 }
+
+// list returns the endpoints with the age of their announcements, in the order of their names.
+func (r *roster) list(now core.Millis) []Known {
+	list := make([]Known, 0, len(r.known))
+	for _, id := range slices.Sorted(maps.Keys(r.known)) {
+		e := r.known[id]
+		list = append(list, Known{Announcement: e.Announcement, Age: now - e.heard})
+	}
+	return list
+}
+
+// adopt takes the endpoints over that an earlier leader knew, as far as they have not ended since.
+func (r *roster) adopt(now core.Millis, list []Known, retired map[core.EndpointID]state.Retirement) []Announcement {
+	var taken []Announcement
+	for _, k := range list {
+		if k.Age < r.silence && r.take(now, k.Announcement, retired) == current {
+			e := r.known[k.Announcement.Endpoint.ID]
+			e.heard = now - k.Age
+			r.known[k.Announcement.Endpoint.ID] = e
+			taken = append(taken, k.Announcement)
+		}
+	}
+	return taken
+}
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -54,6 +54,9 @@
 	Detail string
 }
 
+// KnownArgs asks for the endpoints.
+type KnownArgs struct{}
+
 // Endpoints lists endpoints for a keeper that may have to lead next.
 type Endpoints struct {
 	keeper.Located
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -25,6 +25,8 @@
 const (
 	// sweepEvery is how often idle connections are looked over.
 	sweepEvery = time.Second
+	// leaderEvery is how often the host looks whether another keeper leads.
+	leaderEvery = 50 * time.Millisecond
 	// headerTimeout and idleTimeout are above what operators allow clients, so that a client's own limit comes first.
 	headerTimeout = 10 * core.Second
 	idleTimeout   = 60 * core.Second
@@ -41,6 +43,8 @@
 	Holder() ledger.Holder
 	// Leader returns where the leading keeper is believed to answer.
 	Leader() string
+	// Reached returns when this host last heard from a leader.
+	Reached() core.Millis
 }
 
 // Options are the settings of an entry host.
@@ -69,6 +73,8 @@
 	ready    *listen.Server
 	sweeper  *loop.Loop
 	events   *events
+	placing  *placing
+	follower *loop.Loop
 	table    atomic.Pointer[conf.Table]
 	stopping atomic.Bool
 	seq      atomic.Uint64
@@ -81,6 +87,8 @@
 func New(o Options, c Control, d io.Dialect, p *pipe.Client, peers *peer.Client, clock core.Clock, m *meter.Meter, log *slog.Logger) *Entry {
 	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, clock: clock, meter: m, log: log}
 	e.events = newEvents(c, peers, clock, log)
+	e.placing = newPlacing()
+	e.follower = loop.New(leaderEvery, e.followLeader)
 	e.front = listen.New(listen.Options{
 		Name: "clients", Address: o.Address, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}, http.HandlerFunc(e.serve), log)
@@ -94,7 +102,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.wg.Go(func() { e.watch(background) })
-	return errors.Join(e.sweeper.Start(ctx), e.events.Start(ctx), e.front.Start(ctx), e.ready.Start(ctx))
+	return errors.Join(e.sweeper.Start(ctx), e.follower.Start(ctx), e.events.Start(ctx), e.front.Start(ctx), e.ready.Start(ctx))
 }
 
 // Stop lets the balancer take the host out of rotation, finishes what is in flight, and closes.
@@ -113,7 +121,7 @@
 	e.cancel()
 	e.wg.Wait()
 	// What is still queued for the scheduler after a bounded stop is of no use to it.
-	return errors.Join(err, e.events.Stop(ctx), e.ready.Stop(ctx), e.sweeper.Stop(ctx))
+	return errors.Join(err, e.events.Stop(ctx), e.ready.Stop(ctx), e.sweeper.Stop(ctx), e.follower.Stop(ctx))
 }
 
 // watch rebuilds the table with each new configuration.
@@ -129,6 +137,17 @@
 	}
 }
 
+// followLeader ends the calls that wait at a former leader.
+func (e *Entry) followLeader(context.Context) {
+	leader := e.control.Leader()
+	if leader == "" {
+		return
+	}
+	if n := e.placing.abandon(leader); n > 0 {
+		e.log.Warn("leader replaced: requests are placed anew", "leader", leader, "requests", n)
+	}
+}
+
 func (e *Entry) adopt(c state.Config) {
 	present := e.table.Load()
 	if c.Version == 0 || present != nil && present.Config().Version >= c.Version {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
@@ -20,6 +21,12 @@
 	noLeaderRetry = core.Second
 	// fullRetry is what a client is told whose endpoint was full at the last moment.
 	fullRetry = 250 * core.Millis(1)
+	// leaderSilence is how long after its last answer a leader is taken for lost: two held calls and a retransmission.
+	leaderSilence = core.Second
+	// waitShare is the part of the aim that a request may wait for a leader: a refusal within an eighth costs the client least.
+	waitShare = 8
+	// leaderPause is the time between two questions for a leader.
+	leaderPause = 30 * core.Millis(1)
 	// answerGrace is what a placing call may take beyond the request's own time, for the way back.
 	answerGrace = 300 * core.Millis(1)
 	// defaultLeft is the time of a request that names no deadline, if its route has no longer one.
@@ -139,11 +146,41 @@
 	return a
 }
 
-// place asks the scheduler for an endpoint, at the leader or at the keeper that it names instead.
+// place asks the scheduler for an endpoint; when the leader is lost meanwhile, the next one is asked anew.
 func (r *request) place(ctx context.Context) (*sched.Grant, *core.Problem) {
 	e := r.entry
-	r.key = sched.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
-	return r.decide(ctx, assign.Service+".Place", func() any { return assign.PlaceArgs{Ask: r.ask()} })
+	for {
+		leader := e.control.Leader()
+		if e.clock.Now()-e.control.Reached() > leaderSilence {
+			return nil, r.noLeader(keeper.ErrNoLeader)
+		}
+		r.key = sched.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
+		grant, problem := r.decide(ctx, assign.Service+".Place", func() any { return assign.PlaceArgs{Ask: r.ask()} })
+		if problem == nil || problem.Reason != core.ReasonNoQuorum || !r.mayWait(ctx, leader) {
+			return grant, problem
+		}
+		e.log.Info("request placed anew", "request", r.in.ID, "former_leader", leader, "why", problem.Detail)
+	}
+}
+
+// mayWait pauses for another leader, unless so much of the time has gone that the client had better come back.
+func (r *request) mayWait(ctx context.Context, failed string) bool {
+	e := r.entry
+	if ctx.Err() != nil {
+		return false
+	}
+	if e.control.Leader() != failed {
+		return true
+	}
+	if e.clock.Now()-r.arrived > min(r.route.Aim, r.deadline-r.arrived)/waitShare {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(leaderPause.Duration()):
+		return true
+	}
 }
 
 // placeAgain asks for another endpoint after an attempt ended.
@@ -151,6 +188,7 @@
 	return r.decide(ctx, assign.Service+".Again", func() any { return assign.AgainArgs{Key: r.key, How: how} })
 }
 
+// decide calls the leader, or the keeper that is named instead.
 func (r *request) decide(ctx context.Context, method string, args func() any) (*sched.Grant, *core.Problem) {
 	e := r.entry
 	address := e.control.Leader()
@@ -162,8 +200,10 @@
 				cancel()
 			}
 		})
+		forget := e.placing.add(address, cancel)
 		reply := new(assign.PlaceReply)
 		err := e.peers.Call(callCtx, address, method, args(), reply)
+		forget()
 		stop()
 		cancel()
 		switch {
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -19,7 +19,9 @@
 )
 
 const (
-	followWait    = 500 * core.Millis(1)
+	// followWait is how long the leader may hold a call that has no news; a shorter one finds a lost leader sooner.
+	followWait = 300 * core.Millis(1)
+	// followTimeout leaves a lost packet time to be sent again.
 	followTimeout = 800 * time.Millisecond
 	callTimeout   = 2 * time.Second
 	retryPause    = 50 * time.Millisecond
@@ -42,6 +44,7 @@
 	changed    chan struct{}
 	leaseUntil core.Millis
 	joined     bool
+	reached    core.Millis
 }
 
 // New returns a follower for this host that finds the keepers through the given addresses.
@@ -172,6 +175,7 @@
 func (f *Follower) apply(reply keeper.FollowReply, sent core.Millis) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reached = f.clock.Now()
 	base := f.image
 	if reply.Whole {
 		base = state.EmptyImage()
@@ -227,8 +231,18 @@
 	Where() keeper.Located
 }
 
-// Leader returns where the leader is believed to answer its peers.
-func (f *Follower) Leader() string { return f.locator.address() }
+// Leader returns where a leader has last answered its peers.
+func (f *Follower) Leader() string { return f.locator.leader() }
+
+// Reached returns when this host last heard from a leader, 0 if never.
+func (f *Follower) Reached() core.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached
+}
+
+// Rejoin replaces the addresses through which the keepers are found.
+func (f *Follower) Rejoin(join []string) { f.locator.rejoin(join) }
 
 // CallLeader repeats a call until the leader has answered it or ctx ends.
 //
--- a/io/follow/locator.go
+++ b/io/follow/locator.go
@@ -15,7 +15,9 @@
 	join    []string
 	known   []string
 	current string
-	next    int
+	// confirmed is where a leader has last answered.
+	confirmed string
+	next      int
 }
 
 func newLocator(join []string) *locator {
@@ -38,7 +40,30 @@
 func (l *locator) found(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.current = address
+	l.current, l.confirmed = address, address
+}
+
+// leader returns where a leader has last answered, or else the address to ask next.
+func (l *locator) leader() string {
+	l.mu.Lock()
+	confirmed := l.confirmed
+	l.mu.Unlock()
+	if confirmed != "" {
+		return confirmed
+	}
+	return l.address()
+}
+
+// rejoin replaces the addresses through which the keepers are found.
+func (l *locator) rejoin(join []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range join {
+		if !slices.Contains(l.known, a) {
+			l.known = append(l.known, a)
+		}
+	}
+	l.join = join
 }
 
 // failed gives up an address for the one that was named instead, or for the next known one.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -10,9 +10,12 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cyclamenford/io/sock"
 )
 
-const dialTimeout = time.Second
+// dialTimeout is many round trips inside a region; a host that is silent that long is taken for lost.
+const dialTimeout = 500 * time.Millisecond
 
 // ErrNotSent means that the call has not left this host.
 var ErrNotSent = errors.New("the call was not sent")
@@ -21,7 +24,7 @@
 type Client struct {
 	key  []byte
 	tls  *tls.Config
-	from net.Addr
+	from net.IP
 	sent atomic.Int64
 	recv atomic.Int64
 
@@ -32,11 +35,19 @@
 type connection struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	// attempt is the connection being made, which all callers wait for.
+	attempt *attempt
+}
+
+type attempt struct {
+	done   chan struct{}
+	client *rpc.Client
+	err    error
 }
 
 // NewClient returns a client that calls from the given IP, any if nil; tlsConfig may be nil for plain TCP.
 func NewClient(key []byte, tlsConfig *tls.Config, from net.IP) *Client {
-	return &Client{key: key, tls: tlsConfig, from: &net.TCPAddr{IP: from}, conns: map[string]*connection{}}
+	return &Client{key: key, tls: tlsConfig, from: from, conns: map[string]*connection{}}
 }
 
 // Bytes returns how many bytes were sent and received over all connections.
@@ -105,26 +116,46 @@
 
 func (conn *connection) get(ctx context.Context, c *Client, address string) (*rpc.Client, error) {
 	conn.mu.Lock()
-	defer conn.mu.Unlock()
 	if conn.client != nil {
+		defer conn.mu.Unlock()
 		return conn.client, nil
 	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, err
+	a := conn.attempt
+	if a == nil {
+		a = &attempt{done: make(chan struct{})}
+		conn.attempt = a
+		go conn.connect(c, address, a)
 	}
-	if err := greetServer(raw, c.key); err != nil {
-		return nil, errors.Join(err, raw.Close())
+	conn.mu.Unlock()
+	select {
+	case <-a.done:
+		return a.client, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// connect makes a connection for all callers that wait for it.
+func (conn *connection) connect(c *Client, address string, a *attempt) {
+	raw, err := c.dial(address)
+	if err == nil {
+		if err = greetServer(raw, c.key); err != nil {
+			err = errors.Join(err, raw.Close())
+		}
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.attempt = nil
+	if a.err = err; err == nil {
+		a.client = rpc.NewClient(raw)
+		conn.client = a.client
 	}
-	conn.client = rpc.NewClient(raw)
-	return conn.client, nil
+	close(a.done)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	d := net.Dialer{LocalAddr: c.from}
-	raw, err := d.DialContext(ctx, "tcp", address)
+func (c *Client) dial(address string) (net.Conn, error) {
+	d := sock.Dialer(c.from, dialTimeout)
+	raw, err := d.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	nonceBytes       = 32
-	handshakeTimeout = 2 * time.Second
+	nonceBytes = 32
+	// handshakeTimeout is many round trips; a host that freezes meanwhile must not hold its callers up.
+	handshakeTimeout = time.Second
 	clientLabel      = "cyclamenford client 1"
 	serverLabel      = "cyclamenford server 1"
 )
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -8,19 +8,17 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"cyclamenford/core"
+	"cyclamenford/io/sock"
 )
 
 const (
 	// dialTimeout is many round trips inside a region; an endpoint that is silent that long is taken for dead.
 	dialTimeout = 400 * time.Millisecond
-	// silentTimeout bounds how long sent bytes may stay unacknowledged on a connection that went silent.
-	silentTimeout = 1500 * time.Millisecond
 	// maxIdle is how long an idle connection is kept if the endpoint does not say.
 	maxIdle = 4 * core.Second
 	// idleMargin is taken off the time that the endpoint says, for the way there.
@@ -78,21 +76,10 @@
 // New returns a client without connections.
 func New(o Options) *Client {
 	c := &Client{options: o, idle: map[string][]*conn{}}
-	c.dialer = net.Dialer{
-		LocalAddr: &net.TCPAddr{IP: o.From}, Timeout: dialTimeout, Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-	}
+	c.dialer = sock.Dialer(o.From, dialTimeout)
 	return c
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout/time.Millisecond))
-	})
-	return errors.Join(controlErr, err)
-}
-
 // Start does nothing; connections are made when they are needed.
 func (c *Client) Start(context.Context) error { return nil }
 
--- /dev/null
+++ b/io/sock/doc.go
@@ -0,0 +1,2 @@
+// Package sock makes TCP connections that notice a peer which has gone silent.
+package sock
--- a/setup/app.go
+++ b/setup/app.go
@@ -38,6 +38,7 @@
 	issuerService  = "Issuer"
 	assignService  = "Assign"
 	metricsService = "Metrics"
+	placeService   = "PlaceClient"
 )
 
 // App is one host with all its services.
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -100,6 +100,9 @@
 	return err
 }
 
+// Log returns the host's logger.
+func (r *Relay) Log() *slog.Logger { return r.log }
+
 // Failed returns the error that ended the keeper, or nil while it works.
 func (r *Relay) Failed() error {
 	k, err := kernel.Find[*keeper.Keeper](r.kernel, keeperService)
@@ -190,12 +193,13 @@
 	w := wiring{kernel: r.kernel}
 	k := find[*keeper.Keeper](&w, keeperService)
 	p := find[*pipe.Client](&w, dialService)
+	client := find[*peer.Client](&w, clientService)
 	server := find[*peer.Server](&w, serverService)
 	if w.err != nil {
 		return w.err
 	}
 	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs}
-	a := assign.New(o, k, r.outside.Dialect, p, r.clock, r.meter, r.log)
+	a := assign.New(o, k, client, r.outside.Dialect, p, r.clock, r.meter, r.log)
 	if err := a.Register(server); err != nil {
 		return err
 	}
@@ -225,14 +229,18 @@
 	w := wiring{kernel: r.kernel}
 	f := find[*follow.Follower](&w, followService)
 	p := find[*pipe.Client](&w, dialService)
-	client := find[*peer.Client](&w, clientService)
+	// Requests wait on connections of their own, so that a lost packet there does not look like a lost leader.
+	client := peer.NewClient([]byte(r.settings.Keys.Cluster), nil, r.localIP())
+	if err := r.kernel.Register(placeService, client); err != nil {
+		return err
+	}
 	o := entry.Options{
 		Host: r.settings.Host.ID, FailureDomain: r.settings.Host.FailureDomain,
 		Address: r.settings.Listeners.Clients, Ready: r.settings.Listeners.Ready,
 		Rotation: r.settings.RotationMs, Grace: r.settings.grace() - 2*stopReserve,
 	}
 	e := entry.New(o, f, r.outside.Dialect, p, client, r.clock, r.meter, r.log)
-	return w.register(frontService, e, followService, dialService)
+	return w.register(frontService, e, followService, dialService, placeService)
 }
 
 func (r *Relay) addMetrics() error {
@@ -247,3 +255,14 @@
 	})
 	return r.kernel.Register(metricsService, listen.New(listen.Options{Name: "metrics", Address: address}, handler, r.log))
 }
+
+// Reload puts in force what may change of the settings while the host runs: the seeds.
+func (r *Relay) Reload(s RelaySettings) error {
+	f, err := kernel.Find[*follow.Follower](r.kernel, followService)
+	if err != nil {
+		return err
+	}
+	f.Rejoin(s.join())
+	r.log.Info("settings reloaded", "seeds", s.Seeds)
+	return nil
+}
