--- a/core/sched/cache.go
+++ b/core/sched/cache.go
@@ -18,12 +18,22 @@
 	return &cache{order: list.New(), parts: map[string]*list.Element{}}
 }
 
+// chainOf names each part of a prompt with all before it.
+func chainOf(parts []Part) []string {
+	chain := make([]string, len(parts))
+	name := ""
+	for i, p := range parts {
+		name += "/" + p.ID
+		chain[i] = name
+	}
+	return chain
+}
+
 // held returns how many tokens of the prompt need not be read: a part counts only if all parts before it are held too.
-func (c *cache) held(parts []Part) int {
-	chain, tokens := "", 0
-	for _, p := range parts {
-		chain += "/" + p.ID
-		if _, ok := c.parts[chain]; !ok {
+func (c *cache) held(chain []string, parts []Part) int {
+	tokens := 0
+	for i, p := range parts {
+		if _, ok := c.parts[chain[i]]; !ok {
 			break
 		}
 		tokens += p.Tokens
@@ -32,15 +42,13 @@
 }
 
 // add notes that the prompt has been read, and forgets what then exceeds the engine's memory.
-func (c *cache) add(parts []Part, capacity int) {
-	chain := ""
-	for _, p := range parts {
-		chain += "/" + p.ID
-		if e, ok := c.parts[chain]; ok {
+func (c *cache) add(chain []string, parts []Part, capacity int) {
+	for i, p := range parts {
+		if e, ok := c.parts[chain[i]]; ok {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.parts[chain] = c.order.PushFront(cachedPart{chain: chain, tokens: p.Tokens})
+		c.parts[chain[i]] = c.order.PushFront(cachedPart{chain: chain[i], tokens: p.Tokens})
 		c.tokens += p.Tokens
 	}
 	for c.tokens > capacity && c.order.Len() > 0 {
--- a/core/sched/endpoint.go
+++ b/core/sched/endpoint.go
@@ -54,6 +54,8 @@
 	failing estimate
 	pause   core.Millis
 	until   core.Millis
+	// retryAt is when a slow endpoint may be tried again.
+	retryAt core.Millis
 }
 
 // Join makes an endpoint known or updates it; a leaving endpoint gets nothing new.
@@ -129,13 +131,36 @@
 // rejectedPause is how long an endpoint that is full is left alone: about the time in which one of its slots comes free.
 const rejectedPause = 20 * core.Millis(1)
 
-// slowed notes that a call takes far longer than expected.
-func (e *endpoint) slowed(core.Millis) {
-	e.speed.add(slowSpeed)
+const (
+	// tooSlow times the speed of the fastest endpoint of the service is when another is used only to try it again.
+	tooSlow = 2.0
+	// slowRetry is how often a slow endpoint is tried again: its calls are far longer than others.
+	slowRetry = 3 * core.Second
+	// fullPause is how long a stage's endpoint without room is left alone: results are given up within about a call.
+	fullPause = 200 * core.Millis(1)
+	// fastest bounds the speed that is learned from a short call.
+	fastest = 0.3
+)
+
+// slowed notes that a call takes so many times as long as expected.
+func (e *endpoint) slowed(times float64) {
+	e.speed.value *= max(1, times)
+	e.retryAt = 0
+}
+
+func (e *endpoint) full(now core.Millis) {
+	e.until = max(e.until, now+fullPause)
 }
 
-// slowSpeed is the speed noted for a call that is overdue.
-const slowSpeed = 3.0
+func (svc *service) fastestSpeed(now core.Millis) float64 {
+	best := 0.0
+	for _, e := range svc.endpoints {
+		if e.usable(now) && (best == 0 || e.speed.value < best) {
+			best = e.speed.value
+		}
+	}
+	return max(fastest, best)
+}
 
 func (e *endpoint) well() {
 	e.failing.add(0)
@@ -145,7 +170,13 @@
 func (s *Scheduler) learnCall(c *call) {
 	c.at.well()
 	if c.expected > 0 {
-		c.at.speed.add(c.at.speed.value * float64(s.now-c.started) / float64(c.expected))
+		times := float64(s.now-c.started) / float64(c.expected)
+		c.at.speed.add(c.at.speed.value * times)
+		if c.at.speed.value > tooSlow {
+			// A slow endpoint that has recovered is believed at once.
+			c.at.speed.value = min(c.at.speed.value, max(1, c.at.speed.value*times))
+			c.at.retryAt = s.now + slowRetry
+		}
 	}
 }
 
@@ -240,7 +271,7 @@
 		}
 		return cost
 	}
-	unread := r.Prompt.Tokens - e.cache.held(r.Prompt.Parts)
+	unread := r.Prompt.Tokens - e.cache.held(r.chain, r.Prompt.Parts)
 	cost += e.speed.value * tokenGuess * float64(e.reading+unread)
 	cost += runningWeight * float64(e.running)
 	return cost + s.crossing(r, e)
@@ -263,8 +294,8 @@
 func (s *Scheduler) grant(svc *service, r *request, e *endpoint, cost float64) {
 	cached := 0
 	if svc.Engine != nil {
-		cached = e.cache.held(r.Prompt.Parts)
-		e.cache.add(r.Prompt.Parts, svc.Engine.CacheTokens)
+		cached = e.cache.held(r.chain, r.Prompt.Parts)
+		e.cache.add(r.chain, r.Prompt.Parts, svc.Engine.CacheTokens)
 	}
 	r.at, r.granted, r.began = e, s.now, false
 	r.reading = r.Prompt.Tokens - cached
@@ -288,7 +319,7 @@
 	}
 	best, most := core.FailureDomain(""), 0
 	for _, e := range svc.endpoints {
-		if held := e.cache.held(r.Prompt.Parts); held > most && e.usable(s.now) {
+		if held := e.cache.held(r.chain, r.Prompt.Parts); held > most && e.usable(s.now) {
 			best, most = e.FailureDomain, held
 		}
 	}
--- /dev/null
+++ b/core/sched/play_test.go
@@ -0,0 +1,463 @@
+package sched
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/conf"
+)
+
+// load is one load to play: classes of requests against services, with disturbances.
+type load struct {
+	Name    string
+	Seconds float64
+	Seed    uint64
+	// Clients come back once after a refusal, as told.
+	Services []struct {
+		conf.Service
+		Endpoints int
+		// TokensPerMs is the reading speed of engines; WorkMs the time of a plain call.
+		TokensPerMs, WorkMs float64
+	}
+	Classes []struct {
+		Name      string
+		PerSecond float64
+		Service   string
+		Priority  int
+		Aim, Left core.Millis
+		// Prompt tokens that are shared, and that are the request's own.
+		Shared, Own int
+		Things      int
+		Output      int
+		Worth, Late float64
+		Stages      []struct {
+			Service string
+			After   []int
+			Mean    float64
+			Share   float64
+			Bytes   int64
+			WorkX   float64
+		}
+	}
+	Bursts []struct {
+		Class       string
+		At, Seconds float64
+		Times       float64
+	}
+	Slow []struct {
+		Service     string
+		Count       int
+		At, Seconds float64
+		Times       float64
+	}
+	Lost []struct {
+		Service     string
+		Count       int
+		At, Seconds float64
+	}
+	// Least is the smallest share of the worth owed that must be earned, by class; from the sites' floors and marks.
+	Least map[string]float64
+	// MostFalse is the largest share of the requests that may be given up later than an eighth of their aim.
+	MostFalse float64
+}
+
+type event struct {
+	at core.Millis
+	n  int
+	f  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+type tally struct {
+	Asked, OnTime, Late, Refused, Held int
+	Owed, Earned                       float64
+}
+
+type player struct {
+	load                                load
+	rng                                 *rand.Rand
+	sched                               *Scheduler
+	now                                 core.Millis
+	queue                               events
+	n                                   int
+	seq                                 uint64
+	asks                                map[Key]*played
+	tally                               map[string]*tally
+	handle                              map[string]core.Millis
+	bytes                               map[string]int64
+	room                                map[string]int64
+	nh                                  int
+	calls, pieces, wasted, gone, noRoom int
+	busy                                map[core.EndpointID]core.Millis
+	read                                map[core.EndpointID]map[string]bool
+}
+
+type played struct {
+	class    int
+	ask      Ask
+	first    core.Millis
+	arrived  core.Millis
+	again    bool
+	finished bool
+	worth    float64
+	work     []float64
+}
+
+func (p *player) at(t core.Millis, f func()) {
+	p.n++
+	heap.Push(&p.queue, event{t, p.n, f})
+}
+
+func (p *player) factor(service string, e core.EndpointID) float64 {
+	x := 1.0
+	for _, s := range p.load.Slow {
+		for i := range s.Count {
+			if s.Service == service && e == endpointName(service, i) && p.now >= core.Millis(s.At*1000) && p.now < core.Millis((s.At+s.Seconds)*1000) {
+				x *= s.Times
+			}
+		}
+	}
+	return x
+}
+
+func endpointName(service string, i int) core.EndpointID {
+	return core.EndpointID(fmt.Sprintf("%s-%d", service, i))
+}
+
+func (p *player) lost(service string, e core.EndpointID) bool {
+	for _, s := range p.load.Lost {
+		for i := range s.Count {
+			if s.Service == service && e == endpointName(service, i) && p.now >= core.Millis(s.At*1000) && p.now < core.Millis((s.At+s.Seconds)*1000) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func play(l load) *player {
+	p := &player{
+		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(), now: 1, asks: map[Key]*played{}, tally: map[string]*tally{},
+		handle: map[string]core.Millis{}, bytes: map[string]int64{}, room: map[string]int64{},
+		busy: map[core.EndpointID]core.Millis{}, read: map[core.EndpointID]map[string]bool{},
+	}
+	var services []conf.Service
+	for _, s := range l.Services {
+		services = append(services, s.Service)
+	}
+	p.sched.Configure(p.now, services)
+	for _, s := range l.Services {
+		slots := 6
+		if s.Pieces != nil {
+			slots = s.Pieces.Slots
+		}
+		if s.Engine != nil {
+			slots = s.Engine.Slots
+		}
+		for i := range s.Endpoints {
+			p.sched.Join(p.now, Endpoint{
+				ID: endpointName(s.Name, i), Incarnation: 1, Address: string(endpointName(s.Name, i)),
+				FailureDomain: core.FailureDomain(fmt.Sprint("d", i%3)), Service: s.Name, Slots: slots,
+			}, false)
+		}
+	}
+	for i := range l.Classes {
+		p.tally[l.Classes[i].Name] = &tally{}
+		p.arrive(i, 0)
+	}
+	var tick func()
+	tick = func() {
+		p.sched.Tick(p.now)
+		if p.now < core.Millis(l.Seconds*1000)+30000 {
+			p.at(p.now+20, tick)
+		}
+	}
+	p.at(1, tick)
+	for p.queue.Len() > 0 {
+		e := heap.Pop(&p.queue).(event)
+		p.now = max(p.now, e.at)
+		e.f()
+		p.carryOut()
+	}
+	return p
+}
+
+func (p *player) arrive(i int, from float64) {
+	c := p.load.Classes[i]
+	rate := c.PerSecond
+	for _, b := range p.load.Bursts {
+		if (b.Class == c.Name || b.Class == "") && from >= b.At*1000 && from < (b.At+b.Seconds)*1000 {
+			rate *= b.Times
+		}
+	}
+	next := from - math.Log(1-p.rng.Float64())*1000/rate
+	if next > p.load.Seconds*1000 {
+		return
+	}
+	p.at(core.Millis(next), func() {
+		p.request(i)
+		p.arrive(i, next)
+	})
+}
+
+func (p *player) request(i int) {
+	c := p.load.Classes[i]
+	x := &played{class: i, first: p.now}
+	size := math.Exp(p.rng.NormFloat64()*0.8 - 0.32)
+	own := int(float64(c.Own) * size)
+	a := Ask{
+		ID: core.RequestID(fmt.Sprint(c.Name, "-", p.n)), Service: c.Service, Class: conf.Stream, Priority: c.Priority,
+		FailureDomain: core.FailureDomain(fmt.Sprint("d", p.rng.IntN(3))), Aim: c.Aim, Left: c.Left, MaxAttempts: 2, PieceKey: "k",
+	}
+	if c.Shared > 0 {
+		thing := p.rng.IntN(c.Things)
+		a.Prompt = Prompt{Tokens: c.Shared + own, Output: c.Output, Parts: []Part{
+			{fmt.Sprint(c.Name, thing%4), c.Shared / 2}, {fmt.Sprint(c.Name, "s", thing), c.Shared / 2}, {fmt.Sprint(a.ID), own},
+		}}
+	}
+	for _, s := range c.Stages {
+		n := 0
+		if s.Share == 0 || p.rng.Float64() < s.Share {
+			n = max(1, int(math.Round(s.Mean*math.Exp(p.rng.NormFloat64()*0.4-0.08))))
+		}
+		a.Stages = append(a.Stages, StageAsk{Service: s.Service, After: s.After, Pieces: n, Bytes: s.Bytes})
+		work := s.WorkX
+		if work == 0 {
+			work = 1
+		}
+		x.work = append(x.work, work)
+	}
+	x.ask, x.worth = a, c.Worth*(0.3+0.7*size)
+	t := p.tally[c.Name]
+	t.Asked++
+	t.Owed += x.worth
+	p.submit(x)
+}
+
+func (p *player) submit(x *played) {
+	p.seq++
+	x.ask.Key = Key{Host: "h", Seq: p.seq}
+	c := p.load.Classes[x.class]
+	x.ask.Aim = x.first + c.Aim - p.now
+	x.ask.Left = x.first + c.Left - p.now
+	x.arrived = p.now
+	p.asks[x.ask.Key] = x
+	p.sched.Arrive(p.now, x.ask)
+}
+
+func (p *player) carryOut() {
+	for {
+		list := p.sched.Take()
+		if len(list) == 0 {
+			return
+		}
+		for _, a := range list {
+			switch {
+			case a.Grant != nil:
+				p.grant(*a.Grant)
+			case a.Refuse != nil:
+				p.refuse(*a.Refuse)
+			case a.Call != nil:
+				p.call(*a.Call)
+			case a.Free != nil:
+				for _, h := range a.Free.Handles {
+					p.expire(h)
+				}
+			}
+		}
+	}
+}
+
+func (p *player) refuse(r Refuse) {
+	x := p.asks[r.Key]
+	c := p.load.Classes[x.class]
+	t := p.tally[c.Name]
+	if p.now-x.arrived > c.Aim/8 {
+		t.Held++
+	}
+	back := p.now + r.RetryAfter + 2
+	if x.again || back-x.first > c.Left*2/3 {
+		t.Refused++
+		return
+	}
+	x.again = true
+	p.at(back, func() { p.submit(x) })
+}
+
+func (p *player) serviceOf(name string) (i int) {
+	for i = range p.load.Services {
+		if p.load.Services[i].Name == name {
+			return i
+		}
+	}
+	return 0
+}
+
+func (p *player) grant(g Grant) {
+	x := p.asks[g.Key]
+	c := p.load.Classes[x.class]
+	s := p.load.Services[p.serviceOf(c.Service)]
+	for _, h := range g.Inputs {
+		if p.handle[h] < p.now {
+			p.gone++
+			p.at(p.now+3, func() { p.sched.Ended(p.now, g.Key, GoneInput, true) })
+			return
+		}
+	}
+	f := p.factor(c.Service, g.Endpoint)
+	if s.Engine == nil {
+		took := core.Millis(s.WorkMs * math.Exp(p.rng.NormFloat64()*0.5-0.125) * f)
+		p.at(p.now+took+3, func() { p.done(g.Key, x) })
+		return
+	}
+	held := p.read[g.Endpoint]
+	if held == nil {
+		held = map[string]bool{}
+		p.read[g.Endpoint] = held
+	}
+	unread := x.ask.Prompt.Tokens
+	for _, part := range x.ask.Prompt.Parts {
+		if !held[part.ID] {
+			break
+		}
+		unread -= part.Tokens
+	}
+	for _, part := range x.ask.Prompt.Parts {
+		held[part.ID] = true
+	}
+	start := max(p.busy[g.Endpoint], p.now)
+	end := start + core.Millis(float64(unread)/s.TokensPerMs*f)
+	p.busy[g.Endpoint] = end
+	p.at(end+25, func() { p.done(g.Key, x) })
+}
+
+func (p *player) done(key Key, x *played) {
+	p.sched.Began(p.now, key)
+	c := p.load.Classes[x.class]
+	t := p.tally[c.Name]
+	if p.now-x.first <= c.Aim {
+		t.OnTime++
+		t.Earned += x.worth
+	} else if p.now-x.first <= c.Left {
+		t.Late++
+		t.Earned += x.worth * c.Late / c.Worth
+	}
+	p.at(p.now+core.Millis(c.Output)*5, func() { p.sched.Ended(p.now, key, Served, false) })
+}
+
+func (p *player) expire(h string) {
+	if p.handle[h] > 0 {
+		e := p.owner(h)
+		p.room[e] -= p.bytes[h]
+		delete(p.handle, h)
+	}
+}
+
+func (p *player) owner(h string) string {
+	for i := range h {
+		if h[i] == '/' {
+			return h[:i]
+		}
+	}
+	return ""
+}
+
+func (p *player) call(c Call) {
+	s := p.load.Services[p.serviceOf(c.Service)]
+	p.calls++
+	p.pieces += len(c.Items)
+	if p.lost(c.Service, c.Endpoint) {
+		p.at(p.now+400, func() { p.sched.CallDone(p.now, c.Number, nil, Unreachable) })
+		return
+	}
+	took := s.Pieces.CallTime
+	results := make([]ItemResult, len(c.Items))
+	e := string(c.Endpoint)
+	for n, i := range c.Items {
+		work := 1.0
+		if x := p.asks[i.Key]; x != nil {
+			work = x.work[i.Stage]
+		}
+		took += s.Pieces.ItemTime * work
+		bad := false
+		for _, h := range i.Inputs {
+			bad = bad || p.handle[h] < p.now
+		}
+		switch {
+		case bad:
+			p.gone++
+			results[n].Reason = ItemGone
+		case p.room[e]+i.Bytes > s.Pieces.Room:
+			p.noRoom++
+			results[n].Reason = ItemNoRoom
+		default:
+			p.nh++
+			h := fmt.Sprintf("%s/%d", e, p.nh)
+			results[n].Handle = h
+			p.room[e] += i.Bytes
+			p.bytes[h] = i.Bytes
+			p.handle[h] = math.MaxInt64
+		}
+	}
+	took *= p.factor(c.Service, c.Endpoint)
+	p.at(p.now+core.Millis(took)+3, func() {
+		for _, r := range results {
+			if r.Handle != "" && p.handle[r.Handle] > 0 {
+				p.handle[r.Handle] = p.now + s.Pieces.Keep
+				h := r.Handle
+				p.at(p.now+s.Pieces.Keep+1, func() { p.expire(h) })
+			}
+		}
+		p.sched.CallDone(p.now, c.Number, results, Served)
+	})
+}
+
+func loads(t *testing.T) []load {
+	raw, err := os.ReadFile("testdata/loads.json")
+	must.NoError(t, err)
+	var list []load
+	must.NoError(t, json.Unmarshal(raw, &list))
+	return list
+}
+
+// TestLoads plays each load and holds what its clients get against the least that they must get.
+func TestLoads(t *testing.T) {
+	for _, l := range loads(t) {
+		t.Run(l.Name, func(t *testing.T) {
+			p := play(l)
+			held, asked := 0, 0
+			for _, c := range l.Classes {
+				x := p.tally[c.Name]
+				t.Logf("%-14s asked %4d on time %4d late %4d refused %4d held %4d earned %.3f",
+					c.Name, x.Asked, x.OnTime, x.Late, x.Refused, x.Held, x.Earned/x.Owed)
+				held += x.Held
+				asked += x.Asked
+				must.GreaterEq(t, l.Least[c.Name], x.Earned/x.Owed, must.Sprint(c.Name))
+			}
+			t.Logf("calls %d, %.1f pieces each, gone %d, no room %d", p.calls, float64(p.pieces)/float64(p.calls), p.gone, p.noRoom)
+			must.LessEq(t, l.MostFalse, float64(held)/float64(asked), must.Sprint("held, then given up"))
+		})
+	}
+}
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -1,6 +1,10 @@
 package sched
 
-import "cyclamenford/core"
+import (
+	"slices"
+
+	"cyclamenford/core"
+)
 
 const (
 	// typicalFill is the part of a full call that a call is planned with.
@@ -8,8 +12,58 @@
 	// leastRetryAfter and mostRetryAfter bound what a refused client is told; below, it would meet the same queue, above, its deadline.
 	leastRetryAfter = 100 * core.Millis(1)
 	mostRetryAfter  = 5 * core.Second
+	// caution is the part of the predicted time that is added to it before a request is taken on, for what arrives meanwhile.
+	caution = 0.15
+	// leastCapacity is the part of a service's capacity that is counted on for a rank, however much more urgent work arrives.
+	leastCapacity = 0.1
+	// spareWait is the backlog, in typical calls, up to which a service has room for work that will be late.
+	spareWait = 1.5
+	// rateWindow is the time over which the arrival of more urgent work is averaged, in milliseconds.
+	rateWindow = 3000.0
+	// ranks is the number of ranks whose arrivals are told apart.
+	ranks = 10
 )
 
+// flow is the arrival of pieces at a service by rank, as an average that decays.
+type flow struct {
+	pieces [ranks]float64
+	last   core.Millis
+}
+
+func (f *flow) decay(now core.Millis) {
+	passed := float64(now - f.last)
+	if passed <= 0 {
+		return
+	}
+	keep := max(0, 1-passed/rateWindow)
+	for i := range f.pieces {
+		f.pieces[i] *= keep
+	}
+	f.last = now
+}
+
+func rankOf(r *request) int { return min(ranks-1, max(0, r.Priority)) }
+
+// arrived counts the pieces of a request that was taken on.
+func (s *Scheduler) arrivedPieces(r *request) {
+	for _, st := range r.stages {
+		if svc := s.services[st.Service]; svc != nil && st.Pieces > 0 {
+			svc.flow.decay(s.now)
+			svc.flow.pieces[rankOf(r)] += float64(st.Pieces)
+		}
+	}
+}
+
+// moreUrgent is the rate, in pieces a millisecond, at which work of better ranks arrives.
+func (s *Scheduler) moreUrgent(svc *service, rank int) float64 {
+	svc.flow.decay(s.now)
+	sum := 0.0
+	for i := range rank {
+		sum += svc.flow.pieces[i]
+	}
+	return sum / rateWindow
+}
+
 // callTime is the expected time of a typical call of a stage's service.
 func (svc *service) callTime() float64 {
 	if svc == nil || svc.Pieces == nil {
@@ -18,30 +72,39 @@
 	return svc.Pieces.CallTime + typicalFill*float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
 }
 
-// rest is the expected time from the start of a stage's call to the first byte.
-func (s *Scheduler) rest(r *request, stage int) core.Millis {
-	longest := 0.0
-	var follow func(i int) float64
-	follow = func(i int) float64 {
-		own, after := s.services[r.stages[i].Service].callTime(), 0.0
-		for j := i + 1; j < len(r.stages); j++ {
-			if r.stages[j].Pieces > 0 && containsInt(r.stages[j].After, i) {
-				after = max(after, follow(j))
-			}
+// capacity is the number of pieces that the usable endpoints of a stage's service prepare in a millisecond by full calls.
+func (s *Scheduler) capacity(svc *service) float64 {
+	sum := 0.0
+	full := svc.Pieces.CallTime + float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
+	for _, e := range svc.endpoints {
+		if e.usable(s.now) {
+			sum += float64(max(1, svc.Pieces.Batch)*max(1, svc.Pieces.Slots)) / (full * max(fastest, e.speed.value))
 		}
-		return own + after
 	}
-	longest = follow(stage)
-	return core.Millis(longest) + s.firstByte(r)
+	return sum
+}
+
+// rest is the expected time from the start of a stage's call to the first byte, without waiting.
+func (s *Scheduler) rest(r *request, stage int) core.Millis {
+	return core.Millis(r.tail[stage]) + s.firstByte(r)
 }
 
-func containsInt(list []int, v int) bool {
-	for _, x := range list {
-		if x == v {
-			return true
+// tails returns for each stage the time of its call and of the longest chain of calls after it.
+func (s *Scheduler) tails(r *request) []float64 {
+	tail := make([]float64, len(r.stages))
+	for i := len(r.stages) - 1; i >= 0; i-- {
+		after := 0.0
+		for j := i + 1; j < len(r.stages); j++ {
+			if r.stages[j].Pieces > 0 && slices.Contains(r.stages[j].After, i) {
+				after = max(after, tail[j])
+			}
+		}
+		tail[i] = after
+		if r.stages[i].Pieces > 0 {
+			tail[i] += s.services[r.stages[i].Service].callTime()
 		}
 	}
-	return false
+	return tail
 }
 
 func (s *Scheduler) firstByte(r *request) core.Millis {
@@ -65,53 +128,129 @@
 	return longest
 }
 
-// predict returns the expected time from now to the first byte, counting only the work that goes before the request's own.
+// remaining is the expected time without waiting until a request's first byte.
+func (s *Scheduler) remaining(r *request) core.Millis {
+	longest := 0.0
+	for i := range r.stages {
+		if st := &r.stages[i]; st.left > 0 {
+			longest = max(longest, r.tail[i])
+		}
+	}
+	return core.Millis(longest) + s.firstByte(r)
+}
+
+// predict returns the expected time from now to the first byte.
+//
+// A stage starts once its inputs are there and the work that goes before has been done: what has been taken on of
+// the same or better ranks, and what arrives of better ranks meanwhile.
 func (s *Scheduler) predict(r *request) core.Millis {
-	total := make([]float64, len(r.stages))
+	ready := make([]float64, len(r.stages))
 	longest := 0.0
 	for i := range r.stages {
 		st := &r.stages[i]
 		start := 0.0
 		for _, a := range st.After {
-			start = max(start, total[a])
+			start = max(start, ready[a])
 		}
-		total[i] = start
+		ready[i] = start
 		if st.Pieces > 0 {
-			total[i] += s.stageWait(r, i) + s.services[st.Service].callTime()
+			svc := s.services[st.Service]
+			ready[i] = max(start, s.wait(svc, r)) + svc.callTime()
 		}
-		longest = max(longest, total[i])
+		longest = max(longest, ready[i])
 	}
 	return core.Millis(longest) + s.firstByte(r)
 }
 
-// stageWait is how long the pieces that go before a request's own will keep the endpoints of a stage busy.
-func (s *Scheduler) stageWait(r *request, stage int) float64 {
-	svc, ok := s.services[r.stages[stage].Service]
-	if !ok || svc.Pieces == nil {
+// wait is how long the work that goes before a request's own keeps a stage's service busy.
+func (s *Scheduler) wait(svc *service, r *request) float64 {
+	if svc == nil || svc.Pieces == nil {
 		return 0
 	}
-	own := s.rank(r, s.rest(r, stage))
-	ahead := 0
-	for _, g := range svc.groups {
-		if s.rank(g.request, s.rest(g.request, g.stage)) <= own {
-			ahead += len(g.pieces)
+	capacity := s.capacity(svc)
+	if capacity == 0 {
+		return svc.callTime()
+	}
+	ahead := float64(s.outstanding(svc, r.aimAt-core.Millis(r.tail0())+core.Millis(r.Priority)*rankWeight))
+	return ahead / max(leastCapacity*capacity, capacity-s.moreUrgent(svc, rankOf(r)))
+}
+
+// tail0 is the time of the longest chain of calls of a request.
+func (r *request) tail0() float64 {
+	longest := 0.0
+	for _, t := range r.tail {
+		longest = max(longest, t)
+	}
+	return longest
+}
+
+// outstanding counts the pieces that requests due before a time still need of a service.
+func (s *Scheduler) outstanding(svc *service, before core.Millis) int {
+	n := 0
+	for _, r := range s.requests {
+		if r.at != nil || r.late || r.aimAt-core.Millis(r.tail0())+core.Millis(r.Priority)*rankWeight > before {
+			continue
+		}
+		for i := range r.stages {
+			if r.stages[i].Service == svc.Name {
+				n += r.stages[i].left
+			}
 		}
 	}
-	usable := 0
-	for _, e := range svc.endpoints {
-		if e.usable(s.now) {
-			usable++
+	return n
+}
+
+// backlog is the time, in typical calls, in which a stage's service could do all that has been taken on.
+func (s *Scheduler) backlog(svc *service) float64 {
+	if svc == nil || svc.Pieces == nil {
+		return 0
+	}
+	capacity := s.capacity(svc)
+	if capacity == 0 {
+		return 0
+	}
+	n := 0
+	for _, r := range s.requests {
+		for i := range r.stages {
+			if r.stages[i].Service == svc.Name {
+				n += r.stages[i].left
+			}
 		}
 	}
-	if usable == 0 {
-		return svc.callTime()
+	return float64(n) / capacity / svc.callTime()
+}
+
+// hasSpare reports whether every service that a request still needs has room for work that will be late.
+func (s *Scheduler) hasSpare(r *request) bool {
+	for i := range r.stages {
+		if r.stages[i].left > 0 && s.backlog(s.services[r.stages[i].Service]) > spareWait {
+			return false
+		}
 	}
-	full := svc.Pieces.CallTime + float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
-	return float64(ahead) * full / float64(max(1, svc.Pieces.Batch)*usable*max(1, svc.Pieces.Slots))
+	return true
+}
+
+// admit reports whether a request is taken on, and the predicted time that decided.
+//
+// One that will be on time is; one that will be late is while there is room, since it must not delay the others.
+func (s *Scheduler) admit(r *request) (core.Millis, bool) {
+	expected := s.predict(r)
+	careful := expected + core.Millis(caution*float64(expected))
+	if careful <= r.aimAt-s.now {
+		return expected, true
+	}
+	r.late = true
+	return expected, careful <= r.deadlineAt-s.now && s.hasSpare(r)
 }
 
 // retryAfter is when a refused request is expected to be served if it comes again.
 func (s *Scheduler) retryAfter(r *request, expected core.Millis) core.Millis {
-	wait := expected - max(0, r.deadlineAt-s.now)
+	wait := expected - max(0, r.aimAt-s.now)
+	for i := range r.stages {
+		svc := s.services[r.stages[i].Service]
+		if r.stages[i].left > 0 && svc != nil {
+			wait = max(wait, core.Millis((s.backlog(svc)-spareWait)*svc.callTime()))
+		}
+	}
 	return min(mostRetryAfter, max(leastRetryAfter, wait))
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -28,6 +28,7 @@
 	groups  []*group
 	waiting []*request
 	first   estimate
+	flow    flow
 }
 
 // request is one client attempt from its arrival to the end of its last attempt at an endpoint.
@@ -47,7 +48,14 @@
 	// reading is the number of prompt tokens that the endpoint must read, held what the request occupies there.
 	reading, held int
 	remade        int
-	results       []made
+	// tail is the time of each stage's call and of the calls after it; home the failure domain that holds its prompt.
+	tail []float64
+	home core.FailureDomain
+	// chain names the prompt's parts, each with all before it.
+	chain []string
+	// late tells that the request will not be on time; it uses only what others leave.
+	late    bool
+	results []made
 	// released tells that the inputs were given up when the first byte came.
 	released bool
 }
@@ -98,10 +106,13 @@
 			r.unfinished++
 		}
 	}
-	if expected := s.predict(r); expected > a.Left {
+	r.tail, r.chain = s.tails(r), chainOf(a.Prompt.Parts)
+	r.home = s.home(r)
+	if expected, ok := s.admit(r); !ok {
 		s.refuse(r, core.ReasonDeadlineInfeasible, expected)
 		return
 	}
+	s.arrivedPieces(r)
 	s.requests[a.Key] = r
 	s.advance(r)
 	s.pump()
@@ -161,14 +172,35 @@
 	s.now = now
 	s.hurryCalls()
 	for _, r := range s.ordered() {
-		if r.at == nil && now+s.least(r) > r.deadlineAt {
+		if r.at != nil {
+			continue
+		}
+		left := s.remaining(r)
+		switch {
+		case now+s.least(r) > r.deadlineAt:
 			s.refuse(r, core.ReasonDeadlineExceeded, s.least(r))
 			s.drop(r)
+		case now+left <= r.aimAt:
+		case !r.begun() && !s.hasSpare(r):
+			s.refuse(r, core.ReasonDeadlineInfeasible, left)
+			s.drop(r)
+		default:
+			r.late = true
 		}
 	}
 	s.pump()
 }
 
+// begun reports whether a stage has worked for the request.
+func (r *request) begun() bool {
+	for i := range r.stages {
+		if r.stages[i].left < r.stages[i].Pieces {
+			return true
+		}
+	}
+	return len(r.stages) == 0 || r.attempts > 0
+}
+
 // ordered returns the requests in the order of their keys, so that equal events give equal actions.
 func (s *Scheduler) ordered() []*request {
 	list := make([]*request, 0, len(s.requests))
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"cyclamenford/core"
@@ -14,8 +15,12 @@
 	maxTries = 4
 	// rankWeight is how many milliseconds sooner the work of one rank must be due to go before the next more urgent rank; most aims are 1 to 5 s.
 	rankWeight = core.Second
+	// lateWeight puts work that will be late behind all that can be on time: more than any aim and rank.
+	lateWeight = 60 * core.Second
 	// crossWeight is the milliseconds by which a megabyte of result in another failure domain is put back: about its transfer and its price.
 	crossWeight = 20.0
+	// expiryMargin is how long before its inputs end a piece must start: a full call and the way there.
+	expiryMargin = core.Second
 	// overdueFactor times the expected time is when a call's pieces are started elsewhere as well; endpoints' own speeds differ by up to 1.3.
 	overdueFactor = 2
 	// overdueSlack is added to it for the time on the network.
@@ -30,6 +35,8 @@
 	left    int
 	handles []string
 	tries   int
+	// keptTill is when the first of its results ends.
+	keptTill core.Millis
 }
 
 func newStage(a StageAsk) stageState {
@@ -54,6 +61,21 @@
 	bytes    int64
 }
 
+// expires is when a group must start so that its inputs are still there; work that will be late is not worth it.
+func (g *group) expires(now core.Millis) core.Millis {
+	st := g.request.stages[g.stage]
+	if len(st.After) == 0 || g.request.late {
+		return math.MaxInt32 * core.Second
+	}
+	soonest := math.MaxInt32 * core.Second
+	for _, i := range st.After {
+		if before := g.request.stages[i]; before.Pieces > 0 {
+			soonest = min(soonest, before.keptTill-expiryMargin)
+		}
+	}
+	return soonest
+}
+
 func (r *request) inputsReady(after []int) bool {
 	for _, i := range after {
 		if r.stages[i].left > 0 {
@@ -108,11 +130,10 @@
 
 // rank orders work: what can still be on time goes first, by when it must start, and urgent ranks before others.
 func (s *Scheduler) rank(r *request, rest core.Millis) core.Millis {
-	start := r.aimAt - rest
-	if start < s.now {
-		start = max(s.now, r.deadlineAt-rest)
+	if r.late || r.aimAt-rest < s.now {
+		return s.now + lateWeight + r.deadlineAt - rest
 	}
-	return start + core.Millis(r.Priority)*rankWeight
+	return r.aimAt - rest + core.Millis(r.Priority)*rankWeight
 }
 
 // startCalls gives each idle endpoint of a stage's service the pieces that are due first.
@@ -141,6 +162,9 @@
 			best = e
 		}
 	}
+	if best != nil && best.speed.value > tooSlow*svc.fastestSpeed(s.now) && s.now < best.retryAt {
+		return nil
+	}
 	return best
 }
 
@@ -149,10 +173,10 @@
 	keys := make(map[*group]float64, len(svc.groups))
 	for _, g := range svc.groups {
 		key := float64(s.rank(g.request, s.rest(g.request, g.stage)))
-		if home := s.home(g.request); home != "" && home != e.FailureDomain {
+		if home := g.request.home; home != "" && home != e.FailureDomain {
 			key += crossWeight * float64(g.request.stages[g.stage].Bytes) * float64(len(g.pieces)) / megabyte
 		}
-		keys[g] = key
+		keys[g] = min(key, float64(g.expires(s.now)))
 	}
 	slices.SortStableFunc(svc.groups, func(a, b *group) int { return cmp.Compare(keys[a], keys[b]) })
 	var items []Item
@@ -225,6 +249,9 @@
 	switch {
 	case result.Handle == "":
 		c.at.bytes -= i.Bytes
+		if result.Reason == ItemNoRoom {
+			c.at.full(s.now)
+		}
 		s.pieceFailed(i, result.Reason)
 		return
 	case !wanted:
@@ -236,6 +263,9 @@
 	st.handles[i.Piece] = result.Handle
 	st.left--
 	r.note(result.Handle, c.at)
+	if kept := s.now + s.services[st.Service].Pieces.Keep; st.keptTill == 0 || kept < st.keptTill {
+		st.keptTill = kept
+	}
 	if st.left == 0 {
 		r.unfinished--
 		s.advance(r)
@@ -247,12 +277,16 @@
 	if !ok {
 		return
 	}
-	if why == ItemGone && r.remade < maxRemakes {
+	switch {
+	case why == ItemGone && (r.remade >= maxRemakes || !s.hasSpare(r)):
+		s.refuse(r, core.ReasonEndpointFailed, s.remaining(r))
+		s.drop(r)
+	case why == ItemGone:
 		r.remade++
 		s.remake(r)
-		return
+	default:
+		s.again(i, true)
 	}
-	s.again(i, why != ItemNoRoom)
 }
 
 // again queues one piece once more; counted failures are bounded.
@@ -305,7 +339,7 @@
 			continue
 		}
 		c.overdue = true
-		c.at.slowed(s.now)
+		c.at.slowed(float64(s.now-c.started) / max(1, float64(c.expected)))
 		for _, i := range c.items {
 			s.again(i, false)
 		}
