--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -8,6 +8,9 @@
 	"cyclamenford/core/conf"
 )
 
+// silentHost is how long after its deadline a request is forgotten whose host has not told its end.
+const silentHost = 2 * core.Second
+
 // Scheduler decides about all requests of a deployment; its caller passes the time with every event.
 type Scheduler struct {
 	now       core.Millis
@@ -173,10 +176,16 @@
 	s.hurryCalls()
 	for _, r := range s.ordered() {
 		if r.at != nil {
+			// The host that took the request in ends it by its deadline, or has itself ended.
+			if now > r.deadlineAt+silentHost {
+				s.drop(r)
+			}
 			continue
 		}
 		left := s.remaining(r)
 		switch {
+		case r.inputsEnded(now):
+			s.loseInputs(r)
 		case now+s.least(r) > r.deadlineAt:
 			s.refuse(r, core.ReasonDeadlineExceeded, s.least(r))
 			s.drop(r)
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -277,16 +277,46 @@
 	if !ok {
 		return
 	}
-	switch {
-	case why == ItemGone && (r.remade >= maxRemakes || !s.hasSpare(r)):
+	if why == ItemGone {
+		s.loseInputs(r)
+		return
+	}
+	s.again(i, true)
+}
+
+// inputsEnded reports whether results have ended that a waiting request still needs.
+func (r *request) inputsEnded(now core.Millis) bool {
+	for i := range r.stages {
+		st := &r.stages[i]
+		if st.keptTill > 0 && now > st.keptTill && r.needs(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// needs reports whether the results of a stage are still to be used.
+func (r *request) needs(stage int) bool {
+	if slices.Contains(r.finalStages(), stage) {
+		return true
+	}
+	for i := range r.stages {
+		if r.stages[i].left > 0 && slices.Contains(r.stages[i].After, stage) {
+			return true
+		}
+	}
+	return false
+}
+
+// loseInputs prepares a request's inputs again, or gives it up when that would delay others.
+func (s *Scheduler) loseInputs(r *request) {
+	if r.remade >= maxRemakes || !s.hasSpare(r) {
 		s.refuse(r, core.ReasonEndpointFailed, s.remaining(r))
 		s.drop(r)
-	case why == ItemGone:
-		r.remade++
-		s.remake(r)
-	default:
-		s.again(i, true)
+		return
 	}
+	r.remade++
+	s.remake(r)
 }
 
 // again queues one piece once more; counted failures are bounded.
--- a/io/entry/events.go
+++ b/io/entry/events.go
@@ -65,6 +65,16 @@
 	defer cancel()
 	var located keeper.Located
 	if err := e.peers.Call(ctx, e.control.Leader(), assign.Service+".Tell", assign.EventsArgs{Events: list}, &located); err != nil {
-		e.log.Warn("events not told", "events", len(list), "err", err)
+		e.log.Warn("events not told yet", "events", len(list), "err", err)
+		e.putBack(list)
+	}
+}
+
+// putBack keeps events for the next call; the scheduler takes those that it has already seen for nothing new.
+func (e *events) putBack(list []assign.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(list)+len(e.list) < maxEvents {
+		e.list = append(list, e.list...)
 	}
 }
