--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -19,8 +19,15 @@
 	lateWeight = 60 * core.Second
 	// crossWeight is the milliseconds by which a megabyte of result in another failure domain is put back: about its transfer and its price.
 	crossWeight = 20.0
+	// tooEarly is the order of a group that need not start yet.
+	tooEarly = math.MaxInt64 / 4
+	// earlyBytes is the size from which results are not made early, and earlyMargin by how many milliseconds they may be.
+	earlyBytes  = 200_000
+	earlyMargin = 50.0
 	// expiryMargin is how long before its inputs end a piece must start: a full call and the way there.
 	expiryMargin = core.Second
+	// speedWeight is the milliseconds that an endpoint of twice the usual time is put back: about a call.
+	speedWeight = 250.0
 	// overdueFactor times the expected time is when a call's pieces are started elsewhere as well; endpoints' own speeds differ by up to 1.3.
 	overdueFactor = 2
 	// overdueSlack is added to it for the time on the network.
@@ -61,16 +68,16 @@
 	bytes    int64
 }
 
-// expires is when a group must start so that its inputs are still there; work that will be late is not worth it.
-func (g *group) expires(now core.Millis) core.Millis {
-	st := g.request.stages[g.stage]
-	if len(st.After) == 0 || g.request.late {
-		return math.MaxInt32 * core.Second
-	}
+// expires is when a group must start so that no result of its request ends before it is used; work that will be late
+// is not worth it.
+func (g *group) expires() core.Millis {
 	soonest := math.MaxInt32 * core.Second
-	for _, i := range st.After {
-		if before := g.request.stages[i]; before.Pieces > 0 {
-			soonest = min(soonest, before.keptTill-expiryMargin)
+	if g.request.late {
+		return soonest
+	}
+	for i := range g.request.stages {
+		if st := &g.request.stages[i]; st.keptTill > 0 && g.request.needs(i) {
+			soonest = min(soonest, st.keptTill-expiryMargin)
 		}
 	}
 	return soonest
@@ -139,11 +146,17 @@
 // startCalls gives each idle endpoint of a stage's service the pieces that are due first.
 func (s *Scheduler) startCalls(svc *service) {
 	for len(svc.groups) > 0 {
-		e := s.idlest(svc)
-		if e == nil {
+		idle := s.idle(svc)
+		if len(idle) == 0 {
+			return
+		}
+		keys := s.keys(svc)
+		first := slices.MinFunc(svc.groups, func(a, b *group) int { return cmp.Compare(keys[a], keys[b]) })
+		if keys[first] >= tooEarly {
 			return
 		}
-		items, bytes := s.fill(svc, e)
+		e := nearest(idle, first)
+		items, bytes := s.fill(svc, e, keys)
 		if len(items) == 0 {
 			return
 		}
@@ -151,38 +164,76 @@
 	}
 }
 
-// idlest returns the fastest endpoint that can start a call now, or nil.
-func (s *Scheduler) idlest(svc *service) *endpoint {
-	var best *endpoint
+// idle returns the endpoints that can start a call now; one that is too slow only when it is due to be tried again.
+func (s *Scheduler) idle(svc *service) []*endpoint {
+	var list []*endpoint
+	slow := tooSlow * svc.fastestSpeed(s.now)
 	for _, e := range svc.endpoints {
 		if e.calls >= max(1, svc.Pieces.Slots) || !e.usable(s.now) || e.room(svc) <= 0 {
 			continue
 		}
-		if best == nil || e.speed.value < best.speed.value {
-			best = e
+		if e.speed.value > slow && s.now < e.retryAt {
+			continue
 		}
+		list = append(list, e)
 	}
-	if best != nil && best.speed.value > tooSlow*svc.fastestSpeed(s.now) && s.now < best.retryAt {
-		return nil
+	return list
+}
+
+// nearest returns the endpoint at which a group's results are made fastest, counting their way to another failure domain.
+func nearest(idle []*endpoint, g *group) *endpoint {
+	return slices.MinFunc(idle, func(a, b *endpoint) int {
+		return cmp.Compare(a.speed.value*speedWeight+g.crossing(a), b.speed.value*speedWeight+g.crossing(b))
+	})
+}
+
+// crossing is the milliseconds that a group's results are put back for leaving their failure domain.
+func (g *group) crossing(e *endpoint) float64 {
+	if home := g.request.home; home == "" || home == e.FailureDomain {
+		return 0
 	}
-	return best
+	return crossWeight * float64(g.request.stages[g.stage].Bytes) * float64(len(g.pieces)) / megabyte
 }
 
-// fill takes the most urgent pieces out of the queue, as many as a call and the endpoint's room hold.
-func (s *Scheduler) fill(svc *service, e *endpoint) ([]Item, int64) {
+// keys orders the groups of a service, the smallest first.
+func (s *Scheduler) keys(svc *service) map[*group]float64 {
 	keys := make(map[*group]float64, len(svc.groups))
 	for _, g := range svc.groups {
-		key := float64(s.rank(g.request, s.rest(g.request, g.stage)))
-		if home := g.request.home; home != "" && home != e.FailureDomain {
-			key += crossWeight * float64(g.request.stages[g.stage].Bytes) * float64(len(g.pieces)) / megabyte
+		keys[g] = float64(min(s.rank(g.request, s.rest(g.request, g.stage)), g.expires()))
+		if g.early() {
+			keys[g] = tooEarly
 		}
-		keys[g] = min(key, float64(g.expires(s.now)))
 	}
-	slices.SortStableFunc(svc.groups, func(a, b *group) int { return cmp.Compare(keys[a], keys[b]) })
+	return keys
+}
+
+// early reports whether a group's results would only wait for those of the request's other stages, and take up room.
+func (g *group) early() bool {
+	r := g.request
+	if r.stages[g.stage].Bytes < earlyBytes {
+		return false
+	}
+	others := 0.0
+	for i := range r.stages {
+		if i != g.stage && r.stages[i].left > 0 {
+			others = max(others, r.tail[i])
+		}
+	}
+	return others > r.tail[g.stage]+earlyMargin
+}
+
+// fill takes the most urgent pieces out of the queue, as many as a call and the endpoint's room hold.
+func (s *Scheduler) fill(svc *service, e *endpoint, keys map[*group]float64) ([]Item, int64) {
+	slices.SortStableFunc(svc.groups, func(a, b *group) int {
+		return cmp.Compare(keys[a]+a.crossing(e), keys[b]+b.crossing(e))
+	})
 	var items []Item
 	var bytes int64
 	room := e.room(svc)
 	for _, g := range svc.groups {
+		if keys[g] >= tooEarly {
+			continue
+		}
 		size := g.request.stages[g.stage].Bytes
 		for len(g.pieces) > 0 && len(items) < max(1, svc.Pieces.Batch) && (bytes+size <= room || len(items) == 0) {
 			items = append(items, s.item(g.request, g.stage, g.pieces[0]))
