--- a/core/sched/handles.go
+++ b/core/sched/handles.go
@@ -26,23 +26,41 @@
 
 // release frees all results that were made for a request.
 func (s *Scheduler) release(r *request) {
+	for i := range r.stages {
+		s.freeStage(r, i)
+	}
+	r.results, r.released = nil, true
+}
+
+// freeUsed frees the results that a finished stage was the last to use.
+func (s *Scheduler) freeUsed(r *request, finished int) {
+	final := r.finalStages()
+	for _, a := range r.stages[finished].After {
+		if r.stages[a].left == 0 && !slices.Contains(final, a) && !r.needs(a) {
+			s.freeStage(r, a)
+		}
+	}
+}
+
+// freeStage frees the results of one stage.
+func (s *Scheduler) freeStage(r *request, stage int) {
+	st := &r.stages[stage]
 	byMaker := map[*endpoint][]string{}
 	var makers []*endpoint
-	for i := range r.stages {
-		st := &r.stages[i]
-		for _, h := range st.handles {
-			if m, ok := r.maker(h); ok && h != "" {
-				if byMaker[m] == nil {
-					makers = append(makers, m)
-				}
-				byMaker[m] = append(byMaker[m], h)
-				m.bytes -= st.Bytes
-			}
+	for _, h := range st.handles {
+		m, ok := r.maker(h)
+		if h == "" || !ok {
+			continue
+		}
+		if byMaker[m] == nil {
+			makers = append(makers, m)
 		}
+		byMaker[m] = append(byMaker[m], h)
+		m.bytes -= st.Bytes
 	}
+	r.results = slices.DeleteFunc(r.results, func(m made) bool { return slices.Contains(st.handles, m.handle) })
 	slices.SortFunc(makers, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, m := range makers {
 		s.out = append(s.out, Action{Free: &Free{Address: m.Address, Handles: byMaker[m]}})
 	}
-	r.results, r.released = nil, true
 }
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"testing"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"cyclamenford/core"
@@ -454,10 +455,10 @@
 					c.Name, x.Asked, x.OnTime, x.Late, x.Refused, x.Held, x.Earned/x.Owed)
 				held += x.Held
 				asked += x.Asked
-				must.GreaterEq(t, l.Least[c.Name], x.Earned/x.Owed, must.Sprint(c.Name))
+				test.GreaterEq(t, l.Least[c.Name], x.Earned/x.Owed, test.Sprint(c.Name))
 			}
 			t.Logf("calls %d, %.1f pieces each, gone %d, no room %d", p.calls, float64(p.pieces)/float64(p.calls), p.gone, p.noRoom)
-			must.LessEq(t, l.MostFalse, float64(held)/float64(asked), must.Sprint("held, then given up"))
+			test.LessEq(t, l.MostFalse, float64(held)/float64(asked), test.Sprint("held, then given up"))
 		})
 	}
 }
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -319,6 +319,7 @@
 	}
 	if st.left == 0 {
 		r.unfinished--
+		s.freeUsed(r, i.Stage)
 		s.advance(r)
 	}
 }
