--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -8,6 +8,9 @@
 	"cyclamenford/core/conf"
 )
 
+// lateShare of the expected time left must fit before the aim for a request to count as on time: calls may be faster.
+const lateShare = 0.8
+
 // silentHost is how long after its deadline a request is forgotten whose host has not told its end.
 const silentHost = 2 * core.Second
 
@@ -189,7 +192,7 @@
 		case now+s.least(r) > r.deadlineAt:
 			s.refuse(r, core.ReasonDeadlineExceeded, s.least(r))
 			s.drop(r)
-		case now+left <= r.aimAt:
+		case now+core.Millis(lateShare*float64(left)) <= r.aimAt:
 		case !r.begun() && !s.hasSpare(r):
 			s.refuse(r, core.ReasonDeadlineInfeasible, left)
 			s.drop(r)
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -287,6 +287,9 @@
 	} else {
 		c.at.bytes -= c.bytes
 		c.at.failed(now, how)
+		if how == OtherEndpoint {
+			c.at.leaving = true
+		}
 		for _, i := range c.items {
 			s.again(i, how != Rejected)
 		}
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -100,9 +100,15 @@
 		a.carryOut()
 		return nil
 	}
-	if a.roster.take(now, args, a.leader.Image().Retired) == stale {
+	s, replaced := a.roster.take(now, args, a.leader.Image().Retired)
+	if s == stale {
+		a.log.Debug("announcement ignored: its life has ended or a later one came", "endpoint", args.Endpoint.ID, "seq", args.Seq)
 		return nil
 	}
+	for _, id := range replaced {
+		a.log.Info("endpoint replaced at its address", "endpoint", id, "address", args.Endpoint.Address, "by", args.Endpoint.ID)
+		a.sched.Part(now, id)
+	}
 	a.sched.Join(now, args.Endpoint, args.Leaving)
 	a.carryOut()
 	return nil
--- a/io/assign/roster.go
+++ b/io/assign/roster.go
@@ -35,27 +35,34 @@
 }
 
 // take orders an announcement by the endpoint's life and its sequence number, against the lives that have ended.
-func (r *roster) take(now core.Millis, a Announcement, retired map[core.EndpointID]state.Retirement) standing {
+//
+// It also returns the endpoints whose address the announcing one has taken over.
+func (r *roster) take(now core.Millis, a Announcement, retired map[core.EndpointID]state.Retirement) (standing, []core.EndpointID) {
 	e := a.Endpoint
 	if ended, ok := retired[e.ID]; ok && ended.Incarnation >= e.Incarnation && !a.Leaving {
-		return stale
+		return stale, nil
 	}
 	known, ok := r.known[e.ID]
 	if ok && (known.Endpoint.Incarnation > e.Incarnation ||
 		known.Endpoint.Incarnation == e.Incarnation && known.Seq >= a.Seq) {
-		return stale
+		return stale, nil
 	}
+	var replaced []core.EndpointID
 	for id, other := range r.known {
 		if id == e.ID || other.Endpoint.Address != e.Address {
 			continue
 		}
 		if other.Endpoint.Incarnation > e.Incarnation {
-			return stale
+			return stale, nil
 		}
+		replaced = append(replaced, id)
+	}
+	slices.Sort(replaced)
+	for _, id := range replaced {
 		delete(r.known, id)
 	}
 	r.known[e.ID] = entry{Announcement: a, heard: now}
-	return current
+	return current, replaced
 }
 
 // lapsed removes and returns the endpoints that have been silent for too long.
@@ -84,7 +91,10 @@
 func (r *roster) adopt(now core.Millis, list []Known, retired map[core.EndpointID]state.Retirement) []Announcement {
 	var taken []Announcement
 	for _, k := range list {
-		if k.Age < r.silence && r.take(now, k.Announcement, retired) == current {
+		if k.Age >= r.silence {
+			continue
+		}
+		if s, _ := r.take(now, k.Announcement, retired); s == current {
 			e := r.known[k.Announcement.Endpoint.ID]
 			e.heard = now - k.Age
 			r.known[k.Announcement.Endpoint.ID] = e
--- /dev/null
+++ b/io/assign/roster_test.go
@@ -0,0 +1,61 @@
+package assign
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/sched"
+	"cyclamenford/core/state"
+)
+
+// TestRoster plays announcements in the order in which they arrive and checks which endpoints are known afterwards.
+func TestRoster(t *testing.T) {
+	raw, err := os.ReadFile("testdata/rosters.json")
+	must.NoError(t, err)
+	var cases []struct {
+		Name    string
+		Retired map[core.EndpointID]core.Incarnation
+		Heard   []struct {
+			ID      core.EndpointID
+			Born    core.Incarnation
+			Seq     uint64
+			Address string
+			Leaving bool
+			Stale   bool
+		}
+		Known []core.EndpointID
+	}
+	must.NoError(t, json.Unmarshal(raw, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			retired := map[core.EndpointID]state.Retirement{}
+			for id, life := range c.Retired {
+				retired[id] = state.Retirement{Incarnation: life}
+			}
+			r := newRoster(core.Second)
+			for i, h := range c.Heard {
+				a := Announcement{
+					Endpoint: sched.Endpoint{ID: h.ID, Incarnation: h.Born, Address: h.Address}, Seq: h.Seq, Leaving: h.Leaving,
+				}
+				s, _ := r.take(core.Millis(i), a, retired)
+				must.Eq(t, h.Stale, s == stale, must.Sprintf("announcement %d", i))
+			}
+			var known []core.EndpointID
+			for _, k := range r.list(0) {
+				known = append(known, k.Announcement.Endpoint.ID)
+			}
+			must.Eq(t, c.Known, known)
+		})
+	}
+}
+
+func TestAnEndpointAtATakenAddressIsReplaced(t *testing.T) {
+	r := newRoster(core.Second)
+	r.take(1, Announcement{Endpoint: sched.Endpoint{ID: "old", Incarnation: 1, Address: "a"}, Seq: 1}, nil)
+	_, replaced := r.take(2, Announcement{Endpoint: sched.Endpoint{ID: "new", Incarnation: 2, Address: "a"}, Seq: 1}, nil)
+	must.Eq(t, []core.EndpointID{"old"}, replaced)
+}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -22,7 +22,9 @@
 	// followWait is how long the leader may hold a call that has no news; a shorter one finds a lost leader sooner.
 	followWait = 300 * core.Millis(1)
 	// followTimeout leaves a lost packet time to be sent again.
-	followTimeout = 800 * time.Millisecond
+	followTimeout = 600 * time.Millisecond
+	// searchTimeout is many round trips; a keeper that does not answer by then is not worth waiting for.
+	searchTimeout = 200 * time.Millisecond
 	callTimeout   = 2 * time.Second
 	retryPause    = 50 * time.Millisecond
 	endedPause    = time.Second
@@ -149,13 +151,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	err := f.client.Call(callCtx, address, keeper.ControlService+".Follow", args, reply)
-	if err != nil {
-		f.locator.failed(address, "")
-		pause(ctx, retryPause)
-		return
-	}
-	if !reply.Leading {
+	if err != nil || !reply.Leading {
+		f.log.Debug("leader not reached", "address", address, "err", err)
 		f.locator.failed(address, reply.LeaderAddress)
+		f.search(ctx)
 		pause(ctx, retryPause)
 		return
 	}
@@ -171,6 +170,35 @@
 	}
 }
 
+// search asks every known keeper at once who leads, since the next one in turn may be as silent as the last.
+func (f *Follower) search(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	addresses := f.locator.all()
+	leads := make(chan string, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var reply keeper.Located
+			err := f.client.Call(ctx, address, keeper.ControlService+".Locate", keeper.LocateArgs{}, &reply)
+			if err != nil || !reply.Leading {
+				address = ""
+			}
+			leads <- address
+		}()
+	}
+	for range addresses {
+		select {
+		case address := <-leads:
+			if address != "" {
+				f.locator.found(address)
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // apply takes in changes, and only then renews the serving lease.
 func (f *Follower) apply(reply keeper.FollowReply, sent core.Millis) error {
 	f.mu.Lock()
--- a/io/follow/locator.go
+++ b/io/follow/locator.go
@@ -54,6 +54,13 @@
 	return l.address()
 }
 
+// all returns every address at which a keeper may answer.
+func (l *locator) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.known)
+}
+
 // rejoin replaces the addresses through which the keepers are found.
 func (l *locator) rejoin(join []string) {
 	l.mu.Lock()
--- a/io/keeper/serve.go
+++ b/io/keeper/serve.go
@@ -40,6 +40,12 @@
 	return nil
 }
 
+// Locate tells whether this keeper leads, or where the leader is.
+func (c *controlCalls) Locate(_ LocateArgs, reply *Located) error {
+	*reply = c.k.locate()
+	return nil
+}
+
 // Propose commits a command if this keeper leads.
 func (c *controlCalls) Propose(args ProposeArgs, reply *ProposeReply) error {
 	located := c.k.locate()
--- a/io/keeper/wire.go
+++ b/io/keeper/wire.go
@@ -37,6 +37,9 @@
 // Where returns the located part of a reply.
 func (l Located) Where() Located { return l }
 
+// LocateArgs asks for the leader.
+type LocateArgs struct{}
+
 // ProposeArgs carries a command to the leader.
 type ProposeArgs struct {
 	Command []byte
