--- a/io/logs/writer.go
+++ b/io/logs/writer.go
@@ -25,6 +25,8 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+	// told is when the dropped lines were last reported.
+	told core.Millis
 
 	mu     sync.Mutex
 	budget float64
@@ -67,6 +69,14 @@
 	return true
 }
 
+// share is the number out of shares of the requests whose lines are kept: all while half of the budget is left.
+func (w *Writer) share() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	filled := w.budget / (w.rate * burstSeconds)
+	return uint64(shares * min(1, max(0, 2*filled)))
+}
+
 // Dropped returns the number of lines that were not written.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
@@ -82,14 +92,26 @@
 		if line == nil {
 			return
 		}
-		if n := w.dropped.Swap(0); n > 0 {
-			line = append(fmt.Appendf(nil, "{\"msg\":\"log lines dropped\",\"lines\":%d}\n", n), line...)
-		}
+		line = append(w.droppedLine(), line...)
 		// A log that cannot be written has nowhere to report to.
 		_, _ = w.out.Write(line)
 	}
 }
 
+// droppedLine says how many lines were dropped since it last did, once a second at most.
+func (w *Writer) droppedLine() []byte {
+	now := w.clock.Now()
+	if now-w.told < core.Second {
+		return nil
+	}
+	n := w.dropped.Swap(0)
+	if n == 0 {
+		return nil
+	}
+	w.told = now
+	return fmt.Appendf(nil, "{\"msg\":\"log lines dropped\",\"lines\":%d,\"kept_share\":%.2f}\n", n, float64(w.share())/shares)
+}
+
 // Stop writes what is queued, until ctx ends.
 func (w *Writer) Stop(ctx context.Context) error {
 	select {
