--- /dev/null
+++ b/core/sched/budget.go
@@ -0,0 +1,54 @@
+package sched
+
+import "cyclamenford/core"
+
+// buckets is the number of parts of the window in which repeats are counted.
+const buckets = 20
+
+// budget bounds how many requests of a service are sent to a second endpoint, in any window.
+type budget struct {
+	requests, repeats [buckets]int
+	last              int64
+}
+
+// Retries says how many repeats a service may get: Ratio for each request in Window, and Slack.
+type Retries struct {
+	Ratio  float64
+	Slack  float64
+	Window core.Millis
+}
+
+// safeShare is the part of the allowed repeats that one leader uses: the next one may begin within the same window.
+const safeShare = 0.45
+
+// move forgets the buckets that have left the window and returns the present one.
+func (b *budget) move(now core.Millis, window core.Millis) int {
+	at := int64(now) * buckets / max(1, int64(window))
+	for b.last < at {
+		b.last++
+		if at-b.last > buckets {
+			b.last = at - buckets
+		}
+		b.requests[b.last%buckets], b.repeats[b.last%buckets] = 0, 0
+	}
+	return int(at % buckets)
+}
+
+func (b *budget) first(now core.Millis, r Retries) {
+	b.requests[b.move(now, r.Window)]++
+}
+
+// spend takes one repeat and reports whether it was allowed.
+func (b *budget) spend(now core.Millis, r Retries) bool {
+	at := b.move(now, r.Window)
+	requests, repeats := 0, 0
+	for i := range buckets {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+	if float64(repeats+1) > safeShare*(r.Ratio*float64(requests)+r.Slack) {
+		return false
+	}
+	b.repeats[at]++
+	return true
+}
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -160,7 +160,7 @@
 
 func play(l load) *player {
 	p := &player{
-		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(), now: 1, asks: map[Key]*played{}, tally: map[string]*tally{},
+		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(Retries{Ratio: 0.2, Slack: 56, Window: 10 * core.Second}), now: 1, asks: map[Key]*played{}, tally: map[string]*tally{},
 		handle: map[string]core.Millis{}, bytes: map[string]int64{}, room: map[string]int64{},
 		busy: map[core.EndpointID]core.Millis{}, read: map[core.EndpointID]map[string]bool{},
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -16,6 +16,7 @@
 
 // Scheduler decides about all requests of a deployment; its caller passes the time with every event.
 type Scheduler struct {
+	retries   Retries
 	now       core.Millis
 	services  map[string]*service
 	endpoints map[core.EndpointID]*endpoint
@@ -35,6 +36,7 @@
 	waiting []*request
 	first   estimate
 	flow    flow
+	budget  budget
 }
 
 // request is one client attempt from its arrival to the end of its last attempt at an endpoint.
@@ -67,8 +69,9 @@
 }
 
 // New returns a scheduler that knows no service and no endpoint.
-func New() *Scheduler {
+func New(r Retries) *Scheduler {
 	return &Scheduler{
+		retries:  r,
 		services: map[string]*service{}, endpoints: map[core.EndpointID]*endpoint{},
 		requests: map[Key]*request{}, calls: map[uint64]*call{},
 	}
@@ -251,6 +254,13 @@
 		s.drop(r)
 		return
 	}
+	if r.attempts == 0 {
+		svc.budget.first(s.now, s.retries)
+	} else if !svc.budget.spend(s.now, s.retries) {
+		s.refuse(r, core.ReasonRetryBudget, 0)
+		s.drop(r)
+		return
+	}
 	svc.waiting = append(svc.waiting, r)
 }
 
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -46,6 +46,8 @@
 type Options struct {
 	// AnnounceEvery is how often endpoints announce themselves.
 	AnnounceEvery core.Millis
+	// Retries bounds the repeats of each service.
+	Retries sched.Retries
 }
 
 // Assigner is the scheduler's shell on one keeper; it decides while the keeper leads.
@@ -83,7 +85,7 @@
 }
 
 func (a *Assigner) reset() {
-	a.sched = sched.New()
+	a.sched = sched.New(a.options.Retries)
 	a.roster = newRoster(a.options.AnnounceEvery * silentBeats)
 	for _, w := range a.waiting {
 		close(w)
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -11,6 +11,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/kernel"
 	"cyclamenford/core/quorum"
+	"cyclamenford/core/sched"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
 	"cyclamenford/io/assign"
@@ -197,7 +198,10 @@
 	if w.err != nil {
 		return w.err
 	}
-	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs}
+	retries := r.settings.Retries
+	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs, Retries: sched.Retries{
+		Ratio: retries.Ratio, Slack: retries.Slack, Window: core.Millis(retries.WindowSeconds * float64(core.Second)),
+	}}
 	a := assign.New(o, k, client, r.outside.Dialect, p, r.clock, r.meter, r.log)
 	if err := a.Register(server); err != nil {
 		return err
--- a/setup/relay_settings.go
+++ b/setup/relay_settings.go
@@ -29,6 +29,7 @@
 	GraceSeconds float64
 	// RotationMs is how long the balancer may send new clients to a host that says it is not ready.
 	RotationMs core.Millis
+	Retries    RetrySettings
 	// MemoryMb is the memory that the process may use.
 	MemoryMb int
 	Keys     struct {
@@ -39,6 +40,12 @@
 	Log     RelayLogSettings
 }
 
+// RetrySettings bound the repeats that a service gets from all hosts together.
+type RetrySettings struct {
+	// Ratio is the repeats allowed for each request, and Slack those allowed besides, in any WindowSeconds.
+	Ratio, Slack, WindowSeconds float64
+}
+
 // RelayListeners are the addresses, as IP:PORT, on which a host answers; those that its role lacks are empty.
 type RelayListeners struct {
 	// Clients takes requests, Ready the balancer's questions.
@@ -66,6 +73,8 @@
 		// A few times the usual period of announcements would forget endpoints whose announcement is late.
 		AnnounceEveryMs: core.Second,
 		Keepers:         Defaults().Keepers,
+		// Few enough that repeats never double the load of a service in trouble.
+		Retries: RetrySettings{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
 		// About 150 lines a second.
 		Log: RelayLogSettings{Level: "Info", BytesPerSecond: 48 << 10},
 	}
@@ -102,6 +111,8 @@
 	c.want(s.FaultTolerance >= 0 && s.FaultTolerance <= 3, "FaultTolerance", s.FaultTolerance, "0 to 3")
 	c.span("AnnounceEveryMs", s.AnnounceEveryMs, 10, maxHour)
 	c.want(s.GraceSeconds >= 1, "GraceSeconds", s.GraceSeconds, "1 or more")
+	c.want(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "Retries", s.Retries, "0 or more")
+	c.want(s.Retries.WindowSeconds > 0, "Retries.WindowSeconds", s.Retries.WindowSeconds, "more than 0")
 	_, known := logLevels[s.Log.Level]
 	c.want(known, "Log.Level", s.Log.Level, "Debug, Info, Warn or Error")
 	return errors.Join(c.errs...)
