--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -18,6 +18,8 @@
 	leastCapacity = 0.1
 	// spareWait is the backlog, in typical calls, up to which a service has room for work that will be late.
 	spareWait = 0.8
+	// leastDrain is the part of a service's capacity that a backlog is expected to shrink with, at least.
+	leastDrain = 0.1
 	// rateWindow is the time over which the arrival of more urgent work is averaged, in milliseconds.
 	rateWindow = 3000.0
 	// ranks is the number of ranks whose arrivals are told apart.
@@ -243,13 +245,18 @@
 	return expected, careful <= r.deadlineAt-s.now && s.hasSpare(r)
 }
 
-// retryAfter is when a refused request is expected to be served if it comes again.
+// retryAfter is when a refused request is expected to be served if it comes again: once the backlog is gone at the rate
+// that arrivals leave.
 func (s *Scheduler) retryAfter(r *request, expected core.Millis) core.Millis {
 	wait := expected - max(0, r.aimAt-s.now)
 	for i := range r.stages {
 		svc := s.services[r.stages[i].Service]
-		if r.stages[i].left > 0 && svc != nil {
-			wait = max(wait, core.Millis((s.backlog(svc)-spareWait)*svc.callTime()))
+		if r.stages[i].left == 0 || svc == nil || svc.Pieces == nil {
+			continue
+		}
+		over := (s.backlog(svc) - spareWait) * svc.callTime()
+		if capacity := s.capacity(svc); over > 0 && capacity > 0 {
+			wait = max(wait, core.Millis(over/max(leastDrain, 1-s.moreUrgent(svc, ranks)/capacity)))
 		}
 	}
 	return min(mostRetryAfter, max(leastRetryAfter, wait))
