--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -13,7 +13,7 @@
 	leastRetryAfter = 100 * core.Millis(1)
 	mostRetryAfter  = 5 * core.Second
 	// caution is the part of the predicted time that is added to it before a request is taken on, for what arrives meanwhile.
-	caution = 0.2
+	caution = 0.35
 	// leastCapacity is the part of a service's capacity that is counted on for a rank, however much more urgent work arrives.
 	leastCapacity = 0.1
 	// spareWait is the backlog, in typical calls, up to which a service has room for work that will be late.
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -155,7 +155,7 @@
 		if keys[first] >= tooEarly {
 			return
 		}
-		e := nearest(idle, first)
+		e := nearest(idle, first, s.wantedRoom(svc, keys))
 		items, bytes := s.fill(svc, e, keys)
 		if len(items) == 0 {
 			return
@@ -180,11 +180,27 @@
 	return list
 }
 
-// nearest returns the endpoint at which a group's results are made fastest, counting their way to another failure domain.
-func nearest(idle []*endpoint, g *group) *endpoint {
-	return slices.MinFunc(idle, func(a, b *endpoint) int {
-		return cmp.Compare(a.speed.value*speedWeight+g.crossing(a), b.speed.value*speedWeight+g.crossing(b))
-	})
+// wantedRoom is the bytes that the results of a call take up which holds all that waits, or as much as a call may hold.
+func (s *Scheduler) wantedRoom(svc *service, keys map[*group]float64) int64 {
+	left, bytes := max(1, svc.Pieces.Batch), int64(0)
+	for _, g := range svc.groups {
+		if keys[g] < tooEarly {
+			n := min(left, len(g.pieces))
+			bytes += int64(n) * g.request.stages[g.stage].Bytes
+			left -= n
+		}
+	}
+	return max(1, bytes)
+}
+
+// nearest returns the endpoint at which a group's results are made fastest, counting their way to another failure domain
+// and the room that a full call lacks.
+func nearest(idle []*endpoint, g *group, wanted int64) *endpoint {
+	cost := func(e *endpoint) float64 {
+		lacking := max(0, 1-float64(e.room(e.service))/float64(wanted))
+		return speedWeight*(e.speed.value+lacking) + g.crossing(e)
+	}
+	return slices.MinFunc(idle, func(a, b *endpoint) int { return cmp.Compare(cost(a), cost(b)) })
 }
 
 // crossing is the milliseconds that a group's results are put back for leaving their failure domain.
