--- a/core/sched/endpoint.go
+++ b/core/sched/endpoint.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"cyclamenford/core"
-	"cyclamenford/core/conf"
 )
 
 const (
@@ -327,12 +326,3 @@
 	}
 	return best
 }
-
-// ServiceOf returns the class of work of an endpoint's service, if the configuration knows it.
-func (s *Scheduler) ServiceOf(id core.EndpointID) (conf.Service, bool) {
-	e, ok := s.endpoints[id]
-	if !ok || e.service == nil {
-		return conf.Service{}, false
-	}
-	return e.service.Service, true
-}
--- /dev/null
+++ b/core/sched/script_test.go
@@ -0,0 +1,102 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/conf"
+)
+
+// step is one event of a script and the actions that must follow it.
+type step struct {
+	At core.Millis
+	// Do names the event; the other fields belong to it.
+	Do       string
+	Endpoint Endpoint
+	Leaving  bool
+	Request  uint64
+	Ask      Ask
+	Call     uint64
+	Results  []ItemResult
+	How      Ending
+	Again    bool
+	Want     []string
+}
+
+// TestScripts plays events and compares what the scheduler decides, written as text.
+func TestScripts(t *testing.T) {
+	raw, err := os.ReadFile("testdata/scripts.json")
+	must.NoError(t, err)
+	var file struct {
+		Services []conf.Service
+		Scripts  []struct {
+			Name  string
+			Steps []step
+		}
+	}
+	must.NoError(t, json.Unmarshal(raw, &file))
+	for _, script := range file.Scripts {
+		t.Run(script.Name, func(t *testing.T) {
+			s := New(Retries{Ratio: 0.2, Slack: 10, Window: 10 * core.Second})
+			s.Configure(1, file.Services)
+			for i, x := range script.Steps {
+				x.do(t, s)
+				must.Eq(t, x.Want, describe(s.Take()), must.Sprintf("step %d", i))
+			}
+		})
+	}
+}
+
+func (x step) do(t *testing.T, s *Scheduler) {
+	key := Key{Host: "h", Seq: x.Request}
+	switch x.Do {
+	case "Join":
+		s.Join(x.At, x.Endpoint, x.Leaving)
+	case "Part":
+		s.Part(x.At, x.Endpoint.ID)
+	case "Arrive":
+		x.Ask.Key = key
+		x.Ask.ID = core.RequestID(fmt.Sprint("r", x.Request))
+		s.Arrive(x.At, x.Ask)
+	case "CallDone":
+		s.CallDone(x.At, x.Call, x.Results, x.How)
+	case "Began":
+		s.Began(x.At, key)
+	case "Ended":
+		s.Ended(x.At, key, x.How, x.Again)
+	case "Leave":
+		s.Leave(x.At, key)
+	case "Tick":
+		s.Tick(x.At)
+	default:
+		t.Fatalf("unknown event %q", x.Do)
+	}
+}
+
+func describe(actions []Action) []string {
+	var list []string
+	for _, a := range actions {
+		switch {
+		case a.Grant != nil:
+			list = append(list, fmt.Sprintf("grant %s at %s attempt %d inputs %s",
+				a.Grant.ID, a.Grant.Endpoint, a.Grant.Attempt, strings.Join(a.Grant.Inputs, ",")))
+		case a.Refuse != nil:
+			list = append(list, fmt.Sprintf("refuse %s %s", a.Refuse.ID, a.Refuse.Reason))
+		case a.Call != nil:
+			var items []string
+			for _, i := range a.Call.Items {
+				items = append(items, fmt.Sprintf("%s/%d/%d", i.ID, i.Stage, i.Piece))
+			}
+			list = append(list, fmt.Sprintf("call %d at %s %s", a.Call.Number, a.Call.Endpoint, strings.Join(items, " ")))
+		case a.Free != nil:
+			list = append(list, fmt.Sprintf("free at %s %s", a.Free.Address, strings.Join(a.Free.Handles, ",")))
+		}
+	}
+	return list
+}
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"cyclamenford/core"
-	"cyclamenford/core/conf"
 	"cyclamenford/core/sched"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
@@ -265,10 +264,3 @@
 	}
 	return sched.Broken
 }
-
-// Known returns the service of an endpoint in the configuration in force, for callers that need its kind.
-func (a *Assigner) Known(id core.EndpointID) (conf.Service, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.sched.ServiceOf(id)
-}
