--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -66,18 +66,23 @@
 	return sum / rateWindow
 }
 
+// itemTime is the observed time of a piece; routes differ in the work that their pieces make.
+func (svc *service) itemTime() float64 {
+	return svc.Pieces.ItemTime * svc.item.value
+}
+
 // callTime is the expected time of a typical call of a stage's service.
 func (svc *service) callTime() float64 {
 	if svc == nil || svc.Pieces == nil {
 		return 0
 	}
-	return svc.Pieces.CallTime + typicalFill*float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
+	return svc.Pieces.CallTime + typicalFill*float64(svc.Pieces.Batch)*svc.itemTime()
 }
 
 // capacity is the number of pieces that the usable endpoints of a stage's service prepare in a millisecond by full calls.
 func (s *Scheduler) capacity(svc *service) float64 {
 	sum := 0.0
-	full := svc.Pieces.CallTime + float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
+	full := svc.Pieces.CallTime + float64(svc.Pieces.Batch)*svc.itemTime()
 	for _, e := range svc.endpoints {
 		if e.usable(s.now) {
 			sum += float64(max(1, svc.Pieces.Batch)*max(1, svc.Pieces.Slots)) / (full * max(fastest, e.speed.value))
@@ -186,7 +191,7 @@
 	return longest
 }
 
-// outstanding counts the pieces that requests due before a time still need of a service.
+// outstanding counts the pieces that requests due before a time still need of a service and that no call works on.
 func (s *Scheduler) outstanding(svc *service, before core.Millis) int {
 	n := 0
 	for _, r := range s.requests {
@@ -195,7 +200,7 @@
 		}
 		for i := range r.stages {
 			if r.stages[i].Service == svc.Name {
-				n += r.stages[i].left
+				n += max(0, r.stages[i].left-r.stages[i].calling)
 			}
 		}
 	}
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -40,6 +40,8 @@
 	StageAsk
 	started bool
 	left    int
+	// calling counts the pieces that a call in progress works on.
+	calling int
 	handles []string
 	tries   int
 	// keptTill is when the first of its results ends.
@@ -64,8 +66,10 @@
 	items    []Item
 	started  core.Millis
 	expected core.Millis
-	overdue  bool
-	bytes    int64
+	// overdueAt is when the pieces are started elsewhere as well.
+	overdueAt core.Millis
+	overdue   bool
+	bytes     int64
 }
 
 // expires is when a group must start so that no result of its request ends before it is used; work that will be late
@@ -167,12 +171,11 @@
 // idle returns the endpoints that can start a call now; one that is too slow only when it is due to be tried again.
 func (s *Scheduler) idle(svc *service) []*endpoint {
 	var list []*endpoint
-	slow := tooSlow * svc.fastestSpeed(s.now)
 	for _, e := range svc.endpoints {
 		if e.calls >= max(1, svc.Pieces.Slots) || !e.usable(s.now) || e.room(svc) <= 0 {
 			continue
 		}
-		if e.speed.value > slow && s.now < e.retryAt {
+		if e.slow(svc, s.now) && s.now < e.retryAt {
 			continue
 		}
 		list = append(list, e)
@@ -243,6 +246,12 @@
 	slices.SortStableFunc(svc.groups, func(a, b *group) int {
 		return cmp.Compare(keys[a]+a.crossing(e), keys[b]+b.crossing(e))
 	})
+	most := max(1, svc.Pieces.Batch)
+	if e.slow(svc, s.now) {
+		// A trial of a slow endpoint must not hold up what is urgent.
+		most = 1
+		slices.Reverse(svc.groups)
+	}
 	var items []Item
 	var bytes int64
 	room := e.room(svc)
@@ -251,7 +260,7 @@
 			continue
 		}
 		size := g.request.stages[g.stage].Bytes
-		for len(g.pieces) > 0 && len(items) < max(1, svc.Pieces.Batch) && (bytes+size <= room || len(items) == 0) {
+		for len(g.pieces) > 0 && len(items) < most && (bytes+size <= room || len(items) == 0) {
 			items = append(items, s.item(g.request, g.stage, g.pieces[0]))
 			g.pieces = g.pieces[1:]
 			bytes += size
@@ -276,8 +285,13 @@
 
 func (s *Scheduler) startCall(svc *service, e *endpoint, items []Item, bytes int64) {
 	s.lastCall++
-	expected := core.Millis(e.speed.value * (svc.Pieces.CallTime + float64(len(items))*svc.Pieces.ItemTime))
+	usual := svc.Pieces.CallTime + float64(len(items))*svc.itemTime()
+	for _, i := range items {
+		s.requests[i.Key].stages[i.Stage].calling++
+	}
+	expected := core.Millis(e.speed.value * usual)
 	c := &call{number: s.lastCall, at: e, items: items, started: s.now, expected: expected, bytes: bytes}
+	c.overdueAt = s.now + core.Millis(overdueFactor*usual*min(tooSlow, e.speed.value)) + overdueSlack
 	s.calls[c.number] = c
 	e.calls++
 	e.bytes += bytes
@@ -295,6 +309,11 @@
 	}
 	delete(s.calls, number)
 	c.at.calls--
+	for _, i := range c.items {
+		if r, ok := s.requests[i.Key]; ok && r.stages[i.Stage].calling > 0 {
+			r.stages[i.Stage].calling--
+		}
+	}
 	if how == Served && len(results) == len(c.items) {
 		s.learnCall(c)
 		for i, r := range results {
@@ -436,7 +455,7 @@
 func (s *Scheduler) hurryCalls() {
 	for _, number := range s.callNumbers() {
 		c := s.calls[number]
-		if c.overdue || s.now-c.started < c.expected*overdueFactor+overdueSlack {
+		if c.overdue || s.now < c.overdueAt {
 			continue
 		}
 		c.overdue = true
