--- a/core/sched/endpoint.go
+++ b/core/sched/endpoint.go
@@ -139,9 +139,6 @@
 	slowRetry = 3 * core.Second
 	// fullPause is how long a stage's endpoint without room is left alone: results are given up within about a call.
 	fullPause = 200 * core.Millis(1)
-	// leastItem and mostItem bound what one call teaches of the time of a piece.
-	leastItem = 0.2
-	mostItem  = 2.0
 	// fastest bounds the speed that is learned from a short call.
 	fastest = 0.3
 )
@@ -180,10 +177,6 @@
 	c.at.well()
 	if c.expected > 0 {
 		times := float64(s.now-c.started) / float64(c.expected)
-		if svc := c.at.service; svc != nil && svc.Pieces != nil && !c.overdue {
-			took := float64(s.now-c.started)/c.at.speed.value - svc.Pieces.CallTime
-			svc.item.add(min(mostItem, max(leastItem, took/(float64(len(c.items))*svc.Pieces.ItemTime))))
-		}
 		c.at.speed.add(c.at.speed.value * times)
 		if c.at.speed.value > tooSlow {
 			// A slow endpoint that has recovered is believed at once.
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -12,8 +12,9 @@
 	// leastRetryAfter and mostRetryAfter bound what a refused client is told; below, it would meet the same queue, above, its deadline.
 	leastRetryAfter = 100 * core.Millis(1)
 	mostRetryAfter  = 5 * core.Second
-	// caution is the part of the predicted time that is added to it before a request is taken on, for what arrives meanwhile.
-	caution = 0.35
+	// caution is the part of the predicted time that is added to it for each rank, from the first, before a request is taken
+	// on: the less urgent it is, the more of what arrives meanwhile goes before it.
+	caution = 0.15
 	// leastCapacity is the part of a service's capacity that is counted on for a rank, however much more urgent work arrives.
 	leastCapacity = 0.1
 	// spareWait is the backlog, in typical calls, up to which a service has room for work that will be late.
@@ -66,23 +67,18 @@
 	return sum / rateWindow
 }
 
-// itemTime is the observed time of a piece; routes differ in the work that their pieces make.
-func (svc *service) itemTime() float64 {
-	return svc.Pieces.ItemTime * svc.item.value
-}
-
 // callTime is the expected time of a typical call of a stage's service.
 func (svc *service) callTime() float64 {
 	if svc == nil || svc.Pieces == nil {
 		return 0
 	}
-	return svc.Pieces.CallTime + typicalFill*float64(svc.Pieces.Batch)*svc.itemTime()
+	return svc.Pieces.CallTime + typicalFill*float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
 }
 
 // capacity is the number of pieces that the usable endpoints of a stage's service prepare in a millisecond by full calls.
 func (s *Scheduler) capacity(svc *service) float64 {
 	sum := 0.0
-	full := svc.Pieces.CallTime + float64(svc.Pieces.Batch)*svc.itemTime()
+	full := svc.Pieces.CallTime + float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
 	for _, e := range svc.endpoints {
 		if e.usable(s.now) {
 			sum += float64(max(1, svc.Pieces.Batch)*max(1, svc.Pieces.Slots)) / (full * max(fastest, e.speed.value))
@@ -191,7 +187,7 @@
 	return longest
 }
 
-// outstanding counts the pieces that requests due before a time still need of a service and that no call works on.
+// outstanding counts the pieces that requests due before a time still need of a service
 func (s *Scheduler) outstanding(svc *service, before core.Millis) int {
 	n := 0
 	for _, r := range s.requests {
@@ -200,7 +196,7 @@
 		}
 		for i := range r.stages {
 			if r.stages[i].Service == svc.Name {
-				n += max(0, r.stages[i].left-r.stages[i].calling)
+				n += r.stages[i].left
 			}
 		}
 	}
@@ -242,7 +238,7 @@
 // One that will be on time is; one that will be late is while there is room, since it must not delay the others.
 func (s *Scheduler) admit(r *request) (core.Millis, bool) {
 	expected := s.predict(r)
-	careful := expected + core.Millis(caution*float64(expected))
+	careful := expected + core.Millis(caution*float64(1+rankOf(r))*float64(expected))
 	if careful <= r.aimAt-s.now {
 		return expected, true
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -37,8 +37,6 @@
 	first   estimate
 	flow    flow
 	budget  budget
-	// item is the observed time of a piece against the configured one.
-	item estimate
 }
 
 // request is one client attempt from its arrival to the end of its last attempt at an endpoint.
@@ -92,7 +90,7 @@
 	for _, c := range services {
 		known, ok := s.services[c.Name]
 		if !ok {
-			known = &service{first: estimate{value: firstByteGuess}, item: estimate{value: 1}}
+			known = &service{first: estimate{value: firstByteGuess}}
 			s.services[c.Name] = known
 		}
 		known.Service = c
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -40,8 +40,6 @@
 	StageAsk
 	started bool
 	left    int
-	// calling counts the pieces that a call in progress works on.
-	calling int
 	handles []string
 	tries   int
 	// keptTill is when the first of its results ends.
@@ -285,10 +283,7 @@
 
 func (s *Scheduler) startCall(svc *service, e *endpoint, items []Item, bytes int64) {
 	s.lastCall++
-	usual := svc.Pieces.CallTime + float64(len(items))*svc.itemTime()
-	for _, i := range items {
-		s.requests[i.Key].stages[i.Stage].calling++
-	}
+	usual := svc.Pieces.CallTime + float64(len(items))*svc.Pieces.ItemTime
 	expected := core.Millis(e.speed.value * usual)
 	c := &call{number: s.lastCall, at: e, items: items, started: s.now, expected: expected, bytes: bytes}
 	c.overdueAt = s.now + core.Millis(overdueFactor*usual*min(tooSlow, e.speed.value)) + overdueSlack
@@ -309,11 +304,6 @@
 	}
 	delete(s.calls, number)
 	c.at.calls--
-	for _, i := range c.items {
-		if r, ok := s.requests[i.Key]; ok && r.stages[i.Stage].calling > 0 {
-			r.stages[i.Stage].calling--
-		}
-	}
 	if how == Served && len(results) == len(c.items) {
 		s.learnCall(c)
 		for i, r := range results {
