--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -12,9 +12,11 @@
 	// leastRetryAfter and mostRetryAfter bound what a refused client is told; below, it would meet the same queue, above, its deadline.
 	leastRetryAfter = 100 * core.Millis(1)
 	mostRetryAfter  = 5 * core.Second
-	// caution is the part of the predicted time that is added to it for each rank, from the first, before a request is taken
+	// caution is the part of the predicted waiting that is added to it for each rank, from the first, before a request is taken
 	// on: the less urgent it is, the more of what arrives meanwhile goes before it.
-	caution = 0.15
+	caution = 0.7
+	// spread is the part of the predicted time by which requests commonly take longer.
+	spread = 0.1
 	// leastCapacity is the part of a service's capacity that is counted on for a rank, however much more urgent work arrives.
 	leastCapacity = 0.1
 	// spareWait is the backlog, in typical calls, up to which a service has room for work that will be late.
@@ -238,7 +240,8 @@
 // One that will be on time is; one that will be late is while there is room, since it must not delay the others.
 func (s *Scheduler) admit(r *request) (core.Millis, bool) {
 	expected := s.predict(r)
-	careful := expected + core.Millis(caution*float64(1+rankOf(r))*float64(expected))
+	waiting := expected - core.Millis(r.tail0()) - s.firstByte(r)
+	careful := expected + core.Millis(caution*float64(1+rankOf(r))*float64(waiting)) + core.Millis(spread*float64(expected))
 	if careful <= r.aimAt-s.now {
 		return expected, true
 	}
