--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -97,33 +97,32 @@
 }
 
 type player struct {
-	load                                load
-	rng                                 *rand.Rand
-	sched                               *Scheduler
-	now                                 core.Millis
-	queue                               events
-	n                                   int
-	seq                                 uint64
-	asks                                map[Key]*played
-	tally                               map[string]*tally
-	handle                              map[string]core.Millis
-	bytes                               map[string]int64
-	room                                map[string]int64
-	nh                                  int
-	calls, pieces, wasted, gone, noRoom int
-	busy                                map[core.EndpointID]core.Millis
-	read                                map[core.EndpointID]map[string]bool
+	load                        load
+	rng                         *rand.Rand
+	sched                       *Scheduler
+	now                         core.Millis
+	queue                       events
+	n                           int
+	seq                         uint64
+	asks                        map[Key]*played
+	tally                       map[string]*tally
+	handle                      map[string]core.Millis
+	bytes                       map[string]int64
+	room                        map[string]int64
+	nh                          int
+	calls, pieces, gone, noRoom int
+	busy                        map[core.EndpointID]core.Millis
+	read                        map[core.EndpointID]map[string]bool
 }
 
 type played struct {
-	class    int
-	ask      Ask
-	first    core.Millis
-	arrived  core.Millis
-	again    bool
-	finished bool
-	worth    float64
-	work     []float64
+	class   int
+	ask     Ask
+	first   core.Millis
+	arrived core.Millis
+	again   bool
+	worth   float64
+	work    []float64
 }
 
 func (p *player) at(t core.Millis, f func()) {
--- a/io/keeper/found.go
+++ b/io/keeper/found.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -82,7 +83,7 @@
 				k.log.Debug("keeper not met", "address", address, "err", err)
 				return
 			}
-			k.contacts.introduce(MeetArgs{Member: reply.Member, Address: address, Known: reply.Known})
+			k.contacts.introduce(MeetArgs{Member: reply.Member, Known: reply.Known})
 			mu.Lock()
 			defer mu.Unlock()
 			founded = founded || reply.Founded
@@ -92,11 +93,21 @@
 	return founded
 }
 
+// foundsDeployment reports whether this keeper is the first founding one, by its name or, where names are not known
+// beforehand, by its address.
+func (k *Keeper) foundsDeployment() bool {
+	if len(k.options.Founding) == 0 {
+		return false
+	}
+	first := k.options.Founding[0]
+	return first.ID == k.options.Host || first.ID == "" && first.Address == k.options.Address
+}
+
 // foundingVoters returns the voters of a new deployment once enough empty disks have been met.
 //
 // A set smaller than wanted must still leave a majority as large as that of the wanted one.
 func (k *Keeper) foundingVoters(began core.Millis) ([]quorum.Member, bool) {
-	if len(k.options.Founding) == 0 || k.options.Founding[0].Address != k.options.Address || k.store.Identity().Founded {
+	if !k.foundsDeployment() || k.store.Identity().Founded {
 		return nil, false
 	}
 	wanted := max(k.options.Voters, len(k.options.Founding))
@@ -106,20 +117,16 @@
 	if !enough {
 		return nil, false
 	}
-	listed := map[string]bool{}
-	for _, a := range k.options.Founding {
-		listed[a.Address] = true
-	}
-	voters := slices.SortedFunc(maps.Keys(met), func(a, b quorum.Member) int {
-		switch {
-		case listed[met[a]] && !listed[met[b]]:
-			return -1
-		case !listed[met[a]] && listed[met[b]]:
-			return 1
-		case a < b:
-			return -1
+	listed := func(m quorum.Member) int {
+		for _, a := range k.options.Founding {
+			if a.ID == m.Host() || a.Address == met[m] {
+				return 0
+			}
 		}
 		return 1
+	}
+	voters := slices.SortedFunc(maps.Keys(met), func(a, b quorum.Member) int {
+		return cmp.Or(cmp.Compare(listed(a), listed(b)), cmp.Compare(a, b))
 	})
 	voters = voters[:min(wanted, len(voters))]
 	slices.Sort(voters)
