--- a/core/sched/endpoint.go
+++ b/core/sched/endpoint.go
@@ -23,8 +23,6 @@
 	runningWeight = 1.0
 	// loadWeight is the milliseconds that a fully taken plain endpoint is put back: a typical call.
 	loadWeight = 60.0
-	// roomShare is the part of a stage endpoint's room that is planned for, since sizes are approximate.
-	roomShare = 1.0
 	// memoryShare is the part of an engine's memory that is planned for, which leaves room for output longer than expected.
 	memoryShare = 0.9
 )
@@ -115,7 +113,7 @@
 
 // room is the bytes that results of new calls may take up.
 func (e *endpoint) room(svc *service) int64 {
-	return int64(roomShare*float64(svc.Pieces.Room)) - e.bytes
+	return svc.Pieces.Room - e.bytes
 }
 
 // failed leaves an endpoint alone for a while, longer with each failure in a row.
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -49,7 +49,7 @@
 
 func rankOf(r *request) int { return min(ranks-1, max(0, r.Priority)) }
 
-// arrived counts the pieces of a request that was taken on.
+// arrivedPieces counts the pieces of a request that was taken on.
 func (s *Scheduler) arrivedPieces(r *request) {
 	for _, st := range r.stages {
 		if svc := s.services[st.Service]; svc != nil && st.Pieces > 0 {
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -74,6 +74,8 @@
 		s.Leave(x.At, key)
 	case "Tick":
 		s.Tick(x.At)
+	case "Plain":
+		s.Configure(x.At, []conf.Service{{Name: "first"}, {Name: "second"}, {Name: "engine"}})
 	default:
 		t.Fatalf("unknown event %q", x.Do)
 	}
--- a/core/sched/stage.go
+++ b/core/sched/stage.go
@@ -342,8 +342,9 @@
 	st.handles[i.Piece] = result.Handle
 	st.left--
 	r.note(result.Handle, c.at)
-	if kept := s.now + s.services[st.Service].Pieces.Keep; st.keptTill == 0 || kept < st.keptTill {
-		st.keptTill = kept
+	// A configuration may have turned the service into one without stages meanwhile.
+	if svc := s.services[st.Service]; svc.Pieces != nil && (st.keptTill == 0 || s.now+svc.Pieces.Keep < st.keptTill) {
+		st.keptTill = s.now + svc.Pieces.Keep
 	}
 	if st.left == 0 {
 		r.unfinished--
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -80,7 +79,6 @@
 	seq      atomic.Uint64
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
-	inFlight loop.Tally
 }
 
 // New returns an entry that is not listening yet.
@@ -148,6 +146,7 @@
 	}
 }
 
+// adopt puts a configuration in force unless it is not newer than the present one.
 func (e *Entry) adopt(c state.Config) {
 	present := e.table.Load()
 	if c.Version == 0 || present != nil && present.Config().Version >= c.Version {
@@ -174,5 +173,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-func (e *Entry) String() string { return fmt.Sprintf("entry %s", e.options.Host) }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -54,8 +54,6 @@
 
 func (e *Entry) serve(w http.ResponseWriter, hr *http.Request) {
 	arrived := e.clock.Now()
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
