--- a/bench/refs/refs.go
+++ b/bench/refs/refs.go
@@ -23,6 +23,9 @@
 	{"A host's settings file", "setup/settings.go", []string{
 		"Settings", "HostSettings", "Listeners", "FoundingKeeper", "KeeperSettings", "Keys", "TLS", "CallerSettings", "LogSettings", "TraceSettings",
 	}},
+	{"A relay host's settings file", "setup/relay_settings.go", []string{
+		"RelaySettings", "RelayListeners", "RetrySettings", "RelayLogSettings",
+	}},
 	{"Certificate files", "io/certs/certs.go", []string{"Files"}},
 	{"The settings tree: Platform and Teams/NAME", "core/tree/types.go", []string{
 		"Platform", "PriorityShare", "Pipeline", "Stage", "Plain", "Call", "Team", "Key", "Limits",
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -64,3 +64,24 @@
 	must.NoError(t, c.Call(context.Background(), address, "Echo.Say", "again", &reply))
 	must.Eq(t, "again", reply)
 }
+
+func TestASilentHostHoldsNoSecondCallerUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { must.NoError(t, l.Close()) }()
+	c := NewClient([]byte("the right key"), nil, nil)
+	first := make(chan error, 1)
+	go func() {
+		var reply string
+		first <- c.Call(context.Background(), l.Addr().String(), "Echo.Say", "x", &reply)
+	}()
+	// The first caller now waits for the silent host's part of the handshake.
+	raw, err := l.Accept()
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var reply string
+	must.ErrorIs(t, c.Call(ctx, l.Addr().String(), "Echo.Say", "x", &reply), context.Canceled)
+	must.NoError(t, raw.Close())
+	must.ErrorIs(t, <-first, ErrNotSent)
+}
