--- a/bench/drill/access.go
+++ b/bench/drill/access.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
 
 	"cyclamenford/bench/site"
+	"cyclamenford/core"
+	"cyclamenford/io/caller"
 	"cyclamenford/io/oper"
 )
 
@@ -31,3 +36,28 @@
 func (x *Drill) AwaitReady(ctx context.Context) error {
 	return x.awaitReady(ctx)
 }
+
+// Probe waits until a request of each kind completes, as it must once everything has healed.
+func (x *Drill) Probe(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	p := x.plan()
+	for name, q := range map[string]caller.Request{
+		"stream": {Path: "/v1/pipelines/" + p.pipeline, Stream: true, Body: []byte(`{"Prompt":"probe"}`)},
+		"whole":  {Path: "/v1/pipelines/" + p.pipeline, Body: []byte(`{"Prompt":"probe"}`)},
+		"call":   {Path: "/v1/services/" + p.service, Body: []byte(`{"Order":0}`)},
+	} {
+		q.Key, q.DeadlineMs = x.deployment.Keys[p.team], core.Millis(requestLimit.Milliseconds())
+		if err := poll(ctx, "a "+name+" to complete", func() bool {
+			q.IdempotencyKey = ""
+			if name == "call" {
+				q.IdempotencyKey = caller.NewKey(core.Millis(time.Now().UnixMilli()), fmt.Sprintf("probe-%x", rand.Uint64()))
+			}
+			r, err := x.callers.Do(ctx, x.callerHosts(0), q)
+			return err == nil && r.Outcome == core.Completed
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/bench/drill/checks.go
+++ b/bench/drill/checks.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"cyclamenford/bench/stand"
@@ -16,6 +17,11 @@
 
 func idOf(name string) core.EndpointID { return core.EndpointID(name) }
 
+// CheckRunning holds what must be true at any moment of a run.
+func CheckRunning(r *Record, expected func(body []byte) (string, error)) []string {
+	return slices.Concat(CheckAnswers(r, expected), CheckNotRun(r), CheckOnce(r), CheckLeft(r), r.Failures)
+}
+
 // CheckAnswers holds that each completed answer is whole and belongs to its own request.
 func CheckAnswers(r *Record, expected func(body []byte) (string, error)) []string {
 	var broken []string
--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"cyclamenford/bench/proxy"
@@ -37,6 +38,8 @@
 	record     *Record
 	options    map[core.EndpointID]stand.Options
 	marks      map[core.EndpointID]int64
+	// background are the restarts that still wait for a process to end.
+	background sync.WaitGroup
 }
 
 // New prepares the processes of a script; binary is the built program and folder holds files and logs.
@@ -46,17 +49,22 @@
 		return nil, fmt.Errorf("unknown deployment %q", s.Deployment)
 	}
 	if s.Hosts > 0 {
-		d.Hosts = d.Hosts[:s.Hosts]
+		d = d.WithHosts(s.Hosts)
 	}
 	x := &Drill{
 		script: s, deployment: d, callers: caller.New(nil), record: NewRecord(),
 		options: map[core.EndpointID]stand.Options{}, marks: map[core.EndpointID]int64{},
 	}
 	x.network = proxy.New(x.partyOf)
-	x.network.Set(proxy.Link{}, proxy.Rule{Delay: time.Duration(d.OneWayMs * float64(time.Millisecond))})
+	x.delayAll()
 	return x, x.prepareHosts(binary, folder)
 }
 
+// delayAll gives every link the deployment's own delay.
+func (x *Drill) delayAll() {
+	x.network.Set(proxy.Link{}, proxy.Rule{Delay: time.Duration(x.deployment.OneWayMs * float64(time.Millisecond))})
+}
+
 func hostIP(n int) string { return fmt.Sprintf("127.0.0.%d", firstHostByte+n) }
 
 func (x *Drill) partyOf(ip string) string {
@@ -237,6 +245,7 @@
 
 // Close ends everything.
 func (x *Drill) Close() {
+	x.background.Wait()
 	for _, p := range x.processes {
 		if p.running() {
 			p.kill()
--- a/bench/drill/load.go
+++ b/bench/drill/load.go
@@ -178,6 +178,10 @@
 func (x *Drill) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
 	defer cancel()
+	x.background.Wait()
+	for _, p := range x.processes {
+		x.record.fail(p.unasked())
+	}
 	if err := x.awaitReady(ctx); err != nil {
 		return err
 	}
--- a/bench/drill/record.go
+++ b/bench/drill/record.go
@@ -1,6 +1,8 @@
 package drill
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,8 @@
 	// NewWork counts, for endpoints that have left, the runs begun after their mark.
 	NewWork map[core.EndpointID]int64
 	leader  int
+	// Failures tells of hosts that did not end when asked to, or ended unasked.
+	Failures []string
 }
 
 // NewRecord returns an empty record.
@@ -89,28 +93,56 @@
 	r.CrashTimes = append(r.CrashTimes, time.Since(r.began).Round(time.Millisecond))
 }
 
+func (r *Record) fail(err error) {
+	if err == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Failures = append(r.Failures, err.Error())
+}
+
 func (r *Record) lose(host string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Lost[host] = true
 }
 
-// Record returns what was seen, with the endpoints' counts.
+// Record returns a copy of what was seen until now, with the endpoints' counts.
 func (x *Drill) Record() *Record {
+	// The counts are read last, so that they hold every run that a reply tells of.
+	r := x.record.copied()
 	for _, s := range x.allStands() {
 		for key, n := range s.Runs() {
-			x.record.Effects[key] += n
+			r.Effects[key] += n
 		}
 		for id, n := range s.Seen() {
-			x.record.Seen[id] += n
+			r.Seen[id] += n
 		}
 	}
-	for id, before := range x.marks {
+	for id, before := range x.markedStarts() {
 		if s, err := x.stand(string(id)); err == nil {
-			x.record.NewWork[id] = s.Started() - before
+			r.NewWork[id] = s.Started() - before
 		}
 	}
-	return x.record
+	return r
+}
+
+func (r *Record) copied() *Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := NewRecord()
+	c.Answers, c.Calls, c.Changes = slices.Clone(r.Answers), slices.Clone(r.Calls), slices.Clone(r.Changes)
+	c.History, c.Versions = slices.Clone(r.History), slices.Clone(r.Versions)
+	c.Lost, c.Crashes, c.CrashTimes = maps.Clone(r.Lost), maps.Clone(r.Crashes), slices.Clone(r.CrashTimes)
+	c.leader, c.began, c.Failures = r.leader, r.began, slices.Clone(r.Failures)
+	return c
+}
+
+func (x *Drill) markedStarts() map[core.EndpointID]int64 {
+	x.record.mu.Lock()
+	defer x.record.mu.Unlock()
+	return maps.Clone(x.marks)
 }
 
 // Expected returns the text that the deployment's pipeline must give for a body.
--- a/bench/drill/script.go
+++ b/bench/drill/script.go
@@ -17,6 +17,8 @@
 	Load  Load
 	RunMs core.Millis
 	Steps []Step
+	// Overlapping leaves out the steps that need a running host where an earlier step has ended it, and the reverse.
+	Overlapping bool
 }
 
 // Load is the number of background workers of each kind.
@@ -51,4 +53,6 @@
 	CutAfter    int
 	LoseAnswers bool
 	Refuse      bool
+	// DelayMs is added to all data from and to a host, for the action Delay.
+	DelayMs core.Millis
 }
--- a/bench/drill/steps.go
+++ b/bench/drill/steps.go
@@ -49,6 +49,15 @@
 		}
 		return x.processes[n].awaitEnd(endLimit)
 	},
+	"Restart": func(_ context.Context, x *Drill, _ Step, n int) error {
+		p := x.processes[n]
+		if err := p.signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		x.background.Go(func() { x.record.fail(p.restart(endLimit)) })
+		return nil
+	},
+	"Tear": func(_ context.Context, x *Drill, _ Step, n int) error { return x.processes[n].tear() },
 	"Wipe": func(_ context.Context, x *Drill, _ Step, n int) error { return x.processes[n].wipe() },
 	"Isolate": func(_ context.Context, x *Drill, s Step, n int) error {
 		x.isolate(string(x.deployment.Hosts[n].ID))
@@ -68,6 +77,18 @@
 		x.network.Lift(proxy.Link{To: id})
 		return nil
 	},
+	"HealAll": func(_ context.Context, x *Drill, _ Step, _ int) error {
+		x.network.LiftAll()
+		x.delayAll()
+		for _, p := range x.processes {
+			if p.running() {
+				if err := p.signal(syscall.SIGCONT); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	},
 	"IsolateDomain": func(_ context.Context, x *Drill, s Step, _ int) error {
 		x.splitDomain(s, func(l proxy.Link) { x.network.Set(l, proxy.Rule{Hold: true}) })
 		return nil
@@ -76,6 +97,16 @@
 		x.splitDomain(s, x.network.Lift)
 		return nil
 	},
+	"Delay": func(_ context.Context, x *Drill, s Step, n int) error {
+		id := string(x.deployment.Hosts[n].ID)
+		x.network.Set(proxy.Link{From: id}, proxy.Rule{Delay: s.DelayMs.Duration()})
+		x.network.Set(proxy.Link{To: id}, proxy.Rule{Delay: s.DelayMs.Duration()})
+		return nil
+	},
+	"CutHost": func(_ context.Context, x *Drill, _ Step, n int) error {
+		x.network.Cut(string(x.deployment.Hosts[n].ID), "")
+		return nil
+	},
 	"CutConnections": func(_ context.Context, x *Drill, _ Step, _ int) error {
 		x.network.Cut("", "")
 		return nil
@@ -116,11 +147,19 @@
 		if err != nil {
 			return err
 		}
+		x.record.mu.Lock()
+		defer x.record.mu.Unlock()
 		x.marks[server.ID()] = server.Started()
 		return nil
 	},
 }
 
+// needsProcess tells of the steps for one host whether its process must run or must have ended.
+var needsProcess = map[string]bool{
+	"Kill": true, "Freeze": true, "Thaw": true, "Restart": true, "Terminate": true,
+	"Start": false, "Wipe": false, "Tear": false,
+}
+
 // do carries out one step.
 func (x *Drill) do(ctx context.Context, s Step) error {
 	a, ok := actions[s.Do]
@@ -135,6 +174,9 @@
 		}
 		n = number
 	}
+	if running, matters := needsProcess[s.Do]; matters && x.script.Overlapping && running != x.processes[n].running() {
+		return nil
+	}
 	if err := a(ctx, x, s, n); err != nil {
 		return fmt.Errorf("%s %s%s: %w", s.Do, s.Host, s.Endpoint, err)
 	}
--- a/bench/site/deploy.go
+++ b/bench/site/deploy.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"fmt"
+
 	"cyclamenford/core"
 	"cyclamenford/core/tree"
 	"cyclamenford/io/dial"
@@ -189,6 +191,18 @@
 	return Deployment{}, false
 }
 
+// WithHosts returns the deployment with n hosts: its first ones, and further ones without a disk where it has fewer.
+func (d Deployment) WithHosts(n int) Deployment {
+	hosts := append([]HostSpec(nil), d.Hosts[:min(n, len(d.Hosts))]...)
+	for i := len(hosts); i < n; i++ {
+		hosts = append(hosts, HostSpec{
+			ID: core.HostID(fmt.Sprint("host-", i+1)), FailureDomain: d.Hosts[i%len(d.Hosts)].FailureDomain,
+		})
+	}
+	d.Hosts = hosts
+	return d
+}
+
 // Runs returns what the stand-ins are asked in each stage of a pipeline; Call holds the stage's name.
 func (d Deployment) Runs(pipeline string) []dial.Run {
 	p, _ := d.Tree.Pipeline(pipeline)
--- a/cmds/main.go
+++ b/cmds/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"cyclamenford/bench/demo"
+	"cyclamenford/bench/soak"
 	"cyclamenford/cmds/equip"
 	"cyclamenford/cmds/opers"
 	"cyclamenford/cmds/term"
@@ -38,7 +39,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: slices.Concat(
-			[]*cli.Command{serveCommand(), platform.Command(), demoCommand(), callCommand(), stateCommand()},
+			[]*cli.Command{serveCommand(), platform.Command(), demoCommand(), soakCommand(), callCommand(), stateCommand()},
 			opers.Commands(), equip.Commands()),
 	}
 	err := app.Run(ctx, args)
@@ -58,7 +59,7 @@
 		return exitNoQuorum
 	case errors.Is(err, oper.ErrInvalid), errors.Is(err, term.ErrUsage):
 		return exitUsage
-	case errors.Is(err, demo.ErrBroken):
+	case errors.Is(err, demo.ErrBroken), errors.Is(err, soak.ErrBroken):
 		return exitBroken
 	}
 	return exitFailed
