--- a/core/sched/budget_test.go
+++ b/core/fleet/budget_test.go
@@ -1,4 +1,4 @@
-package sched
+package fleet
 
 import (
 	"testing"
--- a/core/sched/cache.go
+++ b/core/fleet/cache.go
@@ -1,6 +1,10 @@
-package sched
+package fleet
 
-import "container/list"
+import (
+	"container/list"
+
+	"cyclamenford/core/order"
+)
 
 // cache is what an engine is believed to hold of prompts: chains of parts, the least recently used given up first.
 type cache struct {
@@ -18,22 +22,28 @@
 	return &cache{order: list.New(), parts: map[string]*list.Element{}}
 }
 
-// chainOf names each part of a prompt with all before it.
-func chainOf(parts []Part) []string {
-	chain := make([]string, len(parts))
+// Chain names each part of a prompt with all before it, since a part is only of use after the same ones.
+type Chain struct {
+	names []string
+	parts []order.Part
+}
+
+// NewChain returns the chain of a prompt's parts.
+func NewChain(parts []order.Part) Chain {
+	c := Chain{names: make([]string, len(parts)), parts: parts}
 	name := ""
 	for i, p := range parts {
 		name += "/" + p.ID
-		chain[i] = name
+		c.names[i] = name
 	}
-	return chain
+	return c
 }
 
 // held returns how many tokens of the prompt need not be read: a part counts only if all parts before it are held too.
-func (c *cache) held(chain []string, parts []Part) int {
+func (c *cache) held(chain Chain) int {
 	tokens := 0
-	for i, p := range parts {
-		if _, ok := c.parts[chain[i]]; !ok {
+	for i, p := range chain.parts {
+		if _, ok := c.parts[chain.names[i]]; !ok {
 			break
 		}
 		tokens += p.Tokens
@@ -42,13 +52,13 @@
 }
 
 // add notes that the prompt has been read, and forgets what then exceeds the engine's memory.
-func (c *cache) add(chain []string, parts []Part, capacity int) {
-	for i, p := range parts {
-		if e, ok := c.parts[chain[i]]; ok {
+func (c *cache) add(chain Chain, capacity int) {
+	for i, p := range chain.parts {
+		if e, ok := c.parts[chain.names[i]]; ok {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.parts[chain[i]] = c.order.PushFront(cachedPart{chain: chain[i], tokens: p.Tokens})
+		c.parts[chain.names[i]] = c.order.PushFront(cachedPart{chain: chain.names[i], tokens: p.Tokens})
 		c.tokens += p.Tokens
 	}
 	for c.tokens > capacity && c.order.Len() > 0 {
--- /dev/null
+++ b/core/fleet/service.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"cyclamenford/core"
+	"cyclamenford/core/conf"
+)
+
+const (
+	// typicalFill is the part of a full call that a call is planned with.
+	typicalFill = 0.6
+	// firstByteGuess is the time to the first byte of a service that was never used, in milliseconds.
+	firstByteGuess = 120.0
+)
+
+// Service is the endpoints of one service and what has been learned of them together.
+type Service struct {
+	conf.Service
+	// endpoints are in the order of their names.
+	endpoints []*Endpoint
+	first     estimate
+	budget    budget
+}
+
+// Endpoints returns the service's endpoints in the order of their names; the list must not be changed.
+func (s *Service) Endpoints() []*Endpoint { return s.endpoints }
+
+// FirstByte returns the observed milliseconds from the grant of a request to the first byte of its answer.
+func (s *Service) FirstByte() float64 { return s.first.value }
+
+// CallTime returns the expected milliseconds of a typical call of a stage's service, 0 for other services.
+func (s *Service) CallTime() float64 {
+	if s.Pieces == nil {
+		return 0
+	}
+	return s.Pieces.CallTime + typicalFill*float64(s.Pieces.Batch)*s.Pieces.ItemTime
+}
+
+// Capacity returns the number of pieces that the usable endpoints of a stage's service prepare in a millisecond by full calls.
+func (s *Service) Capacity(now core.Millis) float64 {
+	sum := 0.0
+	full := s.Pieces.CallTime + float64(s.Pieces.Batch)*s.Pieces.ItemTime
+	for _, e := range s.endpoints {
+		if e.Usable(now) {
+			sum += float64(max(1, s.Pieces.Batch)*max(1, s.Pieces.Slots)) / (full * max(fastest, e.speed.value))
+		}
+	}
+	return sum
+}
+
+// CountFirst notes a request's first attempt, which earns the service a share of a repeat.
+func (s *Service) CountFirst(now core.Millis, r Retries) { s.budget.first(now, r) }
+
+// SpendRepeat takes one repeat out of the service's budget and reports whether there was one.
+func (s *Service) SpendRepeat(now core.Millis, r Retries) bool { return s.budget.spend(now, r) }
+
+func (s *Service) fastestSpeed(now core.Millis) float64 {
+	best := 0.0
+	for _, e := range s.endpoints {
+		if e.Usable(now) && (best == 0 || e.speed.value < best) {
+			best = e.speed.value
+		}
+	}
+	return max(fastest, best)
+}
--- a/core/sched/types.go
+++ b/core/order/order.go
@@ -1,4 +1,4 @@
-package sched
+package order
 
 import (
 	"cyclamenford/core"
--- /dev/null
+++ b/core/sched/call.go
@@ -0,0 +1,162 @@
+package sched
+
+import (
+	"slices"
+
+	"cyclamenford/core"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
+)
+
+const (
+	// overdueFactor times the expected time is when a call's pieces are started elsewhere as well; endpoints' own speeds differ by up to 1.3.
+	overdueFactor = 2
+	// overdueSlack is added to it for the time on the network.
+	overdueSlack = 150 * core.Millis(1)
+	// maxTries is how often one piece is sent to endpoints that fail it.
+	maxTries = 4
+)
+
+// call is one call in progress at a stage's endpoint.
+type call struct {
+	number   uint64
+	at       *fleet.Endpoint
+	items    []order.Item
+	started  core.Millis
+	expected core.Millis
+	// overdueAt is when the pieces are started elsewhere as well.
+	overdueAt core.Millis
+	overdue   bool
+	bytes     int64
+}
+
+func (s *Scheduler) startCall(svc *service, e *fleet.Endpoint, items []order.Item, bytes int64) {
+	s.lastCall++
+	usual := svc.Pieces.CallTime + float64(len(items))*svc.Pieces.ItemTime
+	expected := core.Millis(e.Speed() * usual)
+	c := &call{number: s.lastCall, at: e, items: items, started: s.now, expected: expected, bytes: bytes}
+	c.overdueAt = s.now + core.Millis(overdueFactor*usual*min(fleet.TooSlow, e.Speed())) + overdueSlack
+	s.calls[c.number] = c
+	e.BeginCall(bytes)
+	s.out = append(s.out, order.Action{Call: &order.Call{
+		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected,
+	}})
+}
+
+// CallDone tells what a call brought: a result for each item, or none and how the call ended.
+func (s *Scheduler) CallDone(now core.Millis, number uint64, results []order.ItemResult, how order.Ending) {
+	s.now = now
+	c, ok := s.calls[number]
+	if !ok {
+		return
+	}
+	delete(s.calls, number)
+	c.at.EndCall()
+	if how == order.Served && len(results) == len(c.items) {
+		c.at.LearnCall(s.now, s.now-c.started, c.expected)
+		for i, r := range results {
+			s.pieceDone(c, c.items[i], r)
+		}
+	} else {
+		c.at.GiveBack(c.bytes)
+		c.at.Failed(now, how)
+		for _, i := range c.items {
+			s.again(i, how != order.Rejected)
+		}
+	}
+	s.pump()
+}
+
+func (s *Scheduler) pieceDone(c *call, i order.Item, result order.ItemResult) {
+	r, ok := s.requests[i.Key]
+	wanted := ok && r.stages[i.Stage].handles[i.Piece] == ""
+	switch {
+	case result.Handle == "":
+		c.at.GiveBack(i.Bytes)
+		if result.Reason == order.ItemNoRoom {
+			c.at.Full(s.now)
+		}
+		s.pieceFailed(i, result.Reason)
+		return
+	case !wanted:
+		c.at.GiveBack(i.Bytes)
+		s.out = append(s.out, order.Action{Free: &order.Free{Address: c.at.Address, Handles: []string{result.Handle}}})
+		return
+	}
+	st := &r.stages[i.Stage]
+	st.handles[i.Piece] = result.Handle
+	st.left--
+	r.note(result.Handle, c.at)
+	// A configuration may have turned the service into one without stages meanwhile.
+	if svc := s.services[st.Service]; svc.Pieces != nil && (st.keptTill == 0 || s.now+svc.Pieces.Keep < st.keptTill) {
+		st.keptTill = s.now + svc.Pieces.Keep
+	}
+	if st.left == 0 {
+		r.unfinished--
+		s.freeUsed(r, i.Stage)
+		s.advance(r)
+	}
+}
+
+func (s *Scheduler) pieceFailed(i order.Item, why order.ItemReason) {
+	r, ok := s.requests[i.Key]
+	if !ok {
+		return
+	}
+	if why == order.ItemGone {
+		s.loseInputs(r)
+		return
+	}
+	s.again(i, true)
+}
+
+// again queues one piece once more; counted failures are bounded.
+func (s *Scheduler) again(i order.Item, counted bool) {
+	r, ok := s.requests[i.Key]
+	if !ok || r.stages[i.Stage].handles[i.Piece] != "" {
+		return
+	}
+	st := &r.stages[i.Stage]
+	if counted {
+		st.tries++
+	}
+	if st.tries > maxTries*max(1, st.Pieces) {
+		s.refuse(r, core.ReasonEndpointFailed, 0)
+		s.drop(r)
+		return
+	}
+	svc := s.services[st.Service]
+	for _, g := range svc.groups {
+		if g.request == r && g.stage == i.Stage {
+			if !slices.Contains(g.pieces, i.Piece) {
+				g.pieces = append(g.pieces, i.Piece)
+			}
+			return
+		}
+	}
+	svc.groups = append(svc.groups, &group{request: r, stage: i.Stage, pieces: []int{i.Piece}})
+}
+
+// hurryCalls starts the pieces of overdue calls elsewhere as well.
+func (s *Scheduler) hurryCalls() {
+	for _, number := range s.callNumbers() {
+		c := s.calls[number]
+		if c.overdue || s.now < c.overdueAt {
+			continue
+		}
+		c.overdue = true
+		c.at.Slowed(float64(s.now-c.started) / max(1, float64(c.expected)))
+		for _, i := range c.items {
+			s.again(i, false)
+		}
+	}
+}
+
+func (s *Scheduler) callNumbers() []uint64 {
+	list := make([]uint64, 0, len(s.calls))
+	for n := range s.calls {
+		list = append(list, n)
+	}
+	slices.Sort(list)
+	return list
+}
--- a/core/sched/handles.go
+++ b/core/sched/handles.go
@@ -3,19 +3,22 @@
 import (
 	"slices"
 	"strings"
+
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
 )
 
 // made notes which endpoint holds a result; handles begin with the maker's address, but addresses are used again.
 type made struct {
 	handle string
-	by     *endpoint
+	by     *fleet.Endpoint
 }
 
-func (r *request) note(handle string, by *endpoint) {
+func (r *request) note(handle string, by *fleet.Endpoint) {
 	r.results = append(r.results, made{handle: handle, by: by})
 }
 
-func (r *request) maker(handle string) (*endpoint, bool) {
+func (r *request) maker(handle string) (*fleet.Endpoint, bool) {
 	for _, m := range r.results {
 		if m.handle == handle {
 			return m.by, true
@@ -45,8 +48,8 @@
 // freeStage frees the results of one stage.
 func (s *Scheduler) freeStage(r *request, stage int) {
 	st := &r.stages[stage]
-	byMaker := map[*endpoint][]string{}
-	var makers []*endpoint
+	byMaker := map[*fleet.Endpoint][]string{}
+	var makers []*fleet.Endpoint
 	for _, h := range st.handles {
 		m, ok := r.maker(h)
 		if h == "" || !ok {
@@ -56,11 +59,11 @@
 			makers = append(makers, m)
 		}
 		byMaker[m] = append(byMaker[m], h)
-		m.bytes -= st.Bytes
+		m.GiveBack(st.Bytes)
 	}
 	r.results = slices.DeleteFunc(r.results, func(m made) bool { return slices.Contains(st.handles, m.handle) })
-	slices.SortFunc(makers, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(makers, func(a, b *fleet.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, m := range makers {
-		s.out = append(s.out, Action{Free: &Free{Address: m.Address, Handles: byMaker[m]}})
+		s.out = append(s.out, order.Action{Free: &order.Free{Address: m.Address, Handles: byMaker[m]}})
 	}
 }
--- /dev/null
+++ b/core/sched/place.go
@@ -0,0 +1,94 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"cyclamenford/core"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
+)
+
+// place grants the waiting requests of a service, the most urgent first, as far as endpoints are free.
+func (s *Scheduler) place(svc *service) {
+	if len(svc.waiting) == 0 {
+		return
+	}
+	rest := core.Millis(svc.FirstByte())
+	slices.SortStableFunc(svc.waiting, func(a, b *request) int { return cmp.Compare(s.rank(a, rest), s.rank(b, rest)) })
+	var still []*request
+	for _, r := range svc.waiting {
+		e, cost := s.choose(svc, r)
+		if e == nil {
+			still = append(still, r)
+			continue
+		}
+		s.grant(r, e, cost)
+	}
+	svc.waiting = still
+}
+
+// choose returns the endpoint at which the request is expected to start first, and that time, or nil if all are taken.
+func (s *Scheduler) choose(svc *service, r *request) (*fleet.Endpoint, float64) {
+	var best *fleet.Endpoint
+	var least float64
+	for _, e := range svc.Endpoints() {
+		if !e.Usable(s.now) || slices.Contains(r.tried, e.ID) || !e.Fits(r.Prompt) {
+			continue
+		}
+		cost := e.StartCost(s.now, r.Prompt, r.chain, r.FailureDomain) + r.crossing(e)
+		if best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best, least
+}
+
+// crossing weighs the results that would have to leave their failure domain.
+func (r *request) crossing(e *fleet.Endpoint) float64 {
+	var bytes int64
+	for _, i := range r.finalStages() {
+		st := r.stages[i]
+		for _, h := range st.handles {
+			if maker, ok := r.maker(h); ok && maker.FailureDomain != e.FailureDomain {
+				bytes += st.Bytes
+			}
+		}
+	}
+	return crossWeight * float64(bytes) / megabyte
+}
+
+func (s *Scheduler) grant(r *request, e *fleet.Endpoint, cost float64) {
+	load, cached := e.Take(r.Prompt, r.chain)
+	r.at, r.load, r.granted, r.began = e, load, s.now, false
+	r.attempts++
+	r.tried = append(r.tried, e.ID)
+	s.out = append(s.out, order.Action{Grant: &order.Grant{
+		Key: r.Key, ID: r.ID, Endpoint: e.ID, Address: e.Address, Inputs: r.inputs(r.finalStages()),
+		Attempt: r.attempts, Waited: s.now - r.arrived, Expected: core.Millis(cost), Cached: cached,
+	}})
+}
+
+// leaveEndpoint takes a request off its endpoint.
+func (r *request) leaveEndpoint() {
+	if r.at == nil {
+		return
+	}
+	r.at.Release(r.load, r.began)
+	r.at, r.began = nil, false
+}
+
+// findHome returns the failure domain whose engine holds most of the request's prompt, or none.
+func (s *Scheduler) findHome(r *request) core.FailureDomain {
+	svc, ok := s.services[r.Service]
+	if !ok || svc.Engine == nil || len(r.Prompt.Parts) == 0 {
+		return ""
+	}
+	best, most := core.FailureDomain(""), 0
+	for _, e := range svc.Endpoints() {
+		if held := e.Cached(r.chain); held > most && e.Usable(s.now) {
+			best, most = e.FailureDomain, held
+		}
+	}
+	return best
+}
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -14,6 +14,8 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
 )
 
 // load is one load to play: classes of requests against services, with disturbances.
@@ -104,7 +106,7 @@
 	queue                       events
 	n                           int
 	seq                         uint64
-	asks                        map[Key]*played
+	asks                        map[order.Key]*played
 	tally                       map[string]*tally
 	handle                      map[string]core.Millis
 	bytes                       map[string]int64
@@ -117,7 +119,7 @@
 
 type played struct {
 	class   int
-	ask     Ask
+	ask     order.Ask
 	first   core.Millis
 	arrived core.Millis
 	again   bool
@@ -159,7 +161,7 @@
 
 func play(l load) *player {
 	p := &player{
-		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(Retries{Ratio: 0.2, Slack: 56, Window: 10 * core.Second}), now: 1, asks: map[Key]*played{}, tally: map[string]*tally{},
+		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(fleet.Retries{Ratio: 0.2, Slack: 56, Window: 10 * core.Second}), now: 1, asks: map[order.Key]*played{}, tally: map[string]*tally{},
 		handle: map[string]core.Millis{}, bytes: map[string]int64{}, room: map[string]int64{},
 		busy: map[core.EndpointID]core.Millis{}, read: map[core.EndpointID]map[string]bool{},
 	}
@@ -177,7 +179,7 @@
 			slots = s.Engine.Slots
 		}
 		for i := range s.Endpoints {
-			p.sched.Join(p.now, Endpoint{
+			p.sched.Join(p.now, order.Endpoint{
 				ID: endpointName(s.Name, i), Incarnation: 1, Address: string(endpointName(s.Name, i)),
 				FailureDomain: core.FailureDomain(fmt.Sprint("d", i%3)), Service: s.Name, Slots: slots,
 			}, false)
@@ -227,14 +229,16 @@
 	x := &played{class: i, first: p.now}
 	size := math.Exp(p.rng.NormFloat64()*0.8 - 0.32)
 	own := int(float64(c.Own) * size)
-	a := Ask{
+	a := order.Ask{
 		ID: core.RequestID(fmt.Sprint(c.Name, "-", p.n)), Service: c.Service, Class: conf.Stream, Priority: c.Priority,
 		FailureDomain: core.FailureDomain(fmt.Sprint("d", p.rng.IntN(3))), Aim: c.Aim, Left: c.Left, MaxAttempts: 2, PieceKey: "k",
 	}
 	if c.Shared > 0 {
 		thing := p.rng.IntN(c.Things)
-		a.Prompt = Prompt{Tokens: c.Shared + own, Output: c.Output, Parts: []Part{
-			{fmt.Sprint(c.Name, thing%4), c.Shared / 2}, {fmt.Sprint(c.Name, "s", thing), c.Shared / 2}, {fmt.Sprint(a.ID), own},
+		a.Prompt = order.Prompt{Tokens: c.Shared + own, Output: c.Output, Parts: []order.Part{
+			{ID: fmt.Sprint(c.Name, thing%4), Tokens: c.Shared / 2},
+			{ID: fmt.Sprint(c.Name, "s", thing), Tokens: c.Shared / 2},
+			{ID: fmt.Sprint(a.ID), Tokens: own},
 		}}
 	}
 	for _, s := range c.Stages {
@@ -242,7 +246,7 @@
 		if s.Share == 0 || p.rng.Float64() < s.Share {
 			n = max(1, int(math.Round(s.Mean*math.Exp(p.rng.NormFloat64()*0.4-0.08))))
 		}
-		a.Stages = append(a.Stages, StageAsk{Service: s.Service, After: s.After, Pieces: n, Bytes: s.Bytes})
+		a.Stages = append(a.Stages, order.StageAsk{Service: s.Service, After: s.After, Pieces: n, Bytes: s.Bytes})
 		work := s.WorkX
 		if work == 0 {
 			work = 1
@@ -258,7 +262,7 @@
 
 func (p *player) submit(x *played) {
 	p.seq++
-	x.ask.Key = Key{Host: "h", Seq: p.seq}
+	x.ask.Key = order.Key{Host: "h", Seq: p.seq}
 	c := p.load.Classes[x.class]
 	x.ask.Aim = x.first + c.Aim - p.now
 	x.ask.Left = x.first + c.Left - p.now
@@ -290,7 +294,7 @@
 	}
 }
 
-func (p *player) refuse(r Refuse) {
+func (p *player) refuse(r order.Refuse) {
 	x := p.asks[r.Key]
 	c := p.load.Classes[x.class]
 	t := p.tally[c.Name]
@@ -315,14 +319,14 @@
 	return 0
 }
 
-func (p *player) grant(g Grant) {
+func (p *player) grant(g order.Grant) {
 	x := p.asks[g.Key]
 	c := p.load.Classes[x.class]
 	s := p.load.Services[p.serviceOf(c.Service)]
 	for _, h := range g.Inputs {
 		if p.handle[h] < p.now {
 			p.gone++
-			p.at(p.now+3, func() { p.sched.Ended(p.now, g.Key, GoneInput, true) })
+			p.at(p.now+3, func() { p.sched.Ended(p.now, g.Key, order.GoneInput, true) })
 			return
 		}
 	}
@@ -353,7 +357,7 @@
 	p.at(end+25, func() { p.done(g.Key, x) })
 }
 
-func (p *player) done(key Key, x *played) {
+func (p *player) done(key order.Key, x *played) {
 	p.sched.Began(p.now, key)
 	c := p.load.Classes[x.class]
 	t := p.tally[c.Name]
@@ -364,7 +368,7 @@
 		t.Late++
 		t.Earned += x.worth * c.Late / c.Worth
 	}
-	p.at(p.now+core.Millis(c.Output)*5, func() { p.sched.Ended(p.now, key, Served, false) })
+	p.at(p.now+core.Millis(c.Output)*5, func() { p.sched.Ended(p.now, key, order.Served, false) })
 }
 
 func (p *player) expire(h string) {
@@ -384,16 +388,16 @@
 	return ""
 }
 
-func (p *player) call(c Call) {
+func (p *player) call(c order.Call) {
 	s := p.load.Services[p.serviceOf(c.Service)]
 	p.calls++
 	p.pieces += len(c.Items)
 	if p.lost(c.Service, c.Endpoint) {
-		p.at(p.now+400, func() { p.sched.CallDone(p.now, c.Number, nil, Unreachable) })
+		p.at(p.now+400, func() { p.sched.CallDone(p.now, c.Number, nil, order.Unreachable) })
 		return
 	}
 	took := s.Pieces.CallTime
-	results := make([]ItemResult, len(c.Items))
+	results := make([]order.ItemResult, len(c.Items))
 	e := string(c.Endpoint)
 	for n, i := range c.Items {
 		work := 1.0
@@ -408,10 +412,10 @@
 		switch {
 		case bad:
 			p.gone++
-			results[n].Reason = ItemGone
+			results[n].Reason = order.ItemGone
 		case p.room[e]+i.Bytes > s.Pieces.Room:
 			p.noRoom++
-			results[n].Reason = ItemNoRoom
+			results[n].Reason = order.ItemNoRoom
 		default:
 			p.nh++
 			h := fmt.Sprintf("%s/%d", e, p.nh)
@@ -430,7 +434,7 @@
 				p.at(p.now+s.Pieces.Keep+1, func() { p.expire(h) })
 			}
 		}
-		p.sched.CallDone(p.now, c.Number, results, Served)
+		p.sched.CallDone(p.now, c.Number, results, order.Served)
 	})
 }
 
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// typicalFill is the part of a full call that a call is planned with.
-	typicalFill = 0.6
 	// leastRetryAfter and mostRetryAfter bound what a refused client is told; below, it would meet the same queue, above, its deadline.
 	leastRetryAfter = 100 * core.Millis(1)
 	mostRetryAfter  = 5 * core.Second
@@ -69,31 +67,19 @@
 	return sum / rateWindow
 }
 
-// callTime is the expected time of a typical call of a stage's service.
-func (svc *service) callTime() float64 {
-	if svc == nil || svc.Pieces == nil {
-		return 0
-	}
-	return svc.Pieces.CallTime + typicalFill*float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
-}
-
-// capacity is the number of pieces that the usable endpoints of a stage's service prepare in a millisecond by full calls.
-func (s *Scheduler) capacity(svc *service) float64 {
-	sum := 0.0
-	full := svc.Pieces.CallTime + float64(svc.Pieces.Batch)*svc.Pieces.ItemTime
-	for _, e := range svc.endpoints {
-		if e.usable(s.now) {
-			sum += float64(max(1, svc.Pieces.Batch)*max(1, svc.Pieces.Slots)) / (full * max(fastest, e.speed.value))
-		}
-	}
-	return sum
-}
-
 // rest is the expected time from the start of a stage's call to the first byte, without waiting.
 func (s *Scheduler) rest(r *request, stage int) core.Millis {
 	return core.Millis(r.tail[stage]) + s.firstByte(r)
 }
 
+// callTime is the expected time of a typical call of a stage's service in milliseconds, 0 for one that is not configured.
+func (s *Scheduler) callTime(name string) float64 {
+	if svc, ok := s.services[name]; ok {
+		return svc.CallTime()
+	}
+	return 0
+}
+
 // tails returns for each stage the time of its call and of the longest chain of calls after it.
 func (s *Scheduler) tails(r *request) []float64 {
 	tail := make([]float64, len(r.stages))
@@ -106,7 +92,7 @@
 		}
 		tail[i] = after
 		if r.stages[i].Pieces > 0 {
-			tail[i] += s.services[r.stages[i].Service].callTime()
+			tail[i] += s.callTime(r.stages[i].Service)
 		}
 	}
 	return tail
@@ -114,7 +100,7 @@
 
 func (s *Scheduler) firstByte(r *request) core.Millis {
 	if svc, ok := s.services[r.Service]; ok {
-		return core.Millis(svc.first.value)
+		return core.Millis(svc.FirstByte())
 	}
 	return 0
 }
@@ -160,7 +146,7 @@
 		ready[i] = start
 		if st.Pieces > 0 {
 			svc := s.services[st.Service]
-			ready[i] = max(start, s.wait(svc, r)) + svc.callTime()
+			ready[i] = max(start, s.wait(svc, r)) + s.callTime(st.Service)
 		}
 		longest = max(longest, ready[i])
 	}
@@ -172,9 +158,9 @@
 	if svc == nil || svc.Pieces == nil {
 		return 0
 	}
-	capacity := s.capacity(svc)
+	capacity := svc.Capacity(s.now)
 	if capacity == 0 {
-		return svc.callTime()
+		return svc.CallTime()
 	}
 	ahead := float64(s.outstanding(svc, r.aimAt-core.Millis(r.tail0())+core.Millis(r.Priority)*rankWeight))
 	return ahead / max(leastCapacity*capacity, capacity-s.moreUrgent(svc, rankOf(r)))
@@ -210,7 +196,7 @@
 	if svc == nil || svc.Pieces == nil {
 		return 0
 	}
-	capacity := s.capacity(svc)
+	capacity := svc.Capacity(s.now)
 	if capacity == 0 {
 		return 0
 	}
@@ -222,7 +208,7 @@
 			}
 		}
 	}
-	return float64(n) / capacity / svc.callTime()
+	return float64(n) / capacity / svc.CallTime()
 }
 
 // hasSpare reports whether every service that a request still needs has room for work that will be late.
@@ -258,8 +244,8 @@
 		if r.stages[i].left == 0 || svc == nil || svc.Pieces == nil {
 			continue
 		}
-		over := (s.backlog(svc) - spareWait) * svc.callTime()
-		if capacity := s.capacity(svc); over > 0 && capacity > 0 {
+		over := (s.backlog(svc) - spareWait) * svc.CallTime()
+		if capacity := svc.Capacity(s.now); over > 0 && capacity > 0 {
 			wait = max(wait, core.Millis(over/max(leastDrain, 1-s.moreUrgent(svc, ranks)/capacity)))
 		}
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -6,6 +6,8 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
 )
 
 // lateShare of the expected time left must fit before the aim for a request to count as on time: calls may be faster.
@@ -16,32 +18,28 @@
 
 // Scheduler decides about all requests of a deployment; its caller passes the time with every event.
 type Scheduler struct {
-	retries   Retries
-	now       core.Millis
-	services  map[string]*service
-	endpoints map[core.EndpointID]*endpoint
-	requests  map[Key]*request
-	calls     map[uint64]*call
-	lastCall  uint64
-	out       []Action
+	retries  fleet.Retries
+	now      core.Millis
+	fleet    *fleet.Fleet
+	services map[string]*service
+	requests map[order.Key]*request
+	calls    map[uint64]*call
+	lastCall uint64
+	out      []order.Action
 }
 
-// service is the queues and the endpoints of one service.
+// service is the queues of one service.
 type service struct {
-	conf.Service
-	// endpoints are in the order of their names.
-	endpoints []*endpoint
+	*fleet.Service
 	// groups wait for a stage call, and waiting requests for an endpoint.
 	groups  []*group
 	waiting []*request
-	first   estimate
 	flow    flow
-	budget  budget
 }
 
 // request is one client attempt from its arrival to the end of its last attempt at an endpoint.
 type request struct {
-	Ask
+	order.Ask
 	arrived    core.Millis
 	aimAt      core.Millis
 	deadlineAt core.Millis
@@ -50,17 +48,15 @@
 	unfinished int
 	attempts   int
 	tried      []core.EndpointID
-	at         *endpoint
+	at         *fleet.Endpoint
 	granted    core.Millis
 	began      bool
-	// reading is the number of prompt tokens that the endpoint must read, held what the request occupies there.
-	reading, held int
-	remade        int
+	load       fleet.Load
+	remade     int
 	// tail is the time of each stage's call and of the calls after it; home the failure domain that holds its prompt.
-	tail []float64
-	home core.FailureDomain
-	// chain names the prompt's parts, each with all before it.
-	chain []string
+	tail  []float64
+	home  core.FailureDomain
+	chain fleet.Chain
 	// late tells that the request will not be on time; it uses only what others leave.
 	late    bool
 	results []made
@@ -69,16 +65,15 @@
 }
 
 // New returns a scheduler that knows no service and no endpoint.
-func New(r Retries) *Scheduler {
+func New(r fleet.Retries) *Scheduler {
 	return &Scheduler{
-		retries:  r,
-		services: map[string]*service{}, endpoints: map[core.EndpointID]*endpoint{},
-		requests: map[Key]*request{}, calls: map[uint64]*call{},
+		retries: r, fleet: fleet.New(), services: map[string]*service{},
+		requests: map[order.Key]*request{}, calls: map[uint64]*call{},
 	}
 }
 
 // Take returns and clears what the shell must do.
-func (s *Scheduler) Take() []Action {
+func (s *Scheduler) Take() []order.Action {
 	out := s.out
 	s.out = nil
 	return out
@@ -88,21 +83,29 @@
 func (s *Scheduler) Configure(now core.Millis, services []conf.Service) {
 	s.now = now
 	for _, c := range services {
-		known, ok := s.services[c.Name]
-		if !ok {
-			known = &service{first: estimate{value: firstByteGuess}}
-			s.services[c.Name] = known
+		f := s.fleet.Configure(c)
+		if _, ok := s.services[c.Name]; !ok {
+			s.services[c.Name] = &service{Service: f}
 		}
-		known.Service = c
-	}
-	for _, e := range s.endpoints {
-		s.attach(e)
 	}
 	s.pump()
 }
 
+// Join makes an endpoint known or updates it; a leaving endpoint gets nothing new.
+func (s *Scheduler) Join(now core.Millis, e order.Endpoint, leaving bool) {
+	s.now = now
+	s.fleet.Join(now, e, leaving)
+	s.pump()
+}
+
+// Part forgets an endpoint that has ended.
+func (s *Scheduler) Part(now core.Millis, id core.EndpointID) {
+	s.now = now
+	s.fleet.Part(id)
+}
+
 // Arrive takes a request in; the answer comes as a Grant or a Refuse.
-func (s *Scheduler) Arrive(now core.Millis, a Ask) {
+func (s *Scheduler) Arrive(now core.Millis, a order.Ask) {
 	s.now = now
 	if _, known := s.requests[a.Key]; known {
 		return
@@ -115,8 +118,8 @@
 			r.unfinished++
 		}
 	}
-	r.tail, r.chain = s.tails(r), chainOf(a.Prompt.Parts)
-	r.home = s.home(r)
+	r.tail, r.chain = s.tails(r), fleet.NewChain(a.Prompt.Parts)
+	r.home = s.findHome(r)
 	if expected, ok := s.admit(r); !ok {
 		s.refuse(r, core.ReasonDeadlineInfeasible, expected)
 		return
@@ -128,7 +131,7 @@
 }
 
 // Leave forgets a request whose client has gone or whose host has given it up.
-func (s *Scheduler) Leave(now core.Millis, key Key) {
+func (s *Scheduler) Leave(now core.Millis, key order.Key) {
 	s.now = now
 	if r, ok := s.requests[key]; ok {
 		s.drop(r)
@@ -137,34 +140,33 @@
 }
 
 // Began tells that a request's first byte has come back from its endpoint.
-func (s *Scheduler) Began(now core.Millis, key Key) {
+func (s *Scheduler) Began(now core.Millis, key order.Key) {
 	s.now = now
 	r, ok := s.requests[key]
 	if !ok || r.at == nil || r.began {
 		return
 	}
 	r.began = true
-	r.at.reading -= r.reading
-	s.learnFirstByte(r)
+	r.at.Read(r.load, s.now-r.granted)
 	s.release(r)
 	s.pump()
 }
 
 // Ended tells how an attempt ended; with again set, the request wants another endpoint.
-func (s *Scheduler) Ended(now core.Millis, key Key, how Ending, again bool) {
+func (s *Scheduler) Ended(now core.Millis, key order.Key, how order.Ending, again bool) {
 	s.now = now
 	r, ok := s.requests[key]
 	if !ok {
 		return
 	}
 	if r.at != nil {
-		s.learnEnding(r, how)
-		s.leaveEndpoint(r)
+		r.at.LearnEnding(s.now, how)
+		r.leaveEndpoint()
 	}
 	switch {
 	case !again:
 		s.drop(r)
-	case how == GoneInput && r.remade < maxRemakes:
+	case how == order.GoneInput && r.remade < maxRemakes:
 		r.remade++
 		r.attempts--
 		s.remake(r)
@@ -226,7 +228,7 @@
 	return list
 }
 
-func compareKeys(a, b Key) int {
+func compareKeys(a, b order.Key) int {
 	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Seq, b.Seq))
 }
 
@@ -255,8 +257,8 @@
 		return
 	}
 	if r.attempts == 0 {
-		svc.budget.first(s.now, s.retries)
-	} else if !svc.budget.spend(s.now, s.retries) {
+		svc.CountFirst(s.now, s.retries)
+	} else if !svc.SpendRepeat(s.now, s.retries) {
 		s.refuse(r, core.ReasonRetryBudget, 0)
 		s.drop(r)
 		return
@@ -266,7 +268,7 @@
 
 // drop forgets a request and gives back all that it holds.
 func (s *Scheduler) drop(r *request) {
-	s.leaveEndpoint(r)
+	r.leaveEndpoint()
 	s.release(r)
 	s.unqueue(r)
 	delete(s.requests, r.Key)
@@ -280,7 +282,7 @@
 }
 
 func (s *Scheduler) refuse(r *request, why core.Reason, expected core.Millis) {
-	s.out = append(s.out, Action{Refuse: &Refuse{
+	s.out = append(s.out, order.Action{Refuse: &order.Refuse{
 		Key: r.Key, ID: r.ID, Reason: why, RetryAfter: s.retryAfter(r, expected),
 		Expected: expected, Left: r.deadlineAt - s.now,
 	}})
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -11,6 +11,8 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
 )
 
 // step is one event of a script and the actions that must follow it.
@@ -18,13 +20,13 @@
 	At core.Millis
 	// Do names the event; the other fields belong to it.
 	Do       string
-	Endpoint Endpoint
+	Endpoint order.Endpoint
 	Leaving  bool
 	Request  uint64
-	Ask      Ask
+	Ask      order.Ask
 	Call     uint64
-	Results  []ItemResult
-	How      Ending
+	Results  []order.ItemResult
+	How      order.Ending
 	Again    bool
 	Want     []string
 }
@@ -43,7 +45,7 @@
 	must.NoError(t, json.Unmarshal(raw, &file))
 	for _, script := range file.Scripts {
 		t.Run(script.Name, func(t *testing.T) {
-			s := New(Retries{Ratio: 0.2, Slack: 10, Window: 10 * core.Second})
+			s := New(fleet.Retries{Ratio: 0.2, Slack: 10, Window: 10 * core.Second})
 			s.Configure(1, file.Services)
 			for i, x := range script.Steps {
 				x.do(t, s)
@@ -54,7 +56,7 @@
 }
 
 func (x step) do(t *testing.T, s *Scheduler) {
-	key := Key{Host: "h", Seq: x.Request}
+	key := order.Key{Host: "h", Seq: x.Request}
 	switch x.Do {
 	case "Join":
 		s.Join(x.At, x.Endpoint, x.Leaving)
@@ -81,7 +83,7 @@
 	}
 }
 
-func describe(actions []Action) []string {
+func describe(actions []order.Action) []string {
 	var list []string
 	for _, a := range actions {
 		switch {
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
 	"cyclamenford/core/sched"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
@@ -46,7 +48,7 @@
 	// AnnounceEvery is how often endpoints announce themselves.
 	AnnounceEvery core.Millis
 	// Retries bounds the repeats of each service.
-	Retries sched.Retries
+	Retries fleet.Retries
 }
 
 // Assigner is the scheduler's shell on one keeper; it decides while the keeper leads.
@@ -65,7 +67,7 @@
 	term    uint64
 	sched   *sched.Scheduler
 	roster  *roster
-	waiting map[sched.Key]chan sched.Action
+	waiting map[order.Key]chan order.Action
 	version uint64
 	standby standby
 }
@@ -89,7 +91,7 @@
 	for _, w := range a.waiting {
 		close(w)
 	}
-	a.waiting = map[sched.Key]chan sched.Action{}
+	a.waiting = map[order.Key]chan order.Action{}
 	a.version = 0
 }
 
@@ -174,7 +176,7 @@
 	}
 }
 
-func (a *Assigner) answer(key sched.Key, x sched.Action) {
+func (a *Assigner) answer(key order.Key, x order.Action) {
 	if w, ok := a.waiting[key]; ok {
 		delete(a.waiting, key)
 		w <- x
@@ -182,7 +184,7 @@
 }
 
 // callStage runs one call and tells the scheduler what it brought.
-func (a *Assigner) callStage(term uint64, c sched.Call) {
+func (a *Assigner) callStage(term uint64, c order.Call) {
 	results, how, err := a.runStage(c)
 	ids := make([]core.RequestID, 0, len(c.Items))
 	for _, i := range c.Items {
@@ -202,10 +204,10 @@
 	a.carryOut()
 }
 
-func (a *Assigner) runStage(c sched.Call) ([]sched.ItemResult, sched.Ending, error) {
+func (a *Assigner) runStage(c order.Call) ([]order.ItemResult, order.Ending, error) {
 	call, err := a.dialect.StageCall(c.Endpoint, c.Items)
 	if err != nil {
-		return nil, sched.Broken, err
+		return nil, order.Broken, err
 	}
 	longest := c.Expected*3 + callGrace
 	ctx, cancel := context.WithTimeout(context.Background(), longest.Duration())
@@ -219,22 +221,22 @@
 	body, err := resp.ReadAll(maxStageAnswer)
 	switch {
 	case err != nil:
-		return nil, sched.Broken, err
+		return nil, order.Broken, err
 	case verdict.Other:
-		return nil, sched.OtherEndpoint, nil
+		return nil, order.OtherEndpoint, nil
 	case verdict.NotRun:
-		return nil, sched.Rejected, nil
+		return nil, order.Rejected, nil
 	case resp.Status/100 != 2:
-		return nil, sched.Erred, fmt.Errorf("status %d", resp.Status)
+		return nil, order.Erred, fmt.Errorf("status %d", resp.Status)
 	}
 	results, err := a.dialect.StageResults(body)
 	if err != nil {
-		return nil, sched.Broken, err
+		return nil, order.Broken, err
 	}
-	return results, sched.Served, nil
+	return results, order.Served, nil
 }
 
-func (a *Assigner) freeResults(f sched.Free) {
+func (a *Assigner) freeResults(f order.Free) {
 	call, err := a.dialect.FreeResults(f.Handles)
 	if err != nil {
 		a.log.Error("encode results to free", "err", err)
@@ -258,9 +260,9 @@
 	return pipe.Request{Address: address, Method: c.Method, Target: c.Path, Host: address, Header: c.Header, Body: c.Body}
 }
 
-func sendEnding(err error) sched.Ending {
+func sendEnding(err error) order.Ending {
 	if pipe.NotSent(err) {
-		return sched.Unreachable
+		return order.Unreachable
 	}
-	return sched.Broken
+	return order.Broken
 }
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"cyclamenford/core"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	"cyclamenford/core/state"
 	"cyclamenford/io/keeper"
 )
@@ -46,7 +46,7 @@
 	return nil
 }
 
-func (a *Assigner) wait(key sched.Key, reply *PlaceReply, event func(now core.Millis)) error {
+func (a *Assigner) wait(key order.Key, reply *PlaceReply, event func(now core.Millis)) error {
 	a.mu.Lock()
 	reply.Located = a.leader.Located()
 	if !a.lead() {
@@ -54,7 +54,7 @@
 		reply.Leading = false
 		return nil
 	}
-	w := make(chan sched.Action, 1)
+	w := make(chan order.Action, 1)
 	a.waiting[key] = w
 	event(a.clock.Now())
 	a.carryOut()
--- a/io/assign/roster_test.go
+++ b/io/assign/roster_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"cyclamenford/core"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	"cyclamenford/core/state"
 )
 
@@ -39,7 +39,7 @@
 			r := newRoster(core.Second)
 			for i, h := range c.Heard {
 				a := Announcement{
-					Endpoint: sched.Endpoint{ID: h.ID, Incarnation: h.Born, Address: h.Address}, Seq: h.Seq, Leaving: h.Leaving,
+					Endpoint: order.Endpoint{ID: h.ID, Incarnation: h.Born, Address: h.Address}, Seq: h.Seq, Leaving: h.Leaving,
 				}
 				s, _ := r.take(core.Millis(i), a, retired)
 				must.Eq(t, h.Stale, s == stale, must.Sprintf("announcement %d", i))
@@ -55,7 +55,7 @@
 
 func TestAnEndpointAtATakenAddressIsReplaced(t *testing.T) {
 	r := newRoster(core.Second)
-	r.take(1, Announcement{Endpoint: sched.Endpoint{ID: "old", Incarnation: 1, Address: "a"}, Seq: 1}, nil)
-	_, replaced := r.take(2, Announcement{Endpoint: sched.Endpoint{ID: "new", Incarnation: 2, Address: "a"}, Seq: 1}, nil)
+	r.take(1, Announcement{Endpoint: order.Endpoint{ID: "old", Incarnation: 1, Address: "a"}, Seq: 1}, nil)
+	_, replaced := r.take(2, Announcement{Endpoint: order.Endpoint{ID: "new", Incarnation: 2, Address: "a"}, Seq: 1}, nil)
 	must.Eq(t, []core.EndpointID{"old"}, replaced)
 }
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -2,7 +2,7 @@
 
 import (
 	"cyclamenford/core"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	"cyclamenford/io/keeper"
 )
 
@@ -10,27 +10,27 @@
 const Service = "Assign"
 
 // PlaceArgs asks for an endpoint for a new request.
-type PlaceArgs struct{ Ask sched.Ask }
+type PlaceArgs struct{ Ask order.Ask }
 
 // AgainArgs asks for another endpoint after an attempt ended.
 type AgainArgs struct {
-	Key sched.Key
-	How sched.Ending
+	Key order.Key
+	How order.Ending
 }
 
 // PlaceReply is the answer to both: a grant or a refusal.
 type PlaceReply struct {
 	keeper.Located
-	Grant  *sched.Grant
-	Refuse *sched.Refuse
+	Grant  *order.Grant
+	Refuse *order.Refuse
 }
 
 // Event is what an entry host tells of a request; it needs no answer.
 type Event struct {
-	Key sched.Key
+	Key order.Key
 	// Began tells that the first byte came back; otherwise the attempt has ended as How says.
 	Began bool
-	How   sched.Ending
+	How   order.Ending
 }
 
 // EventsArgs carries events in their order.
@@ -38,7 +38,7 @@
 
 // Announcement is what an endpoint says of itself.
 type Announcement struct {
-	Endpoint sched.Endpoint
+	Endpoint order.Endpoint
 	// Seq grows with each announcement of one life.
 	Seq uint64
 	// Leaving tells that the endpoint takes nothing new; Gone that it said goodbye, in which case only its ID is known.
--- a/io/entry/events.go
+++ b/io/entry/events.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cyclamenford/core"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	"cyclamenford/io/assign"
 	"cyclamenford/io/keeper"
 	"cyclamenford/io/loop"
@@ -41,9 +41,9 @@
 	return e
 }
 
-func (e *events) began(key sched.Key) { e.add(assign.Event{Key: key, Began: true}) }
+func (e *events) began(key order.Key) { e.add(assign.Event{Key: key, Began: true}) }
 
-func (e *events) ended(key sched.Key, how sched.Ending) { e.add(assign.Event{Key: key, How: how}) }
+func (e *events) ended(key order.Key, how order.Ending) { e.add(assign.Event{Key: key, How: how}) }
 
 func (e *events) add(x assign.Event) {
 	e.mu.Lock()
--- a/io/entry/events_test.go
+++ b/io/entry/events_test.go
@@ -5,19 +5,19 @@
 
 	"github.com/shoenig/test/must"
 
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	"cyclamenford/io/assign"
 )
 
 func TestEventsThatWereNotToldComeFirstNextTime(t *testing.T) {
 	e := newEvents(nil, nil, nil, nil)
-	e.began(sched.Key{Seq: 1})
+	e.began(order.Key{Seq: 1})
 	untold := e.list
 	e.list = nil
-	e.ended(sched.Key{Seq: 1}, sched.Served)
+	e.ended(order.Key{Seq: 1}, order.Served)
 	e.putBack(untold)
 	must.Eq(t, []assign.Event{
-		{Key: sched.Key{Seq: 1}, Began: true}, {Key: sched.Key{Seq: 1}, How: sched.Served},
+		{Key: order.Key{Seq: 1}, Began: true}, {Key: order.Key{Seq: 1}, How: order.Served},
 	}, e.list)
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -10,7 +10,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	relay "cyclamenford/io"
 	"cyclamenford/io/assign"
 	"cyclamenford/io/keeper"
@@ -46,7 +46,7 @@
 	body         []byte
 	arrived      core.Millis
 	deadline     core.Millis
-	key          sched.Key
+	key          order.Key
 	attempts     int
 	// kept is an endpoint's own failure, delivered if no other attempt does better.
 	kept *answer
@@ -123,9 +123,9 @@
 }
 
 // ask describes the request to the scheduler.
-func (r *request) ask() sched.Ask {
+func (r *request) ask() order.Ask {
 	now := r.entry.clock.Now()
-	a := sched.Ask{
+	a := order.Ask{
 		Key: r.key, ID: r.in.ID, Route: r.route.Name, Service: r.service, Class: r.route.Class,
 		Priority: r.route.Priority, FailureDomain: r.entry.options.FailureDomain,
 		Aim: r.arrived + r.route.Aim - now, Left: r.deadline - now,
@@ -139,20 +139,20 @@
 		if i < len(r.in.Pieces) {
 			pieces = r.in.Pieces[i]
 		}
-		a.Stages = append(a.Stages, sched.StageAsk{Service: s.Service, After: s.After, Pieces: pieces, Bytes: s.Bytes})
+		a.Stages = append(a.Stages, order.StageAsk{Service: s.Service, After: s.After, Pieces: pieces, Bytes: s.Bytes})
 	}
 	return a
 }
 
 // place asks the scheduler for an endpoint; when the leader is lost meanwhile, the next one is asked anew.
-func (r *request) place(ctx context.Context) (*sched.Grant, *core.Problem) {
+func (r *request) place(ctx context.Context) (*order.Grant, *core.Problem) {
 	e := r.entry
 	for {
 		leader := e.control.Leader()
 		if e.clock.Now()-e.control.Reached() > leaderSilence {
 			return nil, r.noLeader(keeper.ErrNoLeader)
 		}
-		r.key = sched.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
+		r.key = order.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
 		grant, problem := r.decide(ctx, assign.Service+".Place", func() any { return assign.PlaceArgs{Ask: r.ask()} })
 		if problem == nil || problem.Reason != core.ReasonNoQuorum || !r.mayWait(ctx, leader) {
 			return grant, problem
@@ -182,12 +182,12 @@
 }
 
 // placeAgain asks for another endpoint after an attempt ended.
-func (r *request) placeAgain(ctx context.Context, how sched.Ending) (*sched.Grant, *core.Problem) {
+func (r *request) placeAgain(ctx context.Context, how order.Ending) (*order.Grant, *core.Problem) {
 	return r.decide(ctx, assign.Service+".Again", func() any { return assign.AgainArgs{Key: r.key, How: how} })
 }
 
 // decide calls the leader, or the keeper that is named instead.
-func (r *request) decide(ctx context.Context, method string, args func() any) (*sched.Grant, *core.Problem) {
+func (r *request) decide(ctx context.Context, method string, args func() any) (*order.Grant, *core.Problem) {
 	e := r.entry
 	address := e.control.Leader()
 	for range 2 {
@@ -224,7 +224,7 @@
 		WithRetryAfter(noLeaderRetry)
 }
 
-func (r *request) refused(f sched.Refuse) *core.Problem {
+func (r *request) refused(f order.Refuse) *core.Problem {
 	return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, f.Reason,
 		"expected %d ms, left %d ms", f.Expected, f.Left).WithRetryAfter(f.RetryAfter)
 }
@@ -251,10 +251,10 @@
 }
 
 // again reports whether another attempt may follow one that ended so.
-func (r *request) again(how sched.Ending) bool {
+func (r *request) again(how order.Ending) bool {
 	if r.attempts >= max(1, r.route.MaxAttempts) || r.entry.clock.Now() >= r.deadline {
 		return false
 	}
-	proven := []sched.Ending{sched.Rejected, sched.Unreachable, sched.GoneInput, sched.OtherEndpoint}
-	return slices.Contains(proven, how) || r.repeatable() && how != sched.Abandoned && how != sched.Late
+	proven := []order.Ending{order.Rejected, order.Unreachable, order.GoneInput, order.OtherEndpoint}
+	return slices.Contains(proven, how) || r.repeatable() && how != order.Abandoned && how != order.Late
 }
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -7,7 +7,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	relay "cyclamenford/io"
 	"cyclamenford/io/pipe"
 )
@@ -34,14 +34,14 @@
 	out := newWriter(w, e.clock)
 	for {
 		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			r.end(out, sched.Abandoned, nil)
+			r.end(out, order.Abandoned, nil)
 			return
 		}
 		if problem == nil {
 			problem = r.allowed()
 		}
 		if problem != nil {
-			r.end(out, sched.Abandoned, problem)
+			r.end(out, order.Abandoned, problem)
 			return
 		}
 		r.attempts++
@@ -56,26 +56,26 @@
 		}
 		e.log.Info("attempt ended", "request", r.in.ID, "endpoint", grant.Endpoint, "attempt", r.attempts, "how", how, "next", "again")
 		grant, problem = r.placeAgain(ctx, how)
-		if problem != nil && how != sched.Rejected && how != sched.Unreachable && how != sched.GoneInput && how != sched.OtherEndpoint {
+		if problem != nil && how != order.Rejected && how != order.Unreachable && how != order.GoneInput && how != order.OtherEndpoint {
 			problem = r.failure(how)
 		}
 	}
 }
 
 // failure is what a client is told when the last attempt ended so.
-func (r *request) failure(how sched.Ending) *core.Problem {
+func (r *request) failure(how order.Ending) *core.Problem {
 	switch how {
-	case sched.Rejected, sched.Unreachable, sched.GoneInput, sched.OtherEndpoint:
+	case order.Rejected, order.Unreachable, order.GoneInput, order.OtherEndpoint:
 		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonEndpointRefused,
 			"no endpoint took the request").WithRetryAfter(fullRetry)
-	case sched.Late:
+	case order.Late:
 		return core.NewProblem(http.StatusGatewayTimeout, core.Unknown, core.ReasonDeadlineExceeded, "no answer in time")
 	}
 	return core.NewProblem(http.StatusBadGateway, core.Unknown, core.ReasonConnectionLost, "the endpoint broke off")
 }
 
 // end answers the client if nothing has been, and tells the scheduler and the log.
-func (r *request) end(out *writer, how sched.Ending, p *core.Problem) {
+func (r *request) end(out *writer, how order.Ending, p *core.Problem) {
 	e := r.entry
 	e.events.ended(r.key, how)
 	if p != nil && p.Outcome != core.NotRun && r.kept != nil && !out.started {
@@ -109,7 +109,7 @@
 }
 
 // attempt sends the request to one endpoint; done tells that the client has its answer.
-func (r *request) attempt(ctx context.Context, g *sched.Grant, out *writer) (sched.Ending, bool) {
+func (r *request) attempt(ctx context.Context, g *order.Grant, out *writer) (order.Ending, bool) {
 	e := r.entry
 	urgency := -1
 	if r.generates {
@@ -138,54 +138,54 @@
 	v := e.dialect.Verdict(resp.Status, resp.Header)
 	switch {
 	case v.Other:
-		return sched.OtherEndpoint, false
+		return order.OtherEndpoint, false
 	case v.NotRun && v.GoneInput:
-		return sched.GoneInput, false
+		return order.GoneInput, false
 	case v.NotRun:
-		return sched.Rejected, false
+		return order.Rejected, false
 	case !v.Signed:
-		return sched.Broken, false
+		return order.Broken, false
 	}
 	e.events.began(r.key)
 	if r.route.Class == conf.Stream && resp.Status == http.StatusOK {
 		how := r.stream(ctx, resp, out)
-		return how, how == sched.Served
+		return how, how == order.Served
 	}
 	return r.whole(ctx, resp, out)
 }
 
 // whole reads an answer to its end before any of it is passed on.
-func (r *request) whole(ctx context.Context, resp *pipe.Response, out *writer) (sched.Ending, bool) {
+func (r *request) whole(ctx context.Context, resp *pipe.Response, out *writer) (order.Ending, bool) {
 	body, err := resp.ReadAll(maxAnswer)
 	if err != nil {
 		return r.lost(ctx, err), false
 	}
 	if out.started {
-		return sched.Erred, false
+		return order.Erred, false
 	}
 	a := &answer{status: resp.Status, header: resp.Header, body: body}
-	if resp.Status >= http.StatusInternalServerError && r.again(sched.Erred) {
+	if resp.Status >= http.StatusInternalServerError && r.again(order.Erred) {
 		r.kept = a
-		return sched.Erred, false
+		return order.Erred, false
 	}
 	out.whole(a)
 	if resp.Status >= http.StatusInternalServerError {
-		return sched.Erred, true
+		return order.Erred, true
 	}
-	return sched.Served, true
+	return order.Served, true
 }
 
 // lost says what an error proves of an attempt.
-func (r *request) lost(ctx context.Context, err error) sched.Ending {
+func (r *request) lost(ctx context.Context, err error) order.Ending {
 	switch {
 	case pipe.NotSent(err):
-		return sched.Unreachable
+		return order.Unreachable
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return sched.Late
+		return order.Late
 	case ctx.Err() != nil:
-		return sched.Abandoned
+		return order.Abandoned
 	}
-	return sched.Broken
+	return order.Broken
 }
 
 // lowestUrgency is the last rank that engines know.
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -12,7 +12,7 @@
 	"strings"
 
 	"cyclamenford/core"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 	"cyclamenford/io/pipe"
 )
 
@@ -70,7 +70,7 @@
 }
 
 // stream passes events on as they come, each one whole, and says how the stream ended.
-func (r *request) stream(ctx context.Context, resp *pipe.Response, out *writer) sched.Ending {
+func (r *request) stream(ctx context.Context, resp *pipe.Response, out *writer) order.Ending {
 	if !out.started {
 		out.header(resp.Status, resp.Header)
 	}
@@ -85,7 +85,7 @@
 		}
 		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
 			out.finished = true
-			return sched.Served
+			return order.Served
 		}
 		if err != nil {
 			return r.lost(ctx, err)
@@ -96,11 +96,11 @@
 		id, numbered := eventID(event)
 		if !numbered || id > out.last {
 			if _, err := out.w.Write(event); err != nil {
-				return sched.Abandoned
+				return order.Abandoned
 			}
 			if reader.Buffered() == 0 {
 				if err := flush.Flush(); err != nil {
-					return sched.Abandoned
+					return order.Abandoned
 				}
 			}
 			if numbered {
--- a/io/relay.go
+++ b/io/relay.go
@@ -5,7 +5,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
-	"cyclamenford/core/sched"
+	"cyclamenford/core/order"
 )
 
 // Dialect translates between the relay and the outside parties: clients, endpoints and operators; it decides nothing.
@@ -19,9 +19,9 @@
 	// Refusal fills the header of a failure of the relay's own.
 	Refusal(h http.Header, id core.RequestID, p *core.Problem)
 	// StageCall returns the call that runs pieces at a stage's endpoint.
-	StageCall(to core.EndpointID, items []sched.Item) (Call, error)
+	StageCall(to core.EndpointID, items []order.Item) (Call, error)
 	// StageResults reads the results of a stage call, in the order of its items.
-	StageResults(body []byte) ([]sched.ItemResult, error)
+	StageResults(body []byte) ([]order.ItemResult, error)
 	// FreeResults returns the call that gives results up.
 	FreeResults(handles []string) (Call, error)
 	// Config reads a whole configuration; the caller checks it.
@@ -34,7 +34,7 @@
 	// Left is how long the client will wait, 0 if it does not say.
 	Left   core.Millis
 	Bearer string
-	Prompt sched.Prompt
+	Prompt order.Prompt
 	// Pieces is the number of pieces of each stage.
 	Pieces   []int
 	PieceKey string
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -9,9 +9,9 @@
 	"runtime/debug"
 
 	"cyclamenford/core"
+	"cyclamenford/core/fleet"
 	"cyclamenford/core/kernel"
 	"cyclamenford/core/quorum"
-	"cyclamenford/core/sched"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
 	"cyclamenford/io/assign"
@@ -199,7 +199,7 @@
 		return w.err
 	}
 	retries := r.settings.Retries
-	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs, Retries: sched.Retries{
+	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs, Retries: fleet.Retries{
 		Ratio: retries.Ratio, Slack: retries.Slack, Window: core.Millis(retries.WindowSeconds * float64(core.Second)),
 	}}
 	a := assign.New(o, k, client, r.outside.Dialect, p, r.clock, r.meter, r.log)
