--- a/bench/drill/access.go
+++ b/bench/drill/access.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cyclamenford/bench/fault"
 	"cyclamenford/bench/site"
 	"cyclamenford/core"
 	"cyclamenford/io/caller"
@@ -19,7 +20,7 @@
 
 // OperatorsOf returns a client of one host's operators' interface.
 func (x *Drill) OperatorsOf(n int) *oper.Client {
-	return oper.New([]string{x.processes[n].settings.Listeners.Operators}, site.OperatorKey, nil)
+	return oper.New([]string{x.settings[n].Listeners.Operators}, site.OperatorKey, nil)
 }
 
 // Deployment returns what runs.
@@ -28,7 +29,7 @@
 }
 
 // Do carries out one step now.
-func (x *Drill) Do(ctx context.Context, s Step) error {
+func (x *Drill) Do(ctx context.Context, s fault.Step) error {
 	return x.do(ctx, s)
 }
 
--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
-	"sync"
 	"time"
 
+	"cyclamenford/bench/fault"
 	"cyclamenford/bench/proxy"
 	"cyclamenford/bench/site"
 	"cyclamenford/bench/stand"
@@ -29,17 +32,18 @@
 type Drill struct {
 	script     Script
 	deployment site.Deployment
-	processes  []*process
-	stands     []*stand.Server
-	gone       []*stand.Server
-	network    *proxy.Network
-	operators  *oper.Client
-	callers    *caller.Client
-	record     *Record
-	options    map[core.EndpointID]stand.Options
-	marks      map[core.EndpointID]int64
-	// background are the restarts that still wait for a process to end.
-	background sync.WaitGroup
+	group      *fault.Group
+	// settings are those of the group's hosts, in the same order.
+	settings []setup.Settings
+	stands   []*stand.Server
+	gone     []*stand.Server
+	// firstLed is the host that led when a step first asked for the leader.
+	firstLed  string
+	operators *oper.Client
+	callers   *caller.Client
+	record    *Record
+	options   map[core.EndpointID]stand.Options
+	marks     map[core.EndpointID]int64
 }
 
 // New prepares the processes of a script; binary is the built program and folder holds files and logs.
@@ -55,14 +59,21 @@
 		script: s, deployment: d, callers: caller.New(nil), record: NewRecord(),
 		options: map[core.EndpointID]stand.Options{}, marks: map[core.EndpointID]int64{},
 	}
-	x.network = proxy.New(x.partyOf)
-	x.delayAll()
+	x.group = &fault.Group{
+		Network: proxy.New(x.partyOf), OneWay: time.Duration(d.OneWayMs * float64(time.Millisecond)),
+		Others: x.endpointParties, Overlapping: s.Overlapping,
+		OnKill: func(n int) { x.record.lose(x.settings[n].Listeners.Callers) }, OnFail: x.record.fail,
+	}
+	x.group.SetOneWay()
 	return x, x.prepareHosts(binary, folder)
 }
 
-// delayAll gives every link the deployment's own delay.
-func (x *Drill) delayAll() {
-	x.network.Set(proxy.Link{}, proxy.Rule{Delay: time.Duration(x.deployment.OneWayMs * float64(time.Millisecond))})
+func (x *Drill) endpointParties() []fault.Party {
+	var list []fault.Party
+	for id, o := range x.options {
+		list = append(list, fault.Party{Name: string(id), Domain: o.FailureDomain})
+	}
+	return list
 }
 
 func hostIP(n int) string { return fmt.Sprintf("127.0.0.%d", firstHostByte+n) }
@@ -83,7 +94,7 @@
 		if err != nil {
 			return err
 		}
-		advertised, err := x.network.Listen(string(h.ID), a.Peers)
+		advertised, err := x.group.Network.Listen(string(h.ID), a.Peers)
 		if err != nil {
 			return err
 		}
@@ -96,23 +107,42 @@
 		s.Callers.DrainMs = 300
 		s.Keepers.PatienceMs = 3 * core.Second
 		s.Log.Level = "Info"
-		p, err := newProcess(binary, folder, s)
-		if err != nil {
+		if err := x.addHost(binary, folder, s); err != nil {
 			return err
 		}
-		x.processes = append(x.processes, p)
 		operators = append(operators, s.Listeners.Operators)
 	}
 	x.operators = oper.New(operators, site.OperatorKey, nil)
 	return nil
 }
 
+// addHost writes a host's settings file and prepares its process.
+func (x *Drill) addHost(binary, folder string, s setup.Settings) error {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return fmt.Errorf("encode settings: %w", err)
+	}
+	name := string(s.Host.ID)
+	file := filepath.Join(folder, name+".json")
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	p, err := fault.NewProcess(fault.Program{
+		Name: name, Binary: binary, Args: []string{"serve", "--Settings", file}, Folder: folder, Data: s.Host.DataFolder,
+	})
+	if err != nil {
+		return err
+	}
+	party := fault.Party{Name: name, Domain: s.Host.FailureDomain}
+	x.group.Hosts = append(x.group.Hosts, fault.Host{Party: party, Process: p})
+	x.settings = append(x.settings, s)
+	return nil
+}
+
 // Start starts hosts and endpoints and sets the deployment's tree.
 func (x *Drill) Start(ctx context.Context) error {
-	for _, p := range x.processes {
-		if err := p.start(); err != nil {
-			return err
-		}
+	if err := x.group.Start(); err != nil {
+		return err
 	}
 	if err := x.awaitReady(ctx); err != nil {
 		return err
@@ -133,8 +163,8 @@
 
 func (x *Drill) startStands(ctx context.Context) error {
 	var announce []string
-	for _, p := range x.processes {
-		address, err := x.network.Listen(string(p.settings.Host.ID), p.settings.Listeners.Endpoints)
+	for _, s := range x.settings {
+		address, err := x.group.Network.Listen(string(s.Host.ID), s.Listeners.Endpoints)
 		if err != nil {
 			return err
 		}
@@ -154,7 +184,7 @@
 	o := x.options[id]
 	var server *stand.Server
 	o.Advertise = func(address string) string {
-		proxied, err := x.network.Listen(string(id), address)
+		proxied, err := x.group.Network.Listen(string(id), address)
 		if err != nil {
 			return address
 		}
@@ -203,8 +233,8 @@
 // awaitReady waits until every running host reports ready.
 func (x *Drill) awaitReady(ctx context.Context) error {
 	return poll(ctx, "hosts to be ready", func() bool {
-		for _, p := range x.processes {
-			if p.running() && !ready(ctx, p.settings) {
+		for n, h := range x.group.Hosts {
+			if h.Running() && !ready(ctx, x.settings[n]) {
 				return false
 			}
 		}
@@ -229,12 +259,12 @@
 
 func (x *Drill) awaitEndpoints(ctx context.Context) error {
 	return poll(ctx, "endpoints to be known", func() bool {
-		for _, p := range x.processes {
-			if !p.running() {
+		for n, h := range x.group.Hosts {
+			if !h.Running() {
 				continue
 			}
 			var list []struct{ ID string }
-			c := oper.New([]string{p.settings.Listeners.Operators}, site.OperatorKey, nil)
+			c := oper.New([]string{x.settings[n].Listeners.Operators}, site.OperatorKey, nil)
 			if c.Get(ctx, "/v1/endpoints", &list) != nil || len(list) < len(x.options) {
 				return false
 			}
@@ -244,46 +274,30 @@
 }
 
 // Close ends everything.
-func (x *Drill) Close() {
-	x.background.Wait()
-	for _, p := range x.processes {
-		if p.running() {
-			p.kill()
-		}
-		_ = p.log.Close()
-	}
+func (x *Drill) Close() error {
 	for _, s := range x.allStands() {
 		s.Crash()
 	}
-	x.network.Close()
+	return x.group.Close()
 }
 
 // callerHosts returns the callers' listeners, beginning with the n-th host's.
 func (x *Drill) callerHosts(n int) []string {
 	var list []string
-	for i := range x.processes {
-		list = append(list, x.processes[(n+i)%len(x.processes)].settings.Listeners.Callers)
+	for i := range x.settings {
+		list = append(list, x.settings[(n+i)%len(x.settings)].Listeners.Callers)
 	}
 	return list
 }
 
-// leader returns the number of the host that leads the keepers.
-func (x *Drill) leader(ctx context.Context) (int, error) {
+// leader returns the host that leads the keepers.
+func (x *Drill) leader(ctx context.Context) (string, error) {
 	var s struct{ Leader string }
 	if err := x.operators.Get(ctx, "/v1/status", &s); err != nil {
-		return 0, err
+		return "", err
 	}
 	id, _, _ := strings.Cut(s.Leader, "/")
-	return x.hostNumber(id)
-}
-
-func (x *Drill) hostNumber(id string) (int, error) {
-	for n, h := range x.deployment.Hosts {
-		if string(h.ID) == id {
-			return n, nil
-		}
-	}
-	return 0, fmt.Errorf("unknown host %q", id)
+	return id, nil
 }
 
 func poll(ctx context.Context, what string, done func() bool) error {
--- a/bench/drill/load.go
+++ b/bench/drill/load.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"cyclamenford/bench/site"
 	"cyclamenford/bench/stand"
 	"cyclamenford/core"
 	"cyclamenford/core/tree"
@@ -93,7 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit+2*time.Second)
 	defer cancel()
-	hosts := x.callerHosts(rand.IntN(len(x.processes)))
+	hosts := x.callerHosts(rand.IntN(len(x.settings)))
 	r, err := x.callers.Do(ctx, hosts, q)
 	x.record.answer(Answer{Body: body, Host: hosts[0], Stream: stream, Reply: r, Err: err})
 }
@@ -124,7 +125,7 @@
 	}
 	for range resendLimit {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		r, err := x.callers.Do(ctx, x.callerHosts(rand.IntN(len(x.processes))), q)
+		r, err := x.callers.Do(ctx, x.callerHosts(rand.IntN(len(x.settings))), q)
 		cancel()
 		c.Replies = append(c.Replies, r)
 		if err == nil && r.Outcome == core.Completed {
@@ -138,7 +139,7 @@
 // sendDoubled sends one call to two hosts at the same time, as a caller does whose first connect seemed lost.
 func (x *Drill) sendDoubled(q caller.Request) []caller.Reply {
 	replies := make([]caller.Reply, 2)
-	first := rand.IntN(len(x.processes))
+	first := rand.IntN(len(x.settings))
 	var wg sync.WaitGroup
 	for i := range replies {
 		wg.Go(func() {
@@ -178,9 +179,8 @@
 func (x *Drill) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
 	defer cancel()
-	x.background.Wait()
-	for _, p := range x.processes {
-		x.record.fail(p.unasked())
+	for _, err := range x.group.Settle() {
+		x.record.fail(err)
 	}
 	if err := x.awaitReady(ctx); err != nil {
 		return err
@@ -202,12 +202,12 @@
 		return err
 	}
 	path := tree.TeamPath(x.plan().team)
-	for _, p := range x.processes {
-		if !p.running() {
+	for n, h := range x.group.Hosts {
+		if !h.Running() {
 			continue
 		}
 		var s struct{ Version uint64 }
-		c := oper.New([]string{p.settings.Listeners.Operators}, "example-operator-key", nil)
+		c := oper.New([]string{x.settings[n].Listeners.Operators}, site.OperatorKey, nil)
 		if err := c.Get(ctx, "/v1/settings/"+path, &s); err != nil {
 			return err
 		}
--- a/bench/drill/record.go
+++ b/bench/drill/record.go
@@ -55,7 +55,6 @@
 	began      time.Time
 	// NewWork counts, for endpoints that have left, the runs begun after their mark.
 	NewWork map[core.EndpointID]int64
-	leader  int
 	// Failures tells of hosts that did not end when asked to, or ended unasked.
 	Failures []string
 }
@@ -64,7 +63,7 @@
 func NewRecord() *Record {
 	return &Record{
 		Effects: map[string]int{}, Seen: map[core.RequestID]int{}, Lost: map[string]bool{},
-		Crashes: map[core.EndpointID]int{}, NewWork: map[core.EndpointID]int64{}, leader: -1, began: time.Now(),
+		Crashes: map[core.EndpointID]int{}, NewWork: map[core.EndpointID]int64{}, began: time.Now(),
 	}
 }
 
@@ -94,9 +93,6 @@
 }
 
 func (r *Record) fail(err error) {
-	if err == nil {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Failures = append(r.Failures, err.Error())
@@ -135,7 +131,7 @@
 	c.Answers, c.Calls, c.Changes = slices.Clone(r.Answers), slices.Clone(r.Calls), slices.Clone(r.Changes)
 	c.History, c.Versions = slices.Clone(r.History), slices.Clone(r.Versions)
 	c.Lost, c.Crashes, c.CrashTimes = maps.Clone(r.Lost), maps.Clone(r.Crashes), slices.Clone(r.CrashTimes)
-	c.leader, c.began, c.Failures = r.leader, r.began, slices.Clone(r.Failures)
+	c.began, c.Failures = r.began, slices.Clone(r.Failures)
 	return c
 }
 
--- a/bench/drill/script.go
+++ b/bench/drill/script.go
@@ -1,6 +1,7 @@
 package drill
 
 import (
+	"cyclamenford/bench/fault"
 	"cyclamenford/core"
 )
 
@@ -16,7 +17,7 @@
 	// Load is what runs in the background for RunMs.
 	Load  Load
 	RunMs core.Millis
-	Steps []Step
+	Steps []fault.Step
 	// Overlapping leaves out the steps that need a running host where an earlier step has ended it, and the reverse.
 	Overlapping bool
 }
@@ -36,23 +37,3 @@
 	// Poison is the number of callers that send one crashing request again and again, at changing hosts.
 	Poison int
 }
-
-// Step is something done at a time after the load began.
-type Step struct {
-	AtMs core.Millis
-	// Do is the name of an action in the table of actions.
-	Do string
-	// Host is a host's name or "leader", and Endpoint an endpoint's name.
-	Host     string
-	Endpoint string
-	// Domain is a failure domain.
-	Domain core.FailureDomain
-	// Fault is what an endpoint is told for the action SetFault.
-	Slow        float64
-	Stall       bool
-	CutAfter    int
-	LoseAnswers bool
-	Refuse      bool
-	// DelayMs is added to all data from and to a host, for the action Delay.
-	DelayMs core.Millis
-}
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -101,7 +101,7 @@
 	return r
 }
 
-func play(ctx context.Context, o Options, r *Report) error {
+func play(ctx context.Context, o Options, r *Report) (err error) {
 	d, ok := site.ByName(r.Deployment)
 	if !ok {
 		return fmt.Errorf("unknown deployment %q", r.Deployment)
@@ -121,7 +121,7 @@
 	if err != nil {
 		return fmt.Errorf("prepare: %w", err)
 	}
-	defer x.Close()
+	defer func() { err = errors.Join(err, x.Close()) }()
 	if err := x.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/bench/soak/series.go
+++ b/bench/soak/series.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"cyclamenford/bench/drill"
+	"cyclamenford/bench/fault"
 	"cyclamenford/bench/site"
 	"cyclamenford/core"
 )
@@ -40,8 +41,8 @@
 	for at := warmUp; at < g.end; at += g.between(1, 2*faultEvery) {
 		g.fault(at, min(g.between(shortest, longest), g.end-at))
 	}
-	g.steps = append(g.steps, drill.Step{AtMs: g.end, Do: "HealAll"}, drill.Step{AtMs: g.end, Do: "StartAll"})
-	slices.SortStableFunc(g.steps, func(a, b drill.Step) int { return int(a.AtMs - b.AtMs) })
+	g.steps = append(g.steps, fault.Step{AtMs: g.end, Do: "HealAll"}, fault.Step{AtMs: g.end, Do: "StartAll"})
+	slices.SortStableFunc(g.steps, func(a, b fault.Step) int { return int(a.AtMs - b.AtMs) })
 	return drill.Script{
 		Name: fmt.Sprintf("seed %d of %s", seed, d.Name), Deployment: d.Name, Hosts: len(d.Hosts), RunMs: run,
 		Load:  drill.Load{Streams: 5, Wholes: 5, Calls: 4, Changes: 2, Bulk: g.IntN(2) * 40},
@@ -57,14 +58,14 @@
 	endpoints []string
 	end       core.Millis
 	losses    int
-	steps     []drill.Step
+	steps     []fault.Step
 }
 
 func (g *generator) between(least, most core.Millis) core.Millis {
 	return least + core.Millis(g.Int64N(int64(most-least)+1))
 }
 
-func (g *generator) add(at core.Millis, s drill.Step) {
+func (g *generator) add(at core.Millis, s fault.Step) {
 	s.AtMs = at
 	g.steps = append(g.steps, s)
 }
@@ -79,8 +80,8 @@
 	h := g.host()
 	id := string(h.ID)
 	both := func(begin, end string) {
-		g.add(at, drill.Step{Do: begin, Host: id})
-		g.add(until, drill.Step{Do: end, Host: id})
+		g.add(at, fault.Step{Do: begin, Host: id})
+		g.add(until, fault.Step{Do: end, Host: id})
 	}
 	kinds := []func(){
 		func() { both("Kill", "Start") },
@@ -88,16 +89,16 @@
 		func() { both("Isolate", "Heal") },
 		func() { both("IsolateIn", "Heal") },
 		func() { both("IsolateOut", "Heal") },
-		func() { g.add(at, drill.Step{Do: "Restart", Host: id}) },
-		func() { g.add(at, drill.Step{Do: "CutHost", Host: id}) },
-		func() { g.add(at, drill.Step{Do: "CutConnections"}) },
+		func() { g.add(at, fault.Step{Do: "Restart", Host: id}) },
+		func() { g.add(at, fault.Step{Do: "CutHost", Host: id}) },
+		func() { g.add(at, fault.Step{Do: "CutConnections"}) },
 		func() {
-			g.add(at, drill.Step{Do: "Delay", Host: id, DelayMs: g.between(shortest, maxDelay)})
-			g.add(until, drill.Step{Do: "Heal", Host: id})
+			g.add(at, fault.Step{Do: "Delay", Host: id, DelayMs: g.between(shortest, maxDelay)})
+			g.add(until, fault.Step{Do: "Heal", Host: id})
 		},
 		func() {
-			g.add(at, drill.Step{Do: "IsolateDomain", Domain: h.FailureDomain})
-			g.add(until, drill.Step{Do: "HealDomain", Domain: h.FailureDomain})
+			g.add(at, fault.Step{Do: "IsolateDomain", Domain: h.FailureDomain})
+			g.add(until, fault.Step{Do: "HealDomain", Domain: h.FailureDomain})
 		},
 		func() { g.damage(at, until, h) },
 		func() { g.burst(at, until) },
@@ -116,9 +117,9 @@
 		do = "Wipe"
 	}
 	for _, step := range []string{"Kill", do} {
-		g.add(at, drill.Step{Do: step, Host: string(h.ID)})
+		g.add(at, fault.Step{Do: step, Host: string(h.ID)})
 	}
-	g.add(until, drill.Step{Do: "Start", Host: string(h.ID)})
+	g.add(until, fault.Step{Do: "Start", Host: string(h.ID)})
 }
 
 // burst kills or restarts several hosts within moments.
@@ -126,8 +127,8 @@
 	do := []string{"Kill", "Restart"}[g.IntN(2)]
 	for range 2 + g.IntN(len(g.deployment.Hosts)) {
 		id := string(g.host().ID)
-		g.add(g.between(at, until), drill.Step{Do: do, Host: id})
-		g.add(until, drill.Step{Do: "Start", Host: id})
+		g.add(g.between(at, until), fault.Step{Do: do, Host: id})
+		g.add(until, fault.Step{Do: "Start", Host: id})
 	}
 }
 
@@ -137,18 +138,18 @@
 	}
 	id := g.endpoints[0]
 	g.endpoints = g.endpoints[1:]
-	faults := []drill.Step{
+	faults := []fault.Step{
 		{Slow: float64(2 + g.IntN(20))}, {Stall: true}, {CutAfter: 1 + g.IntN(10)}, {LoseAnswers: true}, {Refuse: true},
 	}
 	if k := g.IntN(len(faults) + 1); k < len(faults) {
 		s := faults[k]
 		s.Do, s.Endpoint = "SetFault", id
 		g.add(at, s)
-		g.add(until, drill.Step{Do: "SetFault", Endpoint: id})
+		g.add(until, fault.Step{Do: "SetFault", Endpoint: id})
 		return
 	}
-	g.add(at, drill.Step{Do: "CrashEndpoint", Endpoint: id})
-	g.add(until, drill.Step{Do: "StartEndpoint", Endpoint: id})
+	g.add(at, fault.Step{Do: "CrashEndpoint", Endpoint: id})
+	g.add(until, fault.Step{Do: "StartEndpoint", Endpoint: id})
 }
 
 // leave lets an endpoint say goodbye for good.
@@ -158,6 +159,6 @@
 	}
 	id := g.endpoints[0]
 	g.endpoints = g.endpoints[1:]
-	g.add(at, drill.Step{Do: "Leave", Endpoint: id})
-	g.add(at+leaveGrace, drill.Step{Do: "Mark", Endpoint: id})
+	g.add(at, fault.Step{Do: "Leave", Endpoint: id})
+	g.add(at+leaveGrace, fault.Step{Do: "Mark", Endpoint: id})
 }
--- a/tests/scenario_test.go
+++ b/tests/scenario_test.go
@@ -75,7 +75,7 @@
 	folder := t.TempDir()
 	x, err := drill.New(s.Script, binary, folder)
 	must.NoError(t, err)
-	defer x.Close()
+	defer func() { must.NoError(t, x.Close()) }()
 	must.NoError(t, x.Start(ctx))
 	runErr := x.Run(ctx)
 	if runErr != nil {
--- a/tests/settings_test.go
+++ b/tests/settings_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"cyclamenford/bench/drill"
+	"cyclamenford/bench/fault"
 	"cyclamenford/core/tree"
 	"cyclamenford/io/oper"
 )
@@ -25,7 +26,7 @@
 	t.Cleanup(cancel)
 	x, err := drill.New(drill.Script{Deployment: "SawtLoop"}, binary, t.TempDir())
 	must.NoError(t, err)
-	t.Cleanup(x.Close)
+	t.Cleanup(func() { must.NoError(t, x.Close()) })
 	must.NoError(t, x.Start(ctx))
 	return x, ctx
 }
@@ -50,8 +51,8 @@
 		_, err := x.Operators().Set(ctx, path, version+uint64(n), teamDoc(t, x, 100+n), fmt.Sprint("change-", n))
 		must.NoError(t, err)
 	}
-	must.NoError(t, x.Do(ctx, drill.Step{Do: "KillAll"}))
-	must.NoError(t, x.Do(ctx, drill.Step{Do: "StartAll"}))
+	must.NoError(t, x.Do(ctx, fault.Step{Do: "KillAll"}))
+	must.NoError(t, x.Do(ctx, fault.Step{Do: "StartAll"}))
 	began := time.Now()
 	must.NoError(t, x.AwaitReady(ctx))
 	t.Logf("all hosts ready %v after the restart", time.Since(began).Round(10*time.Millisecond))
