--- a/bench/proxy/proxy.go
+++ b/bench/proxy/proxy.go
@@ -53,11 +53,18 @@
 
 // Listen starts a proxy in front of a party's address and returns where it listens.
 func (n *Network) Listen(party, target string) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return n.ListenAt("127.0.0.1:0", party, target)
+}
+
+// ListenAt starts a proxy at an address in front of a party's own one, and returns where it listens.
+func (n *Network) ListenAt(address, party, target string) (string, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", fmt.Errorf("listen as proxy: %w", err)
 	}
+	n.mu.Lock()
 	n.ends = append(n.ends, l)
+	n.mu.Unlock()
 	n.wg.Go(func() { n.accept(l, party, target) })
 	return l.Addr().String(), nil
 }
@@ -98,7 +105,10 @@
 // Close ends all proxies and connections.
 func (n *Network) Close() {
 	close(n.stop)
-	for _, l := range n.ends {
+	n.mu.Lock()
+	ends := n.ends
+	n.mu.Unlock()
+	for _, l := range ends {
 		_ = l.Close()
 	}
 	n.Cut("", "")
--- a/bench/soak/series.go
+++ b/bench/soak/series.go
@@ -26,16 +26,36 @@
 	maxDelay = 600
 	// mostLosses bounds the disks lost in a run: the examples' keepers promise to survive one.
 	mostLosses = 1
+	// floodEvery is the number of seeds of which one adds a flood of the least urgent requests.
+	floodEvery = 3
 )
 
-// Series draws the faults of a run: the same seed, deployment and length always give the same script.
+// Series draws the script of a run: the same seed, deployment and length always give the same one.
 func Series(seed uint64, d site.Deployment, run core.Millis) drill.Script {
-	g := &generator{
-		Rand: rand.New(rand.NewPCG(seed, uint64(run))), deployment: d,
-		end: core.Millis(healBy * float64(run)), losses: mostLosses,
+	var hosts []fault.Party
+	for _, h := range d.Hosts {
+		hosts = append(hosts, fault.Party{Name: string(h.ID), Domain: h.FailureDomain})
 	}
+	var endpoints []string
 	for _, o := range d.Stands(nil) {
-		g.endpoints = append(g.endpoints, string(o.ID))
+		endpoints = append(endpoints, string(o.ID))
+	}
+	s := drill.Script{
+		Name: fmt.Sprintf("seed %d of %s", seed, d.Name), Deployment: d.Name, Hosts: len(d.Hosts), RunMs: run,
+		Load:  drill.Load{Streams: 5, Wholes: 5, Calls: 4, Changes: 2},
+		Steps: Faults(seed, hosts, endpoints, run), Overlapping: true,
+	}
+	if seed%floodEvery == 0 {
+		s.Load.Bulk = 40
+	}
+	return s
+}
+
+// Faults draws the faults of a run, in the order of their times; after healBy of the run nothing is broken any more.
+func Faults(seed uint64, hosts []fault.Party, endpoints []string, run core.Millis) []fault.Step {
+	g := &generator{
+		Rand: rand.New(rand.NewPCG(seed, uint64(run))), hosts: hosts, endpoints: slices.Clone(endpoints),
+		end: core.Millis(healBy * float64(run)), losses: mostLosses,
 	}
 	g.Shuffle(len(g.endpoints), func(i, j int) { g.endpoints[i], g.endpoints[j] = g.endpoints[j], g.endpoints[i] })
 	for at := warmUp; at < g.end; at += g.between(1, 2*faultEvery) {
@@ -43,17 +63,13 @@
 	}
 	g.steps = append(g.steps, fault.Step{AtMs: g.end, Do: "HealAll"}, fault.Step{AtMs: g.end, Do: "StartAll"})
 	slices.SortStableFunc(g.steps, func(a, b fault.Step) int { return int(a.AtMs - b.AtMs) })
-	return drill.Script{
-		Name: fmt.Sprintf("seed %d of %s", seed, d.Name), Deployment: d.Name, Hosts: len(d.Hosts), RunMs: run,
-		Load:  drill.Load{Streams: 5, Wholes: 5, Calls: 4, Changes: 2, Bulk: g.IntN(2) * 40},
-		Steps: g.steps, Overlapping: true,
-	}
+	return g.steps
 }
 
 // generator draws one series of faults.
 type generator struct {
 	*rand.Rand
-	deployment site.Deployment
+	hosts []fault.Party
 	// endpoints are those without a fault yet, in random order: an endpoint gets one fault a run.
 	endpoints []string
 	end       core.Millis
@@ -70,15 +86,15 @@
 	g.steps = append(g.steps, s)
 }
 
-func (g *generator) host() site.HostSpec {
-	return g.deployment.Hosts[g.IntN(len(g.deployment.Hosts))]
+func (g *generator) host() fault.Party {
+	return g.hosts[g.IntN(len(g.hosts))]
 }
 
 // fault adds one fault of a random kind that lasts for the given time.
 func (g *generator) fault(at, lasts core.Millis) {
 	until := at + lasts
 	h := g.host()
-	id := string(h.ID)
+	id := h.Name
 	both := func(begin, end string) {
 		g.add(at, fault.Step{Do: begin, Host: id})
 		g.add(until, fault.Step{Do: end, Host: id})
@@ -97,8 +113,8 @@
 			g.add(until, fault.Step{Do: "Heal", Host: id})
 		},
 		func() {
-			g.add(at, fault.Step{Do: "IsolateDomain", Domain: h.FailureDomain})
-			g.add(until, fault.Step{Do: "HealDomain", Domain: h.FailureDomain})
+			g.add(at, fault.Step{Do: "IsolateDomain", Domain: h.Domain})
+			g.add(until, fault.Step{Do: "HealDomain", Domain: h.Domain})
 		},
 		func() { g.damage(at, until, h) },
 		func() { g.burst(at, until) },
@@ -110,23 +126,23 @@
 }
 
 // damage kills a host and tears or loses its data while it is down.
-func (g *generator) damage(at, until core.Millis, h site.HostSpec) {
+func (g *generator) damage(at, until core.Millis, h fault.Party) {
 	do := "Tear"
 	if g.losses > 0 && g.IntN(2) == 0 {
 		g.losses--
 		do = "Wipe"
 	}
 	for _, step := range []string{"Kill", do} {
-		g.add(at, fault.Step{Do: step, Host: string(h.ID)})
+		g.add(at, fault.Step{Do: step, Host: h.Name})
 	}
-	g.add(until, fault.Step{Do: "Start", Host: string(h.ID)})
+	g.add(until, fault.Step{Do: "Start", Host: h.Name})
 }
 
 // burst kills or restarts several hosts within moments.
 func (g *generator) burst(at, until core.Millis) {
 	do := []string{"Kill", "Restart"}[g.IntN(2)]
-	for range 2 + g.IntN(len(g.deployment.Hosts)) {
-		id := string(g.host().ID)
+	for range 2 + g.IntN(len(g.hosts)) {
+		id := g.host().Name
 		g.add(g.between(at, until), fault.Step{Do: do, Host: id})
 		g.add(until, fault.Step{Do: "Start", Host: id})
 	}
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -150,7 +150,7 @@
 	t := find[*trace.Service](&w, traceService)
 	server := find[*peer.Server](&w, serverService)
 	o := keeper.Options{
-		Host: r.settings.Host.ID, Address: r.settings.Listeners.Peers, Rejoin: !r.settings.Bootstrap,
+		Host: r.settings.Host.ID, Address: r.settings.Listeners.advertised(), Rejoin: !r.settings.Bootstrap,
 		Voters: voterFactor*r.settings.FaultTolerance + 1, Patience: r.settings.Keepers.PatienceMs,
 		Quorum: quorum.Defaults(), Trace: t,
 	}
@@ -177,7 +177,7 @@
 	t := find[*trace.Service](&w, traceService)
 	self := state.Host{
 		ID: r.settings.Host.ID, Incarnation: core.Incarnation(r.clock.Unix()),
-		FailureDomain: r.settings.Host.FailureDomain, PeerAddress: r.settings.Listeners.Peers,
+		FailureDomain: r.settings.Host.FailureDomain, PeerAddress: r.settings.Listeners.advertised(),
 	}
 	if k, err := kernel.Find[*keeper.Keeper](r.kernel, keeperService); err == nil {
 		self.Keeper = string(k.Member())
--- a/setup/relay_settings.go
+++ b/setup/relay_settings.go
@@ -55,6 +55,8 @@
 	// Metrics serves counters and histograms.
 	Metrics string
 	Peers   string
+	// PeersAdvertised is where other hosts reach Peers, if it is another address.
+	PeersAdvertised string
 }
 
 // RelayLogSettings choose what is logged, and how much at most.
@@ -103,6 +105,9 @@
 	c.want(s.Listeners.Clients != "" || s.Listeners.Control != "", "Listeners", "none", "Clients or Control")
 	c.want(s.Listeners.Control == "" || s.Host.DataFolder != "", "Host.DataFolder", `""`, "a folder, since Control is set")
 	c.address("Listeners.Peers", s.Listeners.Peers)
+	if s.Listeners.PeersAdvertised != "" {
+		c.address("Listeners.PeersAdvertised", s.Listeners.PeersAdvertised)
+	}
 	for i, a := range s.Seeds {
 		c.address(fmt.Sprintf("Seeds[%d]", i), a)
 	}
@@ -118,6 +123,14 @@
 	return errors.Join(c.errs...)
 }
 
+// advertised returns the address at which other hosts reach this one.
+func (l RelayListeners) advertised() string {
+	if l.PeersAdvertised != "" {
+		return l.PeersAdvertised
+	}
+	return l.Peers
+}
+
 // grace returns the time from SIGTERM to SIGKILL.
 func (s RelaySettings) grace() core.Millis {
 	return core.Millis(s.GraceSeconds * float64(core.Second))
