--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -27,6 +27,13 @@
 	// speedWeight is the milliseconds that an endpoint of twice the usual time is put back: about a call.
 	speedWeight = 250.0
 	megabyte    = 1 << 20
+	// waitCalls is how many typical calls a group's spare time must cover before it waits for an endpoint in a better
+	// failure domain: the rest of the call there, and one that started just before.
+	waitCalls = 2.0
+	// worthWaiting is the milliseconds of crossing from which it does: about a megabyte.
+	worthWaiting = 20.0
+	// crowdedShare is the part of a full call at each endpoint from which ready pieces go wherever there is room first.
+	crowdedShare = 0.25
 )
 
 // group is the pieces of one stage of one request that wait for a call.
@@ -84,11 +91,10 @@
 			return
 		}
 		keys := s.keys(svc)
-		first := slices.MinFunc(svc.groups, func(a, b *group) int { return cmp.Compare(keys[a], keys[b]) })
-		if keys[first] >= tooEarly {
+		e := s.next(svc, idle, keys)
+		if e == nil {
 			return
 		}
-		e := nearest(idle, first, s.wantedRoom(svc, keys))
 		items, bytes := s.fill(svc, e, keys)
 		if len(items) == 0 {
 			return
@@ -97,6 +103,52 @@
 	}
 }
 
+// next returns the endpoint that starts a call now, or nil: the best one for the group that is due first of those that do
+// not wait for another.
+func (s *Scheduler) next(svc *service, idle []*fleet.Endpoint, keys map[*group]float64) *fleet.Endpoint {
+	slices.SortStableFunc(svc.groups, func(a, b *group) int { return cmp.Compare(keys[a], keys[b]) })
+	for _, g := range svc.groups {
+		if keys[g] >= tooEarly {
+			return nil
+		}
+		able := slices.DeleteFunc(slices.Clone(idle), func(e *fleet.Endpoint) bool { return s.waitsAt(svc, g, e) })
+		if len(able) > 0 {
+			return nearest(able, g, s.wantedRoom(svc, keys))
+		}
+	}
+	return nil
+}
+
+// waitsAt reports whether a group should wait for an endpoint of another failure domain than this one's, because much
+// would be fetched across domains otherwise and there is time.
+func (s *Scheduler) waitsAt(svc *service, g *group, e *fleet.Endpoint) bool {
+	r := g.request
+	slack := r.aimAt - s.rest(r, g.stage) - s.now
+	if r.late || float64(slack) < waitCalls*svc.CallTime() || g.crossing(e) < worthWaiting || s.crowded(svc) {
+		return false
+	}
+	for _, other := range svc.Endpoints() {
+		if other.Usable(s.now) && !other.Slow(s.now) && g.crossing(other) < g.crossing(e)/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// crowded reports whether so many pieces are ready that no endpoint may stand idle.
+func (s *Scheduler) crowded(svc *service) bool {
+	ready, room := 0, 0
+	for _, g := range svc.groups {
+		ready += len(g.pieces)
+	}
+	for _, e := range svc.Endpoints() {
+		if e.Usable(s.now) {
+			room += svc.Pieces.Batch
+		}
+	}
+	return float64(ready) > crowdedShare*float64(room)
+}
+
 // idle returns the endpoints that can start a call now.
 func (s *Scheduler) idle(svc *service) []*fleet.Endpoint {
 	var list []*fleet.Endpoint
@@ -131,12 +183,29 @@
 	return slices.MinFunc(idle, func(a, b *fleet.Endpoint) int { return cmp.Compare(cost(a), cost(b)) })
 }
 
-// crossing is the milliseconds that a group's results are put back for leaving their failure domain.
+// crossing is the milliseconds that a group is put back at an endpoint for what would leave its failure domain: the
+// inputs, which each piece fetches, and the results, whose next use is where the request is expected to be placed.
 func (g *group) crossing(e *fleet.Endpoint) float64 {
-	if home := g.request.home; home == "" || home == e.FailureDomain {
-		return 0
+	r, st := g.request, &g.request.stages[g.stage]
+	var bytes int64
+	if r.home != "" && r.home != e.FailureDomain && slices.Contains(r.finalStages(), g.stage) {
+		bytes = st.Bytes
 	}
-	return crossWeight * float64(g.request.stages[g.stage].Bytes) * float64(len(g.pieces)) / megabyte
+	for _, a := range st.After {
+		bytes += r.foreign(a, e)
+	}
+	return crossWeight * float64(bytes) * float64(len(g.pieces)) / megabyte
+}
+
+// foreign returns the bytes of a stage's results that were made in another failure domain than an endpoint's.
+func (r *request) foreign(stage int, e *fleet.Endpoint) int64 {
+	var bytes int64
+	for _, h := range r.stages[stage].handles {
+		if maker, ok := r.maker(h); ok && maker.FailureDomain != e.FailureDomain {
+			bytes += r.stages[stage].Bytes
+		}
+	}
+	return bytes
 }
 
 // keys orders the groups of a service, the smallest first.
@@ -181,7 +250,7 @@
 	var bytes int64
 	room := e.Room()
 	for _, g := range svc.groups {
-		if keys[g] >= tooEarly {
+		if keys[g] >= tooEarly || s.waitsAt(svc, g, e) {
 			continue
 		}
 		size := g.request.stages[g.stage].Bytes
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -48,12 +48,7 @@
 func (r *request) crossing(e *fleet.Endpoint) float64 {
 	var bytes int64
 	for _, i := range r.finalStages() {
-		st := r.stages[i]
-		for _, h := range st.handles {
-			if maker, ok := r.maker(h); ok && maker.FailureDomain != e.FailureDomain {
-				bytes += st.Bytes
-			}
-		}
+		bytes += r.foreign(i, e)
 	}
 	return crossWeight * float64(bytes) / megabyte
 }
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test"
@@ -70,6 +71,9 @@
 	Least map[string]float64
 	// MostFalse is the largest share of the requests that may be given up later than an eighth of their aim.
 	MostFalse float64
+	// MostForeign is the largest share of the fetched bytes that may leave their failure domain, if set: half of the 2/3
+	// that a choice without regard to the three domains gives.
+	MostForeign float64
 }
 
 type event struct {
@@ -99,14 +103,17 @@
 }
 
 type player struct {
-	load                        load
-	rng                         *rand.Rand
-	sched                       *Scheduler
-	now                         core.Millis
-	queue                       events
-	n                           int
-	seq                         uint64
-	asks                        map[order.Key]*played
+	load    load
+	rng     *rand.Rand
+	sched   *Scheduler
+	now     core.Millis
+	queue   events
+	n       int
+	seq     uint64
+	asks    map[order.Key]*played
+	domains map[core.EndpointID]int
+	// fetched are the bytes of results that were fetched, foreign those from another failure domain.
+	fetched, foreign            int64
 	tally                       map[string]*tally
 	handle                      map[string]core.Millis
 	bytes                       map[string]int64
@@ -161,7 +168,7 @@
 
 func play(l load) *player {
 	p := &player{
-		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(fleet.Retries{Ratio: 0.2, Slack: 56, Window: 10 * core.Second}), now: 1, asks: map[order.Key]*played{}, tally: map[string]*tally{},
+		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(fleet.Retries{Ratio: 0.2, Slack: 56, Window: 10 * core.Second}), now: 1, asks: map[order.Key]*played{}, domains: map[core.EndpointID]int{}, tally: map[string]*tally{},
 		handle: map[string]core.Millis{}, bytes: map[string]int64{}, room: map[string]int64{},
 		busy: map[core.EndpointID]core.Millis{}, read: map[core.EndpointID]map[string]bool{},
 	}
@@ -179,6 +186,7 @@
 			slots = s.Engine.Slots
 		}
 		for i := range s.Endpoints {
+			p.domains[endpointName(s.Name, i)] = i % 3
 			p.sched.Join(p.now, order.Endpoint{
 				ID: endpointName(s.Name, i), Incarnation: 1, Address: string(endpointName(s.Name, i)),
 				FailureDomain: core.FailureDomain(fmt.Sprint("d", i%3)), Service: s.Name, Slots: slots,
@@ -323,6 +331,7 @@
 	x := p.asks[g.Key]
 	c := p.load.Classes[x.class]
 	s := p.load.Services[p.serviceOf(c.Service)]
+	p.fetch(g.Endpoint, g.Inputs)
 	for _, h := range g.Inputs {
 		if p.handle[h] < p.now {
 			p.gone++
@@ -388,6 +397,17 @@
 	return ""
 }
 
+// fetch counts the bytes of results that an endpoint fetches, and those that come from another failure domain.
+func (p *player) fetch(to core.EndpointID, handles []string) {
+	for _, h := range handles {
+		maker, _, _ := strings.Cut(h, "/")
+		p.fetched += p.bytes[h]
+		if p.domains[core.EndpointID(maker)] != p.domains[to] {
+			p.foreign += p.bytes[h]
+		}
+	}
+}
+
 func (p *player) call(c order.Call) {
 	s := p.load.Services[p.serviceOf(c.Service)]
 	p.calls++
@@ -406,6 +426,7 @@
 		}
 		took += s.Pieces.ItemTime * work
 		bad := false
+		p.fetch(c.Endpoint, i.Inputs)
 		for _, h := range i.Inputs {
 			bad = bad || p.handle[h] < p.now
 		}
@@ -460,7 +481,12 @@
 				asked += x.Asked
 				test.GreaterEq(t, l.Least[c.Name], x.Earned/x.Owed, test.Sprint(c.Name))
 			}
-			t.Logf("calls %d, %.1f pieces each, gone %d, no room %d", p.calls, float64(p.pieces)/float64(p.calls), p.gone, p.noRoom)
+			foreign := float64(p.foreign) / float64(max(1, p.fetched))
+			t.Logf("calls %d, %.1f pieces each, gone %d, no room %d, %.2f of the fetched bytes foreign",
+				p.calls, float64(p.pieces)/float64(p.calls), p.gone, p.noRoom, foreign)
+			if l.MostForeign > 0 {
+				test.LessEq(t, l.MostForeign, foreign, test.Sprint("share of foreign bytes"))
+			}
 			test.LessEq(t, l.MostFalse, float64(held)/float64(asked), test.Sprint("held, then given up"))
 		})
 	}
