--- a/cmds/main.go
+++ b/cmds/main.go
@@ -39,7 +39,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: slices.Concat(
-			[]*cli.Command{serveCommand(), platform.Command(), demoCommand(), soakCommand(), callCommand(), stateCommand()},
+			[]*cli.Command{serveCommand(), platform.Command(), demoCommand(), soakCommand(), callCommand(), storyCommand(), stateCommand()},
 			opers.Commands(), equip.Commands()),
 	}
 	err := app.Run(ctx, args)
--- /dev/null
+++ b/cmds/story.go
@@ -0,0 +1,61 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"cyclamenford/cmds/term"
+	"cyclamenford/core"
+	"cyclamenford/io/story"
+)
+
+var errNoLines = errors.New("no log line names this request")
+
+func storyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "story",
+		Usage: "print what the logs of all hosts, from files or standard input, tell of one request and of changes around it",
+
+		ArgsUsage: "REQUEST [FILE...]",
+		Action: func(_ context.Context, c *cli.Command) error {
+			id, err := term.Argument(c, 0, "REQUEST")
+			if err != nil {
+				return err
+			}
+			lines, err := readLogs(c.Args().Tail())
+			if err != nil {
+				return err
+			}
+			found := story.Of(core.RequestID(id), lines)
+			if len(found) == 0 {
+				return fmt.Errorf("%s: %w", id, errNoLines)
+			}
+			return story.Write(c.Root().Writer, found)
+		},
+	}
+}
+
+// readLogs reads every file, or standard input if there is none.
+func readLogs(files []string) ([]story.Line, error) {
+	if len(files) == 0 {
+		lines, _, err := story.Read(os.Stdin)
+		return lines, err
+	}
+	var all []story.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("open log: %w", err)
+		}
+		lines, _, err := story.Read(f)
+		if err = errors.Join(err, f.Close()); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -87,7 +87,7 @@
 // loseInputs prepares a request's inputs again, or gives it up when that would delay others.
 func (s *Scheduler) loseInputs(r *request) {
 	if r.remade >= maxRemakes || !s.hasSpare(r) {
-		s.refuse(r, core.ReasonEndpointFailed, s.remaining(r))
+		s.refuse(r, core.ReasonInputsLost, s.remaining(r))
 		s.drop(r)
 		return
 	}
