--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -51,13 +52,16 @@
 
 // Store writes the log of one keeper.
 type Store struct {
-	folder   Folder
+	folder  Folder
+	segment File
+	name    string
+	size    int64
+	hard    quorum.HardState
+	failed  error
+
+	// mu guards identity, which the calls of other hosts read while the log's own goroutine writes.
+	mu       sync.Mutex
 	identity Identity
-	segment  File
-	name     string
-	size     int64
-	hard     quorum.HardState
-	failed   error
 }
 
 // Open reads the folder; fresh is the incarnation to write if the folder is empty.
@@ -84,7 +88,7 @@
 		}
 	}
 	s.identity = Identity{Format: FormatVersion, Host: host, Incarnation: fresh}
-	return s, Contents{}, s.writeIdentity()
+	return s, Contents{}, s.writeIdentity(s.identity)
 }
 
 func (s *Store) readIdentity(host core.HostID) error {
@@ -108,8 +112,8 @@
 	return nil
 }
 
-func (s *Store) writeIdentity() error {
-	raw, err := cbor.Marshal(s.identity)
+func (s *Store) writeIdentity(i Identity) error {
+	raw, err := cbor.Marshal(i)
 	if err != nil {
 		return fmt.Errorf("encode identity: %w", err)
 	}
@@ -118,6 +122,8 @@
 
 // Identity returns what the folder says of itself.
 func (s *Store) Identity() Identity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.identity
 }
 
@@ -131,11 +137,18 @@
 
 // MarkFounded notes that the folder belongs to a replicated log.
 func (s *Store) MarkFounded() error {
-	if s.identity.Founded {
+	i := s.Identity()
+	if i.Founded {
 		return nil
 	}
-	s.identity.Founded = true
-	return s.writeIdentity()
+	i.Founded = true
+	if err := s.writeIdentity(i); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.identity = i
+	return nil
 }
 
 func (s *Store) load(names []string, repair bool) (Contents, error) {
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -23,11 +23,13 @@
 	followWait = 300 * core.Millis(1)
 	// followTimeout leaves a lost packet time to be sent again.
 	followTimeout = 600 * time.Millisecond
-	// searchTimeout is many round trips; a keeper that does not answer by then is not worth waiting for.
-	searchTimeout = 200 * time.Millisecond
-	callTimeout   = 2 * time.Second
-	retryPause    = 50 * time.Millisecond
-	endedPause    = time.Second
+	// searchTimeout is some round trips; a keeper that does not answer by then is not worth waiting for.
+	searchTimeout = 100 * time.Millisecond
+	// searchLimit is how long a lost leader's successor is looked for before the next ordinary call: an election.
+	searchLimit = 600 * time.Millisecond
+	callTimeout = 2 * time.Second
+	retryPause  = 50 * time.Millisecond
+	endedPause  = time.Second
 )
 
 // Follower is one host's link to the control state.
@@ -155,7 +157,6 @@
 		f.log.Debug("leader not reached", "address", address, "err", err)
 		f.locator.failed(address, reply.LeaderAddress)
 		f.search(ctx)
-		pause(ctx, retryPause)
 		return
 	}
 	f.locator.found(address)
@@ -170,8 +171,17 @@
 	}
 }
 
-// search asks every known keeper at once who leads, since the next one in turn may be as silent as the last.
+// search asks every known keeper who leads until one does, since the next in turn may be as silent as the last.
 func (f *Follower) search(ctx context.Context) {
+	for began := f.clock.Now(); f.clock.Now()-began < core.Millis(searchLimit.Milliseconds()); pause(ctx, retryPause) {
+		if ctx.Err() != nil || f.askAll(ctx) {
+			return
+		}
+	}
+}
+
+// askAll asks every known keeper at once and reports whether one of them leads.
+func (f *Follower) askAll(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	addresses := f.locator.all()
@@ -191,12 +201,13 @@
 		case address := <-leads:
 			if address != "" {
 				f.locator.found(address)
-				return
+				return true
 			}
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
+	return false
 }
 
 // apply takes in changes, and only then renews the serving lease.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -33,16 +33,24 @@
 }
 
 type connection struct {
-	mu     sync.Mutex
-	client *rpc.Client
-	// attempt is the connection being made, which all callers wait for.
+	mu sync.Mutex
+	// present is the link that takes new calls.
+	present *link
+	// attempt is the link being made, which all callers wait for.
 	attempt *attempt
 }
 
-type attempt struct {
-	done   chan struct{}
+// link is one TCP connection with its calls in progress.
+type link struct {
 	client *rpc.Client
-	err    error
+	calls  int
+	// retired tells that it takes no new calls and is closed after its last one.
+	retired bool
+}
+
+type attempt struct {
+	done chan struct{}
+	err  error
 }
 
 // NewClient returns a client that calls from the given IP, any if nil; tlsConfig may be nil for plain TCP.
@@ -57,26 +65,22 @@
 
 // Call invokes a method at an address and waits for the reply or the end of ctx.
 //
-// A connection whose call ran out of time is closed, since it may be a silent partition.
+// A link whose call ran out of time takes no new calls, since it may be a silent partition; the calls in progress on it
+// keep their own time.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	conn := c.connection(address)
-	client, err := conn.get(ctx, c, address)
+	l, err := conn.take(ctx, c, address)
 	if err != nil {
 		return fmt.Errorf("call %s at %s: %w: %w", method, address, ErrNotSent, err)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call := l.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
 	case <-ctx.Done():
 		err = ctx.Err()
-		if errors.Is(err, context.DeadlineExceeded) {
-			conn.drop(client)
-		}
-	}
-	if errors.Is(err, rpc.ErrShutdown) {
-		conn.drop(client)
 	}
+	conn.release(l, errors.Is(err, context.DeadlineExceeded) || errors.Is(err, rpc.ErrShutdown))
 	if err != nil {
 		return fmt.Errorf("call %s at %s: %w", method, address, err)
 	}
@@ -100,9 +104,9 @@
 	defer c.mu.Unlock()
 	for _, conn := range c.conns {
 		conn.mu.Lock()
-		if conn.client != nil {
-			_ = conn.client.Close()
-			conn.client = nil
+		if conn.present != nil {
+			_ = conn.present.client.Close()
+			conn.present = nil
 		}
 		conn.mu.Unlock()
 	}
@@ -114,24 +118,48 @@
 	return nil
 }
 
-func (conn *connection) get(ctx context.Context, c *Client, address string) (*rpc.Client, error) {
+// take returns a link with one more call on it.
+func (conn *connection) take(ctx context.Context, c *Client, address string) (*link, error) {
 	conn.mu.Lock()
-	if conn.client != nil {
-		defer conn.mu.Unlock()
-		return conn.client, nil
+	defer conn.mu.Unlock()
+	for conn.present == nil {
+		a := conn.attempt
+		if a == nil {
+			a = &attempt{done: make(chan struct{})}
+			conn.attempt = a
+			go conn.connect(c, address, a)
+		}
+		conn.mu.Unlock()
+		select {
+		case <-a.done:
+		case <-ctx.Done():
+		}
+		conn.mu.Lock()
+		if a.err != nil {
+			return nil, a.err
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 	}
-	a := conn.attempt
-	if a == nil {
-		a = &attempt{done: make(chan struct{})}
-		conn.attempt = a
-		go conn.connect(c, address, a)
+	conn.present.calls++
+	return conn.present, nil
+}
+
+// release ends a call on a link; a retired link is closed after its last call.
+func (conn *connection) release(l *link, retire bool) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	l.calls--
+	if retire {
+		l.retired = true
+		if conn.present == l {
+			conn.present = nil
+		}
 	}
-	conn.mu.Unlock()
-	select {
-	case <-a.done:
-		return a.client, a.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if l.retired && l.calls == 0 {
+		// The other end may have closed it before; nothing is left to be done about that.
+		_ = l.client.Close()
 	}
 }
 
@@ -147,8 +175,7 @@
 	defer conn.mu.Unlock()
 	conn.attempt = nil
 	if a.err = err; err == nil {
-		a.client = rpc.NewClient(raw)
-		conn.client = a.client
+		conn.present = &link{client: rpc.NewClient(raw)}
 	}
 	close(a.done)
 }
@@ -172,15 +199,6 @@
 	return tls.Client(counted, config), nil
 }
 
-func (conn *connection) drop(client *rpc.Client) {
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	if conn.client == client {
-		_ = client.Close()
-		conn.client = nil
-	}
-}
-
 // countedConn counts the bytes of a connection.
 type countedConn struct {
 	net.Conn
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -26,18 +26,28 @@
 }
 
 func startServer(t *testing.T, key string) string {
+	stall := make(chan struct{})
+	address := startEcho(t, key, stall)
+	// The server stops after this, since it waits for its calls.
+	t.Cleanup(func() { close(stall) })
+	return address
+}
+
+// startStalling starts a server whose stalled calls end when the channel is closed, which the test must do.
+func startStalling(t *testing.T) (string, chan struct{}) {
+	stall := make(chan struct{})
+	return startEcho(t, "the right key", stall), stall
+}
+
+func startEcho(t *testing.T, key string, stall chan struct{}) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	address := l.Addr().String()
 	must.NoError(t, l.Close())
 	s := NewServer(address, []byte(key), nil, slog.New(slog.DiscardHandler))
-	stall := make(chan struct{})
 	must.NoError(t, s.Register("Echo", echo{stall}))
 	must.NoError(t, s.Start(context.Background()))
-	t.Cleanup(func() {
-		close(stall)
-		_ = s.Stop(context.Background())
-	})
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
 	return address
 }
 
@@ -65,6 +75,27 @@
 	must.Eq(t, "again", reply)
 }
 
+// TestACallOutOfTimeLeavesTheOthersOnItsLinkAlone holds that a short call which the other host answers too late does not
+// fail the longer ones in progress there.
+func TestACallOutOfTimeLeavesTheOthersOnItsLinkAlone(t *testing.T) {
+	address, stall := startStalling(t)
+	c := NewClient([]byte("the right key"), nil, nil)
+	long := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		var reply string
+		long <- c.Call(ctx, address, "Echo.Stall", "long", &reply)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	var reply string
+	must.ErrorIs(t, c.Call(ctx, address, "Echo.Stall", "short", &reply), context.DeadlineExceeded)
+	must.NoError(t, c.Call(context.Background(), address, "Echo.Say", "on a new link", &reply))
+	close(stall)
+	must.NoError(t, <-long)
+}
+
 func TestASilentHostHoldsNoSecondCallerUp(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
