--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -80,7 +80,7 @@
 func (a *Admin) serve(w http.ResponseWriter, r *http.Request, f func(string, *http.Request) (any, error)) {
 	author, ok := a.author(r.Header.Get("Authorization"))
 	if !ok {
-		writeJSON(w, http.StatusUnauthorized, failure{Error: "the operator's key is not known"})
+		a.writeJSON(w, http.StatusUnauthorized, failure{Error: "the operator's key is not known"})
 		return
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
@@ -88,23 +88,26 @@
 	var withStatus *statusError
 	switch {
 	case err == nil:
-		writeJSON(w, http.StatusOK, value)
+		a.writeJSON(w, http.StatusOK, value)
 	case errors.As(err, &withStatus):
-		writeJSON(w, withStatus.status, failure{Error: err.Error()})
+		a.writeJSON(w, withStatus.status, failure{Error: err.Error()})
 	case errors.Is(err, io.ErrNoQuorum):
-		writeJSON(w, http.StatusServiceUnavailable, failure{Error: err.Error()})
+		a.writeJSON(w, http.StatusServiceUnavailable, failure{Error: err.Error()})
 	default:
-		writeJSON(w, http.StatusInternalServerError, failure{Error: err.Error()})
+		a.writeJSON(w, http.StatusInternalServerError, failure{Error: err.Error()})
 	}
 }
 
 // failure is the body of an error.
 type failure struct{ Error string }
 
-func writeJSON(w http.ResponseWriter, status int, value any) {
+func (a *Admin) writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(value)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		// The operator has gone; the status has been sent.
+		a.log.Debug("answer an operator", "err", err)
+	}
 }
 
 // author returns the name of the operator's key.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -274,6 +274,7 @@
 	s.last = now
 	s.next++
 	s.text.WriteString(text)
+	// A hash takes every write.
 	_, _ = s.hash.WriteString(text)
 	if c.OnText != nil {
 		c.OnText(text)
--- a/io/flow/request.go
+++ b/io/flow/request.go
@@ -63,6 +63,7 @@
 
 // contentOf identifies what a stage is asked to do, whatever key or request carries it.
 func contentOf(org core.OrganisationID, target, stage string, body []byte) poison.Content {
+	// A hash takes every write, so its errors say nothing.
 	h := xxhash.New()
 	for _, part := range []string{string(org), target, stage} {
 		_, _ = h.WriteString(strconv.Itoa(len(part)))
