--- a/bench/trial/host.go
+++ b/bench/trial/host.go
@@ -207,6 +207,7 @@
 // admit is what the product's front and runner do before the first stage.
 func (h *host) admit(r *request, limits tree.Limits) {
 	w := h.world
+	h.desk.CountDemand(w.now, r.team)
 	if after, ok := h.desk.Admit(w.now, r.team, limits, 0); !ok {
 		w.end(r, core.ReasonLimitExceeded, after)
 		return
--- a/core/desk/ask.go
+++ b/core/desk/ask.go
@@ -64,6 +64,11 @@
 	return d.pool(a.Pool()).Finish(now, ticket, v)
 }
 
+// CountDemand counts a request of a team as demand, admitted or not.
+func (d *Desk) CountDemand(now core.Millis, team core.TeamID) {
+	d.limiter.Arrive(now, team)
+}
+
 // Admit asks for a place within the team's limits; when refused it returns when to come back.
 func (d *Desk) Admit(now core.Millis, team core.TeamID, limits tree.Limits, tokens float64) (core.Millis, bool) {
 	after, ok := d.limiter.Admit(now, team, limits, tokens)
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -99,10 +99,14 @@
 	return &Limiter{self: self, teams: map[core.TeamID]*team{}}
 }
 
+// Arrive counts a request as demand, admitted or not.
+func (l *Limiter) Arrive(now core.Millis, id core.TeamID) {
+	l.team(id).arrive(now)
+}
+
 // Admit asks to start a request of about the given tokens; when refused it returns when to come back.
 func (l *Limiter) Admit(now core.Millis, id core.TeamID, limits tree.Limits, tokens float64) (core.Millis, bool) {
 	t := l.team(id)
-	t.arrive(now)
 	l.forgetSilent(now)
 	if limits.Concurrency > 0 && !l.withinConcurrency(id, t, limits.Concurrency) {
 		return concurrencyRetry, false
--- a/io/broker/acquire.go
+++ b/io/broker/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/core/desk"
@@ -10,6 +11,9 @@
 	"cyclamenford/core/tree"
 )
 
+// shortWait is a wait for a team's limit that costs a caller less than a refusal and the way back: a few round trips.
+const shortWait = 50 * core.Millis(1)
+
 // Grant is the right to run one attempt at an endpoint; it must be returned by Finish.
 type Grant struct {
 	Endpoint core.Announcement
@@ -96,11 +100,14 @@
 	b.deliver(b.desk.Cancel(b.clock.Now(), a.Pool(), ticket))
 }
 
-// Admit asks for a place within the team's limits.
-func (b *Broker) Admit(team core.TeamID, limits tree.Limits, tokens float64) *core.Problem {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	after, ok := b.desk.Admit(b.clock.Now(), team, limits, tokens)
+// Admit takes in a request of a team and asks for a place within the team's limits; a short wait for one is waited out.
+func (b *Broker) Admit(ctx context.Context, team core.TeamID, limits tree.Limits, tokens float64) *core.Problem {
+	b.count(team)
+	after, ok := b.admit(team, limits, tokens)
+	if !ok && after <= shortWait {
+		pause(ctx, after)
+		after, ok = b.admit(team, limits, tokens)
+	}
 	if ok {
 		return nil
 	}
@@ -108,6 +115,27 @@
 		"team %s is at its limit", team).WithRetryAfter(after)
 }
 
+func pause(ctx context.Context, d core.Millis) {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (b *Broker) count(team core.TeamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.desk.CountDemand(b.clock.Now(), team)
+}
+
+func (b *Broker) admit(team core.TeamID, limits tree.Limits, tokens float64) (core.Millis, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.desk.Admit(b.clock.Now(), team, limits, tokens)
+}
+
 // Release returns a place within the team's limits.
 func (b *Broker) Release(team core.TeamID, extraTokens float64) {
 	b.mu.Lock()
--- a/io/broker/feasible_test.go
+++ b/io/broker/broker_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net/http"
@@ -12,8 +13,10 @@
 	"cyclamenford/core/clock"
 	"cyclamenford/core/desk"
 	"cyclamenford/core/ledger"
+	"cyclamenford/core/tree"
 	cio "cyclamenford/io"
 	"cyclamenford/io/meter"
+	"cyclamenford/io/wall"
 )
 
 type control struct {
@@ -37,3 +40,16 @@
 	must.Eq(t, http.StatusGatewayTimeout, p.Status)
 	must.Eq(t, core.NotRun, p.Outcome)
 }
+
+// TestAShortWaitForALimitIsWaitedOut sends 60 requests at once to a limit that lets 25 through at once and 100 a second.
+func TestAShortWaitForALimitIsWaitedOut(t *testing.T) {
+	b := New("f", control{}, wall.New(), meter.New(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	limits := tree.Limits{RequestsPerSecond: 100}
+	var refused []*core.Problem
+	for range 60 {
+		if p := b.Admit(context.Background(), "t", limits, 0); p != nil {
+			refused = append(refused, p)
+		}
+	}
+	must.SliceEmpty(t, refused)
+}
--- a/io/front/handlers.go
+++ b/io/front/handlers.go
@@ -26,7 +26,7 @@
 		f.problem(c, p)
 		return
 	}
-	if p := f.broker.Admit(q.Team, q.Settings.Limits, tokensOf(pipeline)); p != nil {
+	if p := f.broker.Admit(ctx, q.Team, q.Settings.Limits, tokensOf(pipeline)); p != nil {
 		f.problem(c, p)
 		return
 	}
@@ -49,7 +49,7 @@
 		f.problem(c, p)
 		return
 	}
-	if p := f.broker.Admit(q.Team, q.Settings.Limits, 0); p != nil {
+	if p := f.broker.Admit(ctx, q.Team, q.Settings.Limits, 0); p != nil {
 		f.problem(c, p)
 		return
 	}
--- a/io/front/write.go
+++ b/io/front/write.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -38,14 +37,18 @@
 func bodyOf(p *core.Problem) problemBody {
 	return problemBody{
 		Type: "about:blank", Title: http.StatusText(p.Status), Status: p.Status, Detail: p.Detail,
-		Outcome: p.Outcome, Reason: p.Reason, RetryAfterMs: p.RetryAfter,
+		Outcome: p.Outcome, Reason: p.Reason, RetryAfterMs: retrySeconds(p) * core.Second,
 	}
 }
 
+// retrySeconds rounds a problem's time up to whole seconds, which is all that the header can say; the body says the same.
+func retrySeconds(p *core.Problem) core.Millis {
+	return (p.RetryAfter + core.Second - 1) / core.Second
+}
+
 func writeProblem(c iris.Context, p *core.Problem) {
 	if p.RetryAfter > 0 {
-		seconds := math.Ceil(float64(p.RetryAfter) / float64(core.Second))
-		c.Header("Retry-After", strconv.Itoa(int(seconds)))
+		c.Header("Retry-After", strconv.FormatInt(int64(retrySeconds(p)), 10))
 	}
 	raw, err := json.Marshal(bodyOf(p))
 	if err != nil {
--- a/io/front/write_test.go
+++ b/io/front/write_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
 )
 
 func FuzzAppendQuoted(f *testing.F) {
@@ -22,3 +25,11 @@
 		must.Eq(t, b, a)
 	})
 }
+
+func TestBothTimesToComeBackAgree(t *testing.T) {
+	for after, seconds := range map[core.Millis]core.Millis{0: 0, 1: 1, 999: 1, 1000: 1, 1001: 2} {
+		p := core.NewProblem(http.StatusTooManyRequests, core.NotRun, core.ReasonLimitExceeded, "x").WithRetryAfter(after)
+		must.Eq(t, seconds, retrySeconds(p))
+		must.Eq(t, seconds*core.Second, bodyOf(p).RetryAfterMs)
+	}
+}
