--- a/core/outcome.go
+++ b/core/outcome.go
@@ -37,6 +37,8 @@
 	ReasonHostLeaving        Reason = "HostLeaving"
 	ReasonNoServingLease     Reason = "NoServingLease"
 	ReasonEndpointFailed     Reason = "EndpointFailed"
+	// ReasonHostLost means that the host which took the request in has ended or was not heard of for its lease.
+	ReasonHostLost Reason = "HostLost"
 	// ReasonInputsLost means that prepared inputs ended or were lost before the request could use them.
 	ReasonInputsLost      Reason = "InputsLost"
 	ReasonEndpointRefused Reason = "EndpointRefused"
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -23,6 +23,8 @@
 	fleet    *fleet.Fleet
 	services map[string]*service
 	requests map[order.Key]*request
+	// lives is the last known life of each entry host.
+	lives    map[core.HostID]core.Incarnation
 	calls    map[uint64]*call
 	lastCall uint64
 	out      []order.Action
@@ -68,7 +70,7 @@
 func New(r fleet.Retries) *Scheduler {
 	return &Scheduler{
 		retries: r, fleet: fleet.New(), services: map[string]*service{},
-		requests: map[order.Key]*request{}, calls: map[uint64]*call{},
+		requests: map[order.Key]*request{}, lives: map[core.HostID]core.Incarnation{}, calls: map[uint64]*call{},
 	}
 }
 
@@ -110,6 +112,7 @@
 	if _, known := s.requests[a.Key]; known {
 		return
 	}
+	s.noteLife(a.Key.Host, a.Key.Life)
 	r := &request{Ask: a, arrived: now, aimAt: now + a.Aim, deadlineAt: now + a.Left}
 	r.stages = make([]stageState, len(a.Stages))
 	for i, ask := range a.Stages {
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -28,6 +28,7 @@
 	Results  []order.ItemResult
 	How      order.Ending
 	Again    bool
+	Life     core.Incarnation
 	Want     []string
 }
 
@@ -74,6 +75,10 @@
 		s.Ended(x.At, key, x.How, x.Again)
 	case "Leave":
 		s.Leave(x.At, key)
+	case "HostBegan":
+		s.HostBegan(x.At, key.Host, x.Life)
+	case "HostLost":
+		s.HostLost(x.At, key.Host)
 	case "Tick":
 		s.Tick(x.At)
 	case "Plain":
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -69,7 +70,9 @@
 	roster  *roster
 	waiting map[order.Key]chan order.Action
 	version uint64
-	standby standby
+	// revision is that of the published state whose hosts the scheduler knows.
+	revision uint64
+	standby  standby
 }
 
 // New returns an assigner that is not running yet.
@@ -92,7 +95,7 @@
 		close(w)
 	}
 	a.waiting = map[order.Key]chan order.Action{}
-	a.version = 0
+	a.version, a.revision = 0, 0
 }
 
 // lead makes sure that this keeper leads, and starts anew with each term.
@@ -111,13 +114,32 @@
 		a.reset()
 		a.log.Info("assigner started: this keeper leads", "term", term)
 		a.configure()
+		a.followHosts()
 		a.takeOver(a.clock.Now())
 		return true
 	}
 	a.configure()
+	a.followHosts()
 	return true
 }
 
+// followHosts tells the scheduler of hosts that began a new life or whose serving lease has run out.
+func (a *Assigner) followHosts() {
+	image := a.leader.Image()
+	if image.Revision == a.revision {
+		return
+	}
+	a.revision = image.Revision
+	now := a.clock.Now()
+	for _, id := range slices.Sorted(maps.Keys(image.Hosts)) {
+		h := image.Hosts[id]
+		a.sched.HostBegan(now, id, h.Incarnation)
+		if h.Expired {
+			a.sched.HostLost(now, id)
+		}
+	}
+}
+
 // configure puts a new configuration in force in the scheduler.
 func (a *Assigner) configure() {
 	c := a.leader.Image().Config
