--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -189,8 +189,8 @@
 		case x.Call != nil:
 			a.meter.Observe("stage_call_items", int64(len(x.Call.Items)), "service", x.Call.Service)
 			call := *x.Call
-			term := a.term
-			a.Go(func() { a.callStage(term, call) })
+			s := a.sched
+			a.Go(func() { a.callStage(s, call) })
 		case x.Free != nil:
 			free := *x.Free
 			a.Go(func() { a.freeResults(free) })
@@ -205,8 +205,9 @@
 	}
 }
 
-// callStage runs one call and tells the scheduler what it brought.
-func (a *Assigner) callStage(term uint64, c order.Call) {
+// callStage runs one call and tells the scheduler that ordered it what it brought. The numbers of calls begin anew with
+// each scheduler, also when this keeper loses its lease for a moment and leads again in the same term.
+func (a *Assigner) callStage(s *sched.Scheduler, c order.Call) {
 	results, how, err := a.runStage(c)
 	ids := make([]core.RequestID, 0, len(c.Items))
 	for _, i := range c.Items {
@@ -219,13 +220,27 @@
 	a.meter.Count("stage_calls_total", 1, "service", c.Service, "how", string(how))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.lead() || a.term != term {
+	if !a.lead() || a.sched != s {
+		a.giveUp(c, results)
 		return
 	}
-	a.sched.CallDone(a.clock.Now(), c.Number, results, how)
+	s.CallDone(a.clock.Now(), c.Number, results, how)
 	a.carryOut()
 }
 
+// giveUp frees results that nobody waits for any more.
+func (a *Assigner) giveUp(c order.Call, results []order.ItemResult) {
+	f := order.Free{Address: c.Address}
+	for _, r := range results {
+		if r.Handle != "" {
+			f.Handles = append(f.Handles, r.Handle)
+		}
+	}
+	if len(f.Handles) > 0 {
+		a.Go(func() { a.freeResults(f) })
+	}
+}
+
 func (a *Assigner) runStage(c order.Call) ([]order.ItemResult, order.Ending, error) {
 	call, err := a.dialect.StageCall(c.Endpoint, c.Items)
 	if err != nil {
