--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -84,6 +85,9 @@
 		_, _ = w.Write([]byte("result-of-" + strings.Trim(string(body), `"`)))
 	}))
 	defer server.Close()
+	// The server ends only after its last call.
+	answerNew := sync.OnceFunc(func() { close(answer[`"new"`]) })
+	defer answerNew()
 	leader := &lapsing{}
 	leader.leads.Store(true)
 	client := pipe.New(pipe.Options{From: net.ParseIP("127.0.0.1"), Clock: wall.New()})
@@ -132,7 +136,7 @@
 	case reply := <-fresh:
 		t.Fatalf("the new request was granted with %v", reply.Grant.Inputs)
 	}
-	close(answer[`"new"`])
+	answerNew()
 	reply := <-fresh
 	must.NotNil(t, reply.Grant)
 	must.Eq(t, []string{"result-of-new"}, reply.Grant.Inputs)
