--- a/bench/fault/group.go
+++ b/bench/fault/group.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -126,10 +127,8 @@
 		g.Network.LiftAll()
 		g.SetOneWay()
 		for _, h := range g.Hosts {
-			if h.Running() {
-				if err := h.Signal(syscall.SIGCONT); err != nil {
-					return err
-				}
+			if err := h.Signal(syscall.SIGCONT); err != nil && !errors.Is(err, os.ErrProcessDone) {
+				return err
 			}
 		}
 		return nil
@@ -174,7 +173,12 @@
 	if runs, matters := needsProcess[s.Do]; matters && g.Overlapping && runs != g.Hosts[n].Running() {
 		return true, nil
 	}
-	if err := a(g, s, n); err != nil {
+	err := a(g, s, n)
+	if g.Overlapping && errors.Is(err, os.ErrProcessDone) {
+		// The process ended between the look at it and the signal, as a restart makes it do.
+		err = nil
+	}
+	if err != nil {
 		return true, fmt.Errorf("%s %s: %w", s.Do, s.Host, err)
 	}
 	return true, nil
