Log the queue that decided a refusal

What was missing: which stage's queue the refusals for time had been predicted from. The leader's line now names the service with the longest wait, the pieces before the request and the wait; the scripts check it. Times and decisions are unchanged.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -156,6 +156,16 @@
 	RetryAfter core.Millis
 	// Expected and Left are the predicted and the remaining time that decided.
 	Expected, Left core.Millis
+	// Queue is the longest wait of the prediction.
+	Queue Queue
+}
+
+// Queue is the work at one service that goes before a request's own.
+type Queue struct {
+	Service string
+	// Pieces go before the request's, and Wait is the predicted time until they are done.
+	Pieces int
+	Wait   core.Millis
 }
 
 // Call runs pieces at a stage's endpoint.
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"cyclamenford/core"
+	"cyclamenford/core/order"
 )
 
 const (
@@ -146,24 +147,42 @@
 		ready[i] = start
 		if st.Pieces > 0 {
 			svc := s.services[st.Service]
-			ready[i] = max(start, s.wait(svc, r)) + s.callTime(st.Service)
+			_, wait := s.queueBefore(svc, r)
+			ready[i] = max(start, wait) + s.callTime(st.Service)
 		}
 		longest = max(longest, ready[i])
 	}
 	return core.Millis(longest) + s.firstByte(r)
 }
 
-// wait is how long the work that goes before a request's own keeps a stage's service busy.
-func (s *Scheduler) wait(svc *service, r *request) float64 {
+// queueBefore returns the pieces that go before a request's own at a stage's service, and the milliseconds that they keep
+// it busy.
+func (s *Scheduler) queueBefore(svc *service, r *request) (pieces int, wait float64) {
 	if svc == nil || svc.Pieces == nil {
-		return 0
+		return 0, 0
 	}
+	pieces = s.outstanding(svc, r.aimAt-core.Millis(r.tail0())+core.Millis(r.Priority)*rankWeight)
 	capacity := svc.Capacity(s.now)
 	if capacity == 0 {
-		return svc.CallTime()
+		return pieces, svc.CallTime()
 	}
-	ahead := float64(s.outstanding(svc, r.aimAt-core.Millis(r.tail0())+core.Millis(r.Priority)*rankWeight))
-	return ahead / max(leastCapacity*capacity, capacity-s.moreUrgent(svc, rankOf(r)))
+	return pieces, float64(pieces) / max(leastCapacity*capacity, capacity-s.moreUrgent(svc, rankOf(r)))
+}
+
+// longestQueue returns the queue at which a request would wait longest, or none when no stage is left to be done.
+func (s *Scheduler) longestQueue(r *request) order.Queue {
+	var longest order.Queue
+	for i := range r.stages {
+		st := &r.stages[i]
+		if st.left == 0 {
+			continue
+		}
+		pieces, wait := s.queueBefore(s.services[st.Service], r)
+		if longest.Service == "" || core.Millis(wait) > longest.Wait {
+			longest = order.Queue{Service: st.Service, Pieces: pieces, Wait: core.Millis(wait)}
+		}
+	}
+	return longest
 }
 
 // tail0 is the time of the longest chain of calls of a request.
@@ -175,7 +194,7 @@
 	return longest
 }
 
-// outstanding counts the pieces that requests due before a time still need of a service
+// outstanding counts the pieces that requests due before a time still need of a service.
 func (s *Scheduler) outstanding(svc *service, before core.Millis) int {
 	n := 0
 	for _, r := range s.requests {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -284,10 +284,15 @@
 	}
 }
 
+// refuse gives a request up; expected is 0 unless its predicted time decided.
 func (s *Scheduler) refuse(r *request, why core.Reason, expected core.Millis) {
+	var queue order.Queue
+	if expected > 0 {
+		queue = s.longestQueue(r)
+	}
 	s.out = append(s.out, order.Action{Refuse: &order.Refuse{
 		Key: r.Key, ID: r.ID, Reason: why, RetryAfter: s.retryAfter(r, expected),
-		Expected: expected, Left: r.deadlineAt - s.now,
+		Expected: expected, Left: r.deadlineAt - s.now, Queue: queue,
 	}})
 }
 
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -96,7 +96,11 @@
 			list = append(list, fmt.Sprintf("grant %s at %s attempt %d inputs %s",
 				a.Grant.ID, a.Grant.Endpoint, a.Grant.Attempt, strings.Join(a.Grant.Inputs, ",")))
 		case a.Refuse != nil:
-			list = append(list, fmt.Sprintf("refuse %s %s", a.Refuse.ID, a.Refuse.Reason))
+			text := fmt.Sprintf("refuse %s %s", a.Refuse.ID, a.Refuse.Reason)
+			if q := a.Refuse.Queue; q.Service != "" {
+				text += fmt.Sprintf(" after %d pieces of %s", q.Pieces, q.Service)
+			}
+			list = append(list, text)
 		case a.Call != nil:
 			var items []string
 			for _, i := range a.Call.Items {
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -183,7 +183,8 @@
 			a.answer(x.Grant.Key, x)
 		case x.Refuse != nil:
 			a.log.Info("refused", "request", x.Refuse.ID, "reason", x.Refuse.Reason, "expected_ms", x.Refuse.Expected,
-				"left_ms", x.Refuse.Left, "retry_after_ms", x.Refuse.RetryAfter, "config", a.version)
+				"left_ms", x.Refuse.Left, "retry_after_ms", x.Refuse.RetryAfter, "config", a.version,
+				"queue", x.Refuse.Queue.Service, "pieces_before", x.Refuse.Queue.Pieces, "wait_ms", x.Refuse.Queue.Wait)
 			a.meter.Count("assign_refused_total", 1, "reason", string(x.Refuse.Reason))
 			a.answer(x.Refuse.Key, x)
 		case x.Call != nil:
