Do not count pieces in calls as waiting when admitting

A call in progress ends before a new piece could start anyway, and of several endpoints one is free much earlier.

--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -37,6 +37,7 @@
 	c := &call{number: s.lastCall, at: e, items: items, started: s.now, expected: expected, bytes: bytes}
 	c.overdueAt = s.now + core.Millis(overdueFactor*usual*min(fleet.TooSlow, e.Speed())) + overdueSlack
 	s.calls[c.number] = c
+	s.countRunning(c, 1)
 	e.BeginCall(bytes)
 	s.out = append(s.out, order.Action{Call: &order.Call{
 		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected,
@@ -52,6 +53,9 @@
 	}
 	delete(s.calls, number)
 	c.at.EndCall()
+	if !c.overdue {
+		s.countRunning(c, -1)
+	}
 	if how == order.Served && len(results) == len(c.items) {
 		c.at.LearnCall(s.now, s.now-c.started, c.expected)
 		for i, r := range results {
@@ -67,6 +71,17 @@
 	s.pump()
 }
 
+// countRunning notes that a call begins or no longer counts on its pieces' stages. A stage that has begun anew since counts
+// from zero.
+func (s *Scheduler) countRunning(c *call, by int) {
+	for _, i := range c.items {
+		if r, ok := s.requests[i.Key]; ok {
+			st := &r.stages[i.Stage]
+			st.running = max(0, st.running+by)
+		}
+	}
+}
+
 func (s *Scheduler) pieceDone(c *call, i order.Item, result order.ItemResult) {
 	r, ok := s.requests[i.Key]
 	wanted := ok && r.stages[i.Stage].handles[i.Piece] == ""
@@ -145,6 +160,7 @@
 			continue
 		}
 		c.overdue = true
+		s.countRunning(c, -1)
 		c.at.Slowed(float64(s.now-c.started) / max(1, float64(c.expected)))
 		for _, i := range c.items {
 			s.again(i, false)
--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -16,6 +16,8 @@
 	started bool
 	left    int
 	handles []string
+	// running counts the pieces that calls work on, except overdue ones.
+	running int
 	tries   int
 	// keptTill is when the first of its results ends.
 	keptTill core.Millis
@@ -25,6 +27,9 @@
 	return stageState{StageAsk: a, left: a.Pieces, handles: make([]string, a.Pieces)}
 }
 
+// queued counts the pieces that no call works on.
+func (st *stageState) queued() int { return max(0, st.left-st.running) }
+
 func (r *request) inputsReady(after []int) bool {
 	for _, i := range after {
 		if r.stages[i].left > 0 {
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -13,7 +13,7 @@
 	mostRetryAfter  = 5 * core.Second
 	// caution is the part of the predicted waiting that is added to it for each rank, from the first, before a request is taken
 	// on: the less urgent it is, the more of what arrives meanwhile goes before it.
-	caution = 0.7
+	caution = 1.4
 	// spread is the part of the predicted time by which requests commonly take longer.
 	spread = 0.1
 	// leastCapacity is the part of a service's capacity that is counted on for a rank, however much more urgent work arrives.
@@ -194,7 +194,8 @@
 	return longest
 }
 
-// outstanding counts the pieces that requests due before a time still need of a service.
+// outstanding counts the pieces that requests due before a time still need of a service. Those in calls are left out:
+// another of the service's endpoints is free long before their calls end.
 func (s *Scheduler) outstanding(svc *service, before core.Millis) int {
 	n := 0
 	for _, r := range s.requests {
@@ -203,7 +204,7 @@
 		}
 		for i := range r.stages {
 			if r.stages[i].Service == svc.Name {
-				n += r.stages[i].left
+				n += r.stages[i].queued()
 			}
 		}
 	}
