Let a new leader go on from the results that the former one's scheduler used

Cause: after a keeper is lost, the next scheduler knew no results. Hosts place their requests anew, and all their stages were made again in the seconds of the heaviest bursts, while the lost results took up the endpoints' room for as long as they are kept (4 s). The keepers now copy the leader's events about results every 100 ms; a request that is placed anew names its former key and gets its results back, stages that have been used are not made again, and what nobody claims within 1.5 s is freed.

An attempt that had failed was asked about at the new leader too, which did not know the request and never answered: the client was held to its deadline. Such an attempt is now placed anew, with the attempts made so far, so that it counts against the retry budget and the route's attempts.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -51,6 +51,12 @@
 	f.attach(known)
 }
 
+// Endpoint returns an endpoint in a given life, if that is the last that was announced.
+func (f *Fleet) Endpoint(id core.EndpointID, life core.Incarnation) (*Endpoint, bool) {
+	e, ok := f.endpoints[id]
+	return e, ok && e.Incarnation == life && e.service != nil && e.service.Pieces != nil
+}
+
 // Part forgets an endpoint that has ended.
 func (f *Fleet) Part(id core.EndpointID) {
 	e, ok := f.endpoints[id]
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -15,6 +15,9 @@
 	return !e.Slow(now) || now >= e.retryAt
 }
 
+// Hold counts results that the endpoint holds already.
+func (e *Endpoint) Hold(bytes int64) { e.bytes += bytes }
+
 // BeginCall counts a call whose results will take up the given bytes.
 func (e *Endpoint) BeginCall(bytes int64) {
 	e.calls++
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -51,8 +51,10 @@
 	Stages    []StageAsk
 	// PieceKey is handed to the stages that need no other stage's results.
 	PieceKey string
-	// MaxAttempts is the number of endpoints that the request may be sent to.
-	MaxAttempts int
+	// MaxAttempts is the number of endpoints that the request may be sent to, and Attempts those that it was sent to already.
+	MaxAttempts, Attempts int
+	// Former is the key by which an earlier scheduler knew the request, if one did.
+	Former Key
 }
 
 // Endpoint is one endpoint as it last announced itself.
@@ -124,12 +126,30 @@
 	ItemFailed ItemReason = "Failed"
 )
 
+// Held is the results of one stage of a request that one endpoint holds.
+type Held struct {
+	Key   Key
+	Stage int
+	// Pieces are the numbers of the results' pieces, and Handles their names, in the same order.
+	Pieces   []int
+	Handles  []string
+	Endpoint core.EndpointID
+	// Life is the endpoint's: a later one holds none of them.
+	Life core.Incarnation
+	// Bytes is the approximate size of each result.
+	Bytes int64
+	// Till is when the endpoint gives them up.
+	Till core.Millis
+}
+
 // Action is one decision that the shell must carry out; exactly one part is set.
 type Action struct {
 	Grant  *Grant
 	Refuse *Refuse
 	Call   *Call
 	Free   *Free
+	// Made is to be remembered for a scheduler that may have to go on in this one's place.
+	Made *Held
 }
 
 // Grant lets an entry host send a request to an endpoint.
@@ -181,6 +201,9 @@
 
 // Free tells an endpoint that results are no longer needed.
 type Free struct {
+	// Key and Stage are those of the request that the results were made for, if it was still known.
+	Key     Key
+	Stage   int
 	Address string
 	Handles []string
 }
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -61,6 +61,7 @@
 		for i, r := range results {
 			s.pieceDone(c, c.items[i], r)
 		}
+		s.noteMade(c, results)
 	} else {
 		c.at.GiveBack(c.bytes)
 		c.at.Failed(now, how)
--- a/core/sched/handles.go
+++ b/core/sched/handles.go
@@ -64,6 +64,6 @@
 	r.results = slices.DeleteFunc(r.results, func(m made) bool { return slices.Contains(st.handles, m.handle) })
 	slices.SortFunc(makers, func(a, b *fleet.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, m := range makers {
-		s.out = append(s.out, order.Action{Free: &order.Free{Address: m.Address, Handles: byMaker[m]}})
+		s.out = append(s.out, order.Action{Free: &order.Free{Key: r.Key, Stage: stage, Address: m.Address, Handles: byMaker[m]}})
 	}
 }
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -53,7 +53,7 @@
 	for _, st := range r.stages {
 		if svc := s.services[st.Service]; svc != nil && st.Pieces > 0 {
 			svc.flow.decay(s.now)
-			svc.flow.pieces[rankOf(r)] += float64(st.Pieces)
+			svc.flow.pieces[rankOf(r)] += float64(st.left)
 		}
 	}
 }
@@ -145,7 +145,7 @@
 			start = max(start, ready[a])
 		}
 		ready[i] = start
-		if st.Pieces > 0 {
+		if st.left > 0 {
 			svc := s.services[st.Service]
 			_, wait := s.queueBefore(svc, r)
 			ready[i] = max(start, wait) + s.callTime(st.Service)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -27,7 +27,10 @@
 	lives    map[core.HostID]core.Incarnation
 	calls    map[uint64]*call
 	lastCall uint64
-	out      []order.Action
+	// inherited are results that an earlier scheduler had made, and claimTill is when those that nobody claimed are freed.
+	inherited map[order.Key][]order.Held
+	claimTill core.Millis
+	out       []order.Action
 }
 
 // service is the queues of one service.
@@ -71,6 +74,7 @@
 	return &Scheduler{
 		retries: r, fleet: fleet.New(), services: map[string]*service{},
 		requests: map[order.Key]*request{}, lives: map[core.HostID]core.Incarnation{}, calls: map[uint64]*call{},
+		inherited: map[order.Key][]order.Held{},
 	}
 }
 
@@ -113,7 +117,7 @@
 		return
 	}
 	s.noteLife(a.Key.Host, a.Key.Life)
-	r := &request{Ask: a, arrived: now, aimAt: now + a.Aim, deadlineAt: now + a.Left}
+	r := &request{Ask: a, arrived: now, aimAt: now + a.Aim, deadlineAt: now + a.Left, attempts: a.Attempts}
 	r.stages = make([]stageState, len(a.Stages))
 	for i, ask := range a.Stages {
 		r.stages[i] = newStage(ask)
@@ -121,10 +125,12 @@
 			r.unfinished++
 		}
 	}
+	s.claim(r)
 	r.tail, r.chain = s.tails(r), fleet.NewChain(a.Prompt.Parts)
 	r.home = s.findHome(r)
 	if expected, ok := s.admit(r); !ok {
 		s.refuse(r, core.ReasonDeadlineInfeasible, expected)
+		s.release(r)
 		return
 	}
 	s.arrivedPieces(r)
@@ -133,6 +139,12 @@
 	s.pump()
 }
 
+// Knows reports whether a request has arrived here and is not over.
+func (s *Scheduler) Knows(key order.Key) bool {
+	_, ok := s.requests[key]
+	return ok
+}
+
 // Leave forgets a request whose client has gone or whose host has given it up.
 func (s *Scheduler) Leave(now core.Millis, key order.Key) {
 	s.now = now
@@ -185,6 +197,7 @@
 func (s *Scheduler) Tick(now core.Millis) {
 	s.now = now
 	s.hurryCalls()
+	s.freeUnclaimed()
 	for _, r := range s.ordered() {
 		if r.at != nil {
 			// The host that took the request in ends it by its deadline, or has itself ended.
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -29,6 +29,7 @@
 	How      order.Ending
 	Again    bool
 	Life     core.Incarnation
+	Held     []order.Held
 	Want     []string
 }
 
@@ -75,6 +76,8 @@
 		s.Ended(x.At, key, x.How, x.Again)
 	case "Leave":
 		s.Leave(x.At, key)
+	case "Inherit":
+		s.Inherit(x.At, x.Held)
 	case "HostBegan":
 		s.HostBegan(x.At, key.Host, x.Life)
 	case "HostLost":
@@ -101,6 +104,8 @@
 				text += fmt.Sprintf(" after %d pieces of %s", q.Pieces, q.Service)
 			}
 			list = append(list, text)
+		case a.Made != nil:
+			list = append(list, fmt.Sprintf("made %d/%d %s", a.Made.Key.Seq, a.Made.Stage, strings.Join(a.Made.Handles, ",")))
 		case a.Call != nil:
 			var items []string
 			for _, i := range a.Call.Items {
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -73,6 +73,7 @@
 	// revision is that of the published state whose hosts the scheduler knows.
 	revision uint64
 	standby  standby
+	ledger   ledger
 }
 
 // New returns an assigner that is not running yet.
@@ -96,6 +97,7 @@
 	}
 	a.waiting = map[order.Key]chan order.Action{}
 	a.version, a.revision = 0, 0
+	a.ledger = ledger{}
 }
 
 // lead makes sure that this keeper leads, and starts anew with each term.
@@ -161,6 +163,7 @@
 	defer a.mu.Unlock()
 	if !a.lead() {
 		a.copyEndpoints(ctx)
+		a.copyHeld(ctx)
 		return
 	}
 	now := a.clock.Now()
@@ -175,6 +178,7 @@
 // carryOut does what the scheduler has decided.
 func (a *Assigner) carryOut() {
 	for _, x := range a.sched.Take() {
+		a.ledger.note(x)
 		switch {
 		case x.Grant != nil:
 			a.log.Info("granted", "request", x.Grant.ID, "endpoint", x.Grant.Endpoint, "attempt", x.Grant.Attempt,
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -18,6 +18,13 @@
 
 // Again waits until a request whose attempt ended has another endpoint or is refused.
 func (c *calls) Again(args AgainArgs, reply *PlaceReply) error {
+	c.a.mu.Lock()
+	reply.Unknown = c.a.lead() && !c.a.sched.Knows(args.Key)
+	c.a.mu.Unlock()
+	if reply.Unknown {
+		reply.Leading = true
+		return nil
+	}
 	return c.a.wait(args.Key, reply, func(now core.Millis) { c.a.sched.Ended(now, args.Key, args.How, true) })
 }
 
@@ -128,6 +135,25 @@
 	return nil
 }
 
+// Held tells what has become of results, for a keeper that may have to lead next.
+func (c *calls) Held(args HeldArgs, reply *HeldReply) error {
+	a := c.a
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply.Located = a.leader.Located()
+	if !a.lead() {
+		reply.Leading = false
+		return nil
+	}
+	from := args.From
+	if args.Term != a.term {
+		from = 0
+	}
+	reply.Term, reply.Next, reply.Now = a.term, a.ledger.next, a.clock.Now()
+	reply.Events = a.ledger.since(from)
+	return nil
+}
+
 // retire commits that an endpoint's life has ended, so that the next leader knows it too.
 func (a *Assigner) retire(args Announcement) error {
 	life := args.Endpoint.Incarnation
--- /dev/null
+++ b/io/assign/ledger.go
@@ -0,0 +1,90 @@
+package assign
+
+import (
+	"maps"
+
+	"cyclamenford/core"
+	"cyclamenford/core/order"
+)
+
+// ledgerSize is the number of events that are kept for keepers that copy them: a few seconds of a large deployment's.
+const ledgerSize = 1 << 13
+
+// ledger is the recent events about results that stages' endpoints hold, in their order.
+type ledger struct {
+	// next is the number of the event after the last one.
+	next   uint64
+	events []HeldEvent
+}
+
+func (l *ledger) add(e HeldEvent) {
+	l.events = append(l.events, e)
+	l.next++
+	if len(l.events) > 2*ledgerSize {
+		l.events = append([]HeldEvent(nil), l.events[ledgerSize:]...)
+	}
+}
+
+// since returns the events from a number on, as far as they are kept.
+func (l *ledger) since(from uint64) []HeldEvent {
+	first := l.next - uint64(len(l.events))
+	if from >= l.next {
+		return nil
+	}
+	return l.events[max(first, from)-first:]
+}
+
+// note takes a decision of the scheduler in.
+func (l *ledger) note(x order.Action) {
+	switch {
+	case x.Made != nil:
+		l.add(HeldEvent{Made: x.Made})
+	case x.Free != nil && x.Free.Key != order.Key{}:
+		l.add(HeldEvent{Key: x.Free.Key, Stage: x.Free.Stage})
+	case x.Grant != nil:
+		// The endpoint is about to fetch the results, which must not be freed.
+		l.add(HeldEvent{Key: x.Grant.Key, AllStages: true})
+	}
+}
+
+// heldCopy is what a keeper knows of the results that the leader's scheduler uses.
+type heldCopy struct {
+	// term and next are those of the ledger that is copied, and of its next event.
+	term, next uint64
+	held       map[order.Key][]order.Held
+}
+
+// take brings the copy up to date at a time of this keeper's clock, and forgets what has ended.
+func (c *heldCopy) take(now core.Millis, reply HeldReply) {
+	if c.held == nil || reply.Term != c.term {
+		*c = heldCopy{term: reply.Term, held: map[order.Key][]order.Held{}}
+	}
+	for _, e := range reply.Events {
+		if e.Made != nil {
+			h := *e.Made
+			h.Till += now - reply.Now
+			c.held[h.Key] = append(c.held[h.Key], h)
+			continue
+		}
+		kept := c.held[e.Key][:0]
+		for _, h := range c.held[e.Key] {
+			if !e.AllStages && h.Stage != e.Stage {
+				kept = append(kept, h)
+			}
+		}
+		if c.held[e.Key] = kept; len(kept) == 0 {
+			delete(c.held, e.Key)
+		}
+	}
+	c.next = reply.Next
+	maps.DeleteFunc(c.held, func(_ order.Key, held []order.Held) bool { return held[len(held)-1].Till < now })
+}
+
+// list returns the results that are known.
+func (c *heldCopy) list() []order.Held {
+	var list []order.Held
+	for _, held := range c.held {
+		list = append(list, held...)
+	}
+	return list
+}
--- /dev/null
+++ b/io/assign/takeover_test.go
@@ -0,0 +1,162 @@
+package assign
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
+	"cyclamenford/io/keeper"
+	"cyclamenford/io/meter"
+	"cyclamenford/io/pipe"
+	"cyclamenford/io/wall"
+)
+
+// follower is a keeper that copies from a leader until the test lets it lead.
+type follower struct{ lapsing }
+
+func (f *follower) Located() keeper.Located {
+	return keeper.Located{Leading: f.leads.Load(), LeaderAddress: "leader"}
+}
+
+// toLeader passes the calls of a follower to the leader, encoded as on the wire.
+type toLeader struct{ calls *calls }
+
+func (c toLeader) Call(_ context.Context, _, method string, args, reply any) error {
+	var wire bytes.Buffer
+	var answer any
+	switch method {
+	case Service + ".Known":
+		var r Endpoints
+		if err := c.calls.Known(args.(KnownArgs), &r); err != nil {
+			return err
+		}
+		answer = r
+	case Service + ".Held":
+		var r HeldReply
+		if err := c.calls.Held(args.(HeldArgs), &r); err != nil {
+			return err
+		}
+		answer = r
+	}
+	if err := gob.NewEncoder(&wire).Encode(answer); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&wire).Decode(reply)
+}
+
+// TestANewLeaderGoesOnFromTheResultsOfTheFormerOne lets a request lose its leader between two stages. The next leader must
+// start the second stage with the results of the first, and free those of a request that does not come back.
+func TestANewLeaderGoesOnFromTheResultsOfTheFormerOne(t *testing.T) {
+	var firstCalls, secondCalls atomic.Int64
+	freed := make(chan string, 10)
+	stage := func(n *atomic.Int64, result string, until <-chan struct{}) *httptest.Server {
+		return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/free" {
+				freed <- string(body)
+				return
+			}
+			n.Add(1)
+			<-until
+			_, _ = w.Write([]byte(result + strings.Trim(string(body), `"`)))
+		}))
+	}
+	now, later := make(chan struct{}), make(chan struct{})
+	close(now)
+	first, second := stage(&firstCalls, "first-of-", now), stage(&secondCalls, "second-of-", later)
+	defer first.Close()
+	defer second.Close()
+	defer close(later)
+	endpoints := []order.Endpoint{
+		{ID: "e1", Incarnation: 1, Address: "127.0.0.1:1", Service: "engine", Slots: 4},
+		{ID: "f1", Incarnation: 1, Address: strings.TrimPrefix(first.URL, "http://"), Service: "first", Slots: 1},
+		{ID: "s1", Incarnation: 1, Address: strings.TrimPrefix(second.URL, "http://"), Service: "second", Slots: 1},
+	}
+	client := pipe.New(pipe.Options{From: net.ParseIP("127.0.0.1"), Clock: wall.New()})
+	start := func(l Leader, c Caller) *Assigner {
+		return New(Options{AnnounceEvery: core.Second, Retries: fleet.Retries{Window: core.Second}}, l, c, plainDialect{}, client,
+			wall.New(), meter.New(), slog.New(slog.DiscardHandler))
+	}
+	place := func(a *Assigner, id core.RequestID, key, former order.Key) {
+		go func() {
+			var reply PlaceReply
+			_ = (&calls{a}).Place(PlaceArgs{Ask: order.Ask{
+				Key: key, Former: former, ID: id, Service: "engine", Aim: 20 * core.Second, Left: 20 * core.Second, MaxAttempts: 1,
+				Stages: []order.StageAsk{
+					{Service: "first", Pieces: 1, Bytes: 1}, {Service: "second", After: []int{0}, Pieces: 1, Bytes: 1},
+				},
+			}}, &reply)
+		}()
+	}
+	old := &lapsing{}
+	old.leads.Store(true)
+	a := start(old, nil)
+	for _, e := range endpoints {
+		must.NoError(t, (&calls{a}).Announce(Announcement{Endpoint: e, Seq: 1}, &AnnounceReply{}))
+	}
+	key := func(seq uint64) order.Key { return order.Key{Host: "h", Life: 1, Seq: seq} }
+	place(a, "stays", key(1), order.Key{})
+	eventually(t, "the second stage's call", func() bool { return secondCalls.Load() == 1 })
+	place(a, "goes", key(2), order.Key{})
+	eventually(t, "both first results", func() bool { return heldBy(a) == 2 })
+
+	next := &follower{}
+	b := start(next, toLeader{&calls{a}})
+	eventually(t, "the copies", func() bool {
+		b.tick(context.Background())
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.standby.known) == len(endpoints) && len(b.standby.held.held) == 2
+	})
+	next.leads.Store(true)
+	b.tick(context.Background())
+	place(b, "stays", key(3), key(1))
+	eventually(t, "the second stage's call of the next leader", func() bool { return secondCalls.Load() == 2 })
+	must.Eq(t, int64(2), firstCalls.Load())
+	eventually(t, "the unclaimed result's end", func() bool {
+		b.tick(context.Background())
+		return len(freed) == 1
+	})
+	must.Eq(t, "first-of-goes", <-freed)
+}
+
+// heldBy counts the results that an assigner's ledger tells of.
+func heldBy(a *Assigner) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, e := range a.ledger.events {
+		if e.Made != nil {
+			n += len(e.Made.Handles)
+		}
+	}
+	return n
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("%s did not come", what)
+}
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -23,6 +23,8 @@
 	keeper.Located
 	Grant  *order.Grant
 	Refuse *order.Refuse
+	// Unknown tells that the scheduler does not know the request, which was placed with an earlier one.
+	Unknown bool
 }
 
 // Event is what an entry host tells of a request; it needs no answer.
@@ -63,6 +65,28 @@
 	Known []Known
 }
 
+// HeldArgs asks for the events since one of the term's ledger.
+type HeldArgs struct{ Term, From uint64 }
+
+// HeldEvent is one event about the results that stages' endpoints hold.
+type HeldEvent struct {
+	// Made are new results; otherwise those of a request's stage, or of all its stages, are no longer of use.
+	Made      *order.Held
+	Key       order.Key
+	Stage     int
+	AllStages bool
+}
+
+// HeldReply carries events in their order.
+type HeldReply struct {
+	keeper.Located
+	// Term is that of the ledger, and Next the number of the event after the last one.
+	Term, Next uint64
+	Events     []HeldEvent
+	// Now is the leader's clock, to which the events' times belong.
+	Now core.Millis
+}
+
 // Known is one endpoint as the leader knows it.
 type Known struct {
 	Announcement Announcement
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -33,6 +33,9 @@
 	defaultLeft = 30 * core.Second
 )
 
+// errForgotten means that the leader has not been told of the request.
+var errForgotten = errors.New("placed with an earlier leader")
+
 // request is one client attempt on its way through the host.
 type request struct {
 	entry *Entry
@@ -46,8 +49,9 @@
 	body         []byte
 	arrived      core.Millis
 	deadline     core.Millis
-	key          order.Key
-	attempts     int
+	// key names the request to the scheduler, and former did so to an earlier one.
+	key, former order.Key
+	attempts    int
 	// kept is an endpoint's own failure, delivered if no other attempt does better.
 	kept *answer
 }
@@ -130,6 +134,7 @@
 		Priority: r.route.Priority, FailureDomain: r.entry.options.FailureDomain,
 		Aim: r.arrived + r.route.Aim - now, Left: r.deadline - now,
 		Prompt: r.in.Prompt, PieceKey: r.in.PieceKey, MaxAttempts: max(1, r.route.MaxAttempts),
+		Attempts: r.attempts, Former: r.former,
 	}
 	if r.organisation.Priority != nil {
 		a.Priority = *r.organisation.Priority
@@ -152,6 +157,7 @@
 		if e.clock.Now()-e.control.Reached() > leaderSilence {
 			return nil, r.noLeader(keeper.ErrNoLeader)
 		}
+		r.former = r.key
 		r.key = order.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
 		grant, problem := r.decide(ctx, assign.Service+".Place", func() any { return assign.PlaceArgs{Ask: r.ask()} })
 		if problem == nil || problem.Reason != core.ReasonNoQuorum || !r.mayWait(ctx, leader) {
@@ -181,9 +187,15 @@
 	}
 }
 
-// placeAgain asks for another endpoint after an attempt ended.
+// placeAgain asks for another endpoint after an attempt ended; a leader that came after the attempt's place is asked as for
+// a new request.
 func (r *request) placeAgain(ctx context.Context, how order.Ending) (*order.Grant, *core.Problem) {
-	return r.decide(ctx, assign.Service+".Again", func() any { return assign.AgainArgs{Key: r.key, How: how} })
+	grant, problem := r.decide(ctx, assign.Service+".Again", func() any { return assign.AgainArgs{Key: r.key, How: how} })
+	if problem != nil && problem.Reason == core.ReasonNoQuorum && ctx.Err() == nil {
+		r.entry.log.Info("attempt placed anew", "request", r.in.ID, "why", problem.Detail)
+		return r.place(ctx)
+	}
+	return grant, problem
 }
 
 // decide calls the leader, or the keeper that is named instead.
@@ -211,6 +223,8 @@
 			return reply.Grant, nil
 		case reply.Refuse != nil:
 			return nil, r.refused(*reply.Refuse)
+		case reply.Unknown:
+			return nil, r.noLeader(errForgotten)
 		case reply.LeaderAddress == "" || reply.LeaderAddress == address:
 			return nil, r.noLeader(keeper.ErrNoLeader)
 		}
