Bound the predicted capacity of stages by the room that their results take up

Admission predicted with full calls, so it took on twice what the stage could do; what it took on was late, or was given up after its results had ended. The time that results are held is now observed, and an endpoint's rate is at most its room by that.

--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -10,6 +10,11 @@
 	typicalFill = 0.6
 	// firstByteGuess is the time to the first byte of a service that was never used, in milliseconds.
 	firstByteGuess = 120.0
+	// roomShare is the part of the room that is in use at most: a call's results rarely fill the rest, and their sizes are
+	// approximate.
+	roomShare = 0.85
+	// footprintShare is the weight of one result in what results take up: about the last second of a busy service counts.
+	footprintShare = 0.02
 )
 
 // Service is the endpoints of one service and what has been learned of them together.
@@ -19,6 +24,8 @@
 	endpoints []*Endpoint
 	first     estimate
 	budget    budget
+	// footprint is the room that a result takes up times how long, in byte milliseconds.
+	footprint estimate
 }
 
 // Endpoints returns the service's endpoints in the order of their names; the list must not be changed.
@@ -35,18 +42,28 @@
 	return s.Pieces.CallTime + typicalFill*float64(s.Pieces.Batch)*s.Pieces.ItemTime
 }
 
-// Capacity returns the number of pieces that the usable endpoints of a stage's service prepare in a millisecond by full calls.
+// Capacity returns the number of pieces that the usable endpoints of a stage's service prepare in a millisecond: by full
+// calls, or as many as there is room for when results are held for long.
 func (s *Service) Capacity(now core.Millis) float64 {
 	sum := 0.0
 	full := s.Pieces.CallTime + float64(s.Pieces.Batch)*s.Pieces.ItemTime
 	for _, e := range s.endpoints {
 		if e.Usable(now) {
-			sum += float64(max(1, s.Pieces.Batch)*max(1, s.Pieces.Slots)) / (full * max(fastest, e.speed.value))
+			rate := float64(max(1, s.Pieces.Batch)*max(1, s.Pieces.Slots)) / (full * max(fastest, e.speed.value))
+			if s.footprint.value > 0 && s.Pieces.Room > 0 {
+				rate = min(rate, roomShare*float64(s.Pieces.Room)/s.footprint.value)
+			}
+			sum += rate
 		}
 	}
 	return sum
 }
 
+// LearnHeld notes that a result of so many bytes was held for a time, from the start of its call.
+func (s *Service) LearnHeld(bytes int64, held core.Millis) {
+	s.footprint.value += footprintShare * (float64(bytes)*float64(held) - s.footprint.value)
+}
+
 // CountFirst notes a request's first attempt, which earns the service a share of a repeat.
 func (s *Service) CountFirst(now core.Millis, r Retries) { s.budget.first(now, r) }
 
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -201,7 +201,7 @@
 func (r *request) foreign(stage int, e *fleet.Endpoint) int64 {
 	var bytes int64
 	for _, h := range r.stages[stage].handles {
-		if maker, ok := r.maker(h); ok && maker.FailureDomain != e.FailureDomain {
+		if m, ok := r.made(h); ok && m.by.FailureDomain != e.FailureDomain {
 			bytes += r.stages[stage].Bytes
 		}
 	}
--- a/core/sched/handles.go
+++ b/core/sched/handles.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"cyclamenford/core"
 	"cyclamenford/core/fleet"
 	"cyclamenford/core/order"
 )
@@ -12,19 +13,20 @@
 type made struct {
 	handle string
 	by     *fleet.Endpoint
+	// since is when its call began, from which on it takes up room.
+	since core.Millis
 }
 
-func (r *request) note(handle string, by *fleet.Endpoint) {
-	r.results = append(r.results, made{handle: handle, by: by})
+func (r *request) note(handle string, by *fleet.Endpoint, since core.Millis) {
+	r.results = append(r.results, made{handle: handle, by: by, since: since})
 }
 
-func (r *request) maker(handle string) (*fleet.Endpoint, bool) {
-	for _, m := range r.results {
-		if m.handle == handle {
-			return m.by, true
-		}
+func (r *request) made(handle string) (made, bool) {
+	i := slices.IndexFunc(r.results, func(m made) bool { return m.handle == handle })
+	if i < 0 {
+		return made{}, false
 	}
-	return nil, false
+	return r.results[i], true
 }
 
 // release frees all results that were made for a request.
@@ -51,15 +53,18 @@
 	byMaker := map[*fleet.Endpoint][]string{}
 	var makers []*fleet.Endpoint
 	for _, h := range st.handles {
-		m, ok := r.maker(h)
+		m, ok := r.made(h)
 		if h == "" || !ok {
 			continue
 		}
-		if byMaker[m] == nil {
-			makers = append(makers, m)
+		if byMaker[m.by] == nil {
+			makers = append(makers, m.by)
+		}
+		byMaker[m.by] = append(byMaker[m.by], h)
+		m.by.GiveBack(st.Bytes)
+		if svc := s.services[st.Service]; svc != nil {
+			svc.LearnHeld(st.Bytes, s.now-m.since)
 		}
-		byMaker[m] = append(byMaker[m], h)
-		m.GiveBack(st.Bytes)
 	}
 	r.results = slices.DeleteFunc(r.results, func(m made) bool { return slices.Contains(st.handles, m.handle) })
 	slices.SortFunc(makers, func(a, b *fleet.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -13,7 +13,7 @@
 	mostRetryAfter  = 5 * core.Second
 	// caution is the part of the predicted waiting that is added to it for each rank, from the first, before a request is taken
 	// on: the less urgent it is, the more of what arrives meanwhile goes before it.
-	caution = 1.4
+	caution = 1.5
 	// spread is the part of the predicted time by which requests commonly take longer.
 	spread = 0.1
 	// leastCapacity is the part of a service's capacity that is counted on for a rank, however much more urgent work arrives.
