Report the control state and the scheduler's queues as gauges

The metrics address told of requests and stage calls, but not why they waited. It now has the term, voters, commit index, lag and revision at each keeper, the age of what each host believes, and by service the endpoints, queues, taken room and repeats left at the leader. Gauges are set when they are asked for, so they cost nothing otherwise. Decisions are unchanged; a test reads the lines of a leader and of a former one.

--- a/core/fleet/budget.go
+++ b/core/fleet/budget.go
@@ -38,17 +38,22 @@
 	b.requests[b.move(now, r.Window)]++
 }
 
-// spend takes one repeat and reports whether it was allowed.
-func (b *budget) spend(now core.Millis, r Retries) bool {
-	at := b.move(now, r.Window)
+// left returns how many repeats are allowed now.
+func (b *budget) left(now core.Millis, r Retries) int {
+	b.move(now, r.Window)
 	requests, repeats := 0, 0
 	for i := range buckets {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	if float64(repeats+1) > safeShare*(r.Ratio*float64(requests)+r.Slack) {
+	return max(0, int(safeShare*(r.Ratio*float64(requests)+r.Slack))-repeats)
+}
+
+// spend takes one repeat and reports whether it was allowed.
+func (b *budget) spend(now core.Millis, r Retries) bool {
+	if b.left(now, r) == 0 {
 		return false
 	}
-	b.repeats[at]++
+	b.repeats[b.move(now, r.Window)]++
 	return true
 }
--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -67,6 +67,9 @@
 // CountFirst notes a request's first attempt, which earns the service a share of a repeat.
 func (s *Service) CountFirst(now core.Millis, r Retries) { s.budget.first(now, r) }
 
+// RepeatsLeft returns how many repeats the service's budget holds.
+func (s *Service) RepeatsLeft(now core.Millis, r Retries) int { return s.budget.left(now, r) }
+
 // SpendRepeat takes one repeat out of the service's budget and reports whether there was one.
 func (s *Service) SpendRepeat(now core.Millis, r Retries) bool { return s.budget.spend(now, r) }
 
--- /dev/null
+++ b/core/sched/status.go
@@ -0,0 +1,46 @@
+package sched
+
+import "cyclamenford/core"
+
+// Status is the present work of one service.
+type Status struct {
+	Service string
+	// Endpoints are known, and Usable of them may get work.
+	Endpoints, Usable int
+	// Pieces wait for a stage call, and Requests for an endpoint.
+	Pieces, Requests int
+	// RoomPercent is the part of the usable endpoints' room for results that is taken.
+	RoomPercent int
+	// RepeatsLeft is how many more requests may be sent to a second endpoint now.
+	RepeatsLeft int
+}
+
+// Status returns the present work of every service, in the order of their names.
+func (s *Scheduler) Status(now core.Millis) []Status {
+	var list []Status
+	for _, name := range s.serviceNames() {
+		svc := s.services[name]
+		x := Status{
+			Service: name, Endpoints: len(svc.Endpoints()), Requests: len(svc.waiting),
+			RepeatsLeft: svc.RepeatsLeft(now, s.retries),
+		}
+		for _, g := range svc.groups {
+			x.Pieces += len(g.pieces)
+		}
+		var taken, room int64
+		for _, e := range svc.Endpoints() {
+			if !e.Usable(now) {
+				continue
+			}
+			x.Usable++
+			if svc.Pieces != nil {
+				taken, room = taken+svc.Pieces.Room-e.Room(), room+svc.Pieces.Room
+			}
+		}
+		if room > 0 {
+			x.RoomPercent = int(100 * taken / room)
+		}
+		list = append(list, x)
+	}
+	return list
+}
--- /dev/null
+++ b/io/assign/report.go
@@ -0,0 +1,21 @@
+package assign
+
+// Report sets the gauges of the scheduler's work; those of the services stand only at the keeper that leads.
+func (a *Assigner) Report() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.lead() {
+		a.meter.Set("assign_leads", 0)
+		return
+	}
+	a.meter.Set("assign_leads", 1)
+	a.meter.Set("assign_waiting", int64(len(a.waiting)))
+	for _, x := range a.sched.Status(a.clock.Now()) {
+		a.meter.Set("service_endpoints", int64(x.Endpoints), "service", x.Service)
+		a.meter.Set("service_endpoints_usable", int64(x.Usable), "service", x.Service)
+		a.meter.Set("service_waiting_pieces", int64(x.Pieces), "service", x.Service)
+		a.meter.Set("service_waiting_requests", int64(x.Requests), "service", x.Service)
+		a.meter.Set("service_room_taken_percent", int64(x.RoomPercent), "service", x.Service)
+		a.meter.Set("service_repeats_left", int64(x.RepeatsLeft), "service", x.Service)
+	}
+}
--- /dev/null
+++ b/io/assign/report_test.go
@@ -0,0 +1,40 @@
+package assign
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/order"
+	"cyclamenford/io/meter"
+	"cyclamenford/io/wall"
+)
+
+func TestTheLeaderReportsItsServices(t *testing.T) {
+	leader := &lapsing{}
+	leader.leads.Store(true)
+	m := meter.New()
+	o := Options{AnnounceEvery: core.Second, Retries: fleet.Retries{Slack: 10, Window: core.Second}}
+	a := New(o, leader, nil, plainDialect{}, nil, wall.New(), m, slog.New(slog.DiscardHandler))
+	announce := Announcement{Seq: 1, Endpoint: order.Endpoint{ID: "f1", Incarnation: 1, Address: "a", Service: "first", Slots: 1}}
+	must.NoError(t, (&calls{a}).Announce(announce, &AnnounceReply{}))
+	report := func() string {
+		a.Report()
+		var b strings.Builder
+		must.NoError(t, m.Write(&b))
+		return b.String()
+	}
+	text := report()
+	for _, line := range []string{
+		"assign_leads 1", `service_endpoints{service="first"} 1`, `service_endpoints_usable{service="first"} 1`,
+		`service_endpoints{service="second"} 0`, `service_room_taken_percent{service="first"} 0`, `service_repeats_left{service="engine"} 4`,
+	} {
+		must.StrContains(t, text, line+"\n")
+	}
+	leader.leads.Store(false)
+	must.StrContains(t, report(), "assign_leads 0\n")
+}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -14,6 +14,7 @@
 	"cyclamenford/core/state"
 	"cyclamenford/io"
 	"cyclamenford/io/keeper"
+	"cyclamenford/io/meter"
 	"cyclamenford/io/peer"
 	"cyclamenford/io/trace"
 )
@@ -95,6 +96,17 @@
 	return f.joined && f.clock.Now() < f.leaseUntil
 }
 
+// Report sets the gauges of what this host follows.
+func (f *Follower) Report(m *meter.Meter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	m.Set("follow_revision", int64(f.image.Revision))
+	m.Set("follow_config_version", int64(f.image.Config.Version))
+	m.Set("follow_lease_left_ms", int64(max(0, f.leaseUntil-now)))
+	m.Set("follow_leader_heard_ms", int64(now-f.reached))
+}
+
 // Holder returns this life of the host.
 func (f *Follower) Holder() ledger.Holder {
 	f.mu.Lock()
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -102,6 +102,8 @@
 	commit     uint64
 	leaseUntil core.Millis
 	config     quorum.Config
+	// lag is the number of entries that the voter furthest behind lacks, as far as the leader knows.
+	lag uint64
 }
 
 type proposal struct {
@@ -397,6 +399,9 @@
 		k.leases = nil
 		return
 	}
+	for _, v := range k.view.config.Voters {
+		k.view.lag = max(k.view.lag, k.node.LastIndex()-k.node.Match(v))
+	}
 	if k.leases == nil || k.term != k.view.term {
 		k.leases = lease.New(k.clock.Now())
 		k.term = k.view.term
--- /dev/null
+++ b/io/keeper/report.go
@@ -0,0 +1,23 @@
+package keeper
+
+import (
+	"cyclamenford/core/quorum"
+	"cyclamenford/io/meter"
+)
+
+// Report sets the gauges of the control state as this keeper knows it.
+func (k *Keeper) Report(m *meter.Meter) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	leads := int64(0)
+	if k.view.role == quorum.Leader && k.view.ready {
+		leads = 1
+	}
+	m.Set("control_leads", leads)
+	m.Set("control_term", int64(k.view.term))
+	m.Set("control_voters", int64(len(k.view.config.Voters)))
+	m.Set("control_learners", int64(len(k.view.config.Learners)))
+	m.Set("control_commit_index", int64(k.view.commit))
+	m.Set("control_lag_entries", int64(k.view.lag))
+	m.Set("control_revision", int64(k.machine.Image().Revision))
+}
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -251,7 +251,23 @@
 	if address == "" {
 		return nil
 	}
+	w := wiring{kernel: r.kernel}
+	f := find[*follow.Follower](&w, followService)
+	if w.err != nil {
+		return w.err
+	}
+	reports := []func(){func() { f.Report(r.meter) }}
+	if r.settings.Host.DataFolder != "" {
+		k, a := find[*keeper.Keeper](&w, keeperService), find[*assign.Assigner](&w, assignService)
+		if w.err != nil {
+			return w.err
+		}
+		reports = append(reports, func() { k.Report(r.meter) }, a.Report)
+	}
 	handler := http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+		for _, report := range reports {
+			report()
+		}
 		if err := r.meter.Write(out); err != nil {
 			r.log.Debug("answer with metrics", "err", err)
 		}
