--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -9,12 +9,14 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"cyclamenford/bench/fault"
 	"cyclamenford/bench/proxy"
 	"cyclamenford/bench/site"
 	"cyclamenford/bench/stand"
+	"cyclamenford/bench/watch"
 	"cyclamenford/core"
 	"cyclamenford/io/caller"
 	"cyclamenford/io/oper"
@@ -35,15 +37,17 @@
 	group      *fault.Group
 	// settings are those of the group's hosts, in the same order.
 	settings []setup.Settings
-	stands   []*stand.Server
-	gone     []*stand.Server
+	// mu guards the endpoints' lives and marks.
+	mu     sync.Mutex
+	stands []*stand.Server
+	gone   []*stand.Server
+	marks  map[core.EndpointID]int64
 	// firstLed is the host that led when a step first asked for the leader.
 	firstLed  string
 	operators *oper.Client
 	callers   *caller.Client
-	record    *Record
+	record    *watch.Record
 	options   map[core.EndpointID]stand.Options
-	marks     map[core.EndpointID]int64
 }
 
 // New prepares the processes of a script; binary is the built program and folder holds files and logs.
@@ -56,13 +60,13 @@
 		d = d.WithHosts(s.Hosts)
 	}
 	x := &Drill{
-		script: s, deployment: d, callers: caller.New(nil), record: NewRecord(),
+		script: s, deployment: d, callers: caller.New(nil), record: watch.New(),
 		options: map[core.EndpointID]stand.Options{}, marks: map[core.EndpointID]int64{},
 	}
 	x.group = &fault.Group{
 		Network: proxy.New(x.partyOf), OneWay: time.Duration(d.OneWayMs * float64(time.Millisecond)),
 		Others: x.endpointParties, Overlapping: s.Overlapping,
-		OnKill: func(n int) { x.record.lose(x.settings[n].Listeners.Callers) }, OnFail: x.record.fail,
+		OnKill: func(n int) { x.record.Lose(x.settings[n].Listeners.Callers) }, OnFail: x.record.Fail,
 	}
 	x.group.SetOneWay()
 	return x, x.prepareHosts(binary, folder)
@@ -191,7 +195,7 @@
 		return proxied
 	}
 	o.OnCrash = func() {
-		x.record.crash(id)
+		x.record.Crashed(id)
 		server.Crash()
 		time.AfterFunc(time.Second, func() { _ = x.startStand(context.Background(), id) })
 	}
@@ -199,8 +203,8 @@
 	if err := server.Start(ctx); err != nil {
 		return fmt.Errorf("start endpoint %s: %w", id, err)
 	}
-	x.record.mu.Lock()
-	defer x.record.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	for i, old := range x.stands {
 		if old.ID() == id {
 			x.gone = append(x.gone, old)
@@ -213,8 +217,8 @@
 }
 
 func (x *Drill) stand(id string) (*stand.Server, error) {
-	x.record.mu.Lock()
-	defer x.record.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	for _, s := range x.stands {
 		if string(s.ID()) == id {
 			return s, nil
@@ -225,8 +229,8 @@
 
 // allStands returns every life of every endpoint.
 func (x *Drill) allStands() []*stand.Server {
-	x.record.mu.Lock()
-	defer x.record.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	return append(append([]*stand.Server(nil), x.stands...), x.gone...)
 }
 
--- a/bench/drill/load.go
+++ b/bench/drill/load.go
@@ -11,6 +11,7 @@
 
 	"cyclamenford/bench/site"
 	"cyclamenford/bench/stand"
+	"cyclamenford/bench/watch"
 	"cyclamenford/core"
 	"cyclamenford/core/tree"
 	"cyclamenford/io/caller"
@@ -96,7 +97,7 @@
 	defer cancel()
 	hosts := x.callerHosts(rand.IntN(len(x.settings)))
 	r, err := x.callers.Do(ctx, hosts, q)
-	x.record.answer(Answer{Body: body, Host: hosts[0], Stream: stream, Reply: r, Err: err})
+	x.record.Answered(watch.Answer{Body: body, Host: hosts[0], Stream: stream, Reply: r, Err: err})
 }
 
 // sendPoison sends the one request that crashes every generator that runs it.
@@ -119,7 +120,7 @@
 		Path: "/v1/services/" + p.service, Key: x.deployment.Keys[p.team], Body: fmt.Appendf(nil, `{"Order":%d}`, n),
 		IdempotencyKey: key, DeadlineMs: 3000,
 	}
-	c := Call{Key: key}
+	c := watch.Call{Key: key}
 	if n%doubleEvery == 0 {
 		c.Replies = append(c.Replies, x.sendDoubled(q)...)
 	}
@@ -133,7 +134,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	x.record.call(c)
+	x.record.Called(c)
 }
 
 // sendDoubled sends one call to two hosts at the same time, as a caller does whose first connect seemed lost.
@@ -169,9 +170,9 @@
 		return
 	}
 	a, err := x.operators.Set(ctx, path, version, doc, oper.NewOpID())
-	c := Change{Version: version, Doc: doc, Accepted: err == nil, Revision: a.Revision}
+	c := watch.Change{Version: version, Doc: doc, Accepted: err == nil, Revision: a.Revision}
 	c.Refused = errors.Is(err, oper.ErrConflict)
-	x.record.change(c)
+	x.record.Changed(c)
 	time.Sleep(changePause)
 }
 
@@ -180,7 +181,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 60*time.Second)
 	defer cancel()
 	for _, err := range x.group.Settle() {
-		x.record.fail(err)
+		x.record.Fail(err)
 	}
 	if err := x.awaitReady(ctx); err != nil {
 		return err
--- a/bench/drill/steps.go
+++ b/bench/drill/steps.go
@@ -49,8 +49,8 @@
 		if err != nil {
 			return err
 		}
-		x.record.mu.Lock()
-		defer x.record.mu.Unlock()
+		x.mu.Lock()
+		defer x.mu.Unlock()
 		x.marks[server.ID()] = server.Started()
 		return nil
 	},
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -13,6 +13,7 @@
 
 	"cyclamenford/bench/drill"
 	"cyclamenford/bench/site"
+	"cyclamenford/bench/watch"
 	"cyclamenford/core"
 )
 
@@ -131,7 +132,7 @@
 	}
 	record := x.Record()
 	r.count(record)
-	r.Broken = append(drill.CheckRunning(record, x.Expected), drill.CheckSettings(record)...)
+	r.Broken = append(watch.CheckRunning(record, x.Expected), watch.CheckSettings(record)...)
 	return err
 }
 
@@ -148,7 +149,7 @@
 		case err := <-done:
 			return err
 		case <-ticker.C:
-			if len(drill.CheckRunning(x.Record(), x.Expected)) > 0 {
+			if len(watch.CheckRunning(x.Record(), x.Expected)) > 0 {
 				cancel()
 				return errors.Join(<-done, ErrBroken)
 			}
@@ -171,7 +172,7 @@
 	return nil
 }
 
-func (r *Report) count(record *drill.Record) {
+func (r *Report) count(record *watch.Record) {
 	for _, a := range record.Answers {
 		if a.Err == nil && a.Reply.Outcome == core.Completed {
 			r.Answers++
--- a/bench/drill/checks.go
+++ b/bench/watch/checks.go
@@ -1,4 +1,4 @@
-package drill
+package watch
 
 import (
 	"bytes"
@@ -6,17 +6,10 @@
 	"slices"
 	"strings"
 
-	"cyclamenford/bench/stand"
 	"cyclamenford/core"
 	"cyclamenford/io/caller"
 )
 
-func expect(x *Drill, body []byte, p plan) (string, error) {
-	return stand.Expect(body, x.deployment.Runs(p.pipeline), p.tokens)
-}
-
-func idOf(name string) core.EndpointID { return core.EndpointID(name) }
-
 // CheckRunning holds what must be true at any moment of a run.
 func CheckRunning(r *Record, expected func(body []byte) (string, error)) []string {
 	return slices.Concat(CheckAnswers(r, expected), CheckNotRun(r), CheckOnce(r), CheckLeft(r), r.Failures)
--- a/tests/checks_test.go
+++ b/tests/checks_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"cyclamenford/bench/drill"
+	"cyclamenford/bench/watch"
 	"cyclamenford/core"
 	"cyclamenford/io/admin"
 	"cyclamenford/io/caller"
@@ -15,26 +15,26 @@
 // TestChecksCatchBreaches gives each check a record in which its promise is broken.
 func TestChecksCatchBreaches(t *testing.T) {
 	expected := func([]byte) (string, error) { return "right", nil }
-	base := drill.NewRecord()
-	must.SliceEmpty(t, drill.CheckAnswers(base, expected))
+	base := watch.New()
+	must.SliceEmpty(t, watch.CheckAnswers(base, expected))
 
-	wrong := drill.NewRecord()
-	wrong.Answers = []drill.Answer{
+	wrong := watch.New()
+	wrong.Answers = []watch.Answer{
 		{Stream: true, Reply: caller.Reply{Outcome: core.Completed, Text: "righ"}},
 		{Reply: caller.Reply{Outcome: core.Completed, Output: json.RawMessage(`{"Text":"another's"}`)}},
 		{Stream: true, Reply: caller.Reply{Outcome: core.Completed, Text: "right"}},
 	}
-	must.SliceLen(t, 2, drill.CheckAnswers(wrong, expected))
+	must.SliceLen(t, 2, watch.CheckAnswers(wrong, expected))
 
-	begun := drill.NewRecord()
-	begun.Answers = []drill.Answer{{Reply: caller.Reply{Outcome: core.NotRun, RequestID: "r"}}}
+	begun := watch.New()
+	begun.Answers = []watch.Answer{{Reply: caller.Reply{Outcome: core.NotRun, RequestID: "r"}}}
 	begun.Seen["r"] = 1
-	begun.Calls = []drill.Call{{Key: "k", Replies: []caller.Reply{{Outcome: core.NotRun}}}}
+	begun.Calls = []watch.Call{{Key: "k", Replies: []caller.Reply{{Outcome: core.NotRun}}}}
 	begun.Effects["org/k"] = 1
-	must.SliceLen(t, 2, drill.CheckNotRun(begun))
+	must.SliceLen(t, 2, watch.CheckNotRun(begun))
 
-	doubled := drill.NewRecord()
-	doubled.Calls = []drill.Call{
+	doubled := watch.New()
+	doubled.Calls = []watch.Call{
 		{Key: "twice"},
 		{Key: "never", Replies: []caller.Reply{{Outcome: core.Completed}}},
 		{Key: "two answers", Replies: []caller.Reply{
@@ -42,30 +42,30 @@
 		}},
 	}
 	doubled.Effects["org/twice"], doubled.Effects["org/two answers"] = 2, 1
-	must.SliceLen(t, 3, drill.CheckOnce(doubled))
+	must.SliceLen(t, 3, watch.CheckOnce(doubled))
 
-	reverted := drill.NewRecord()
-	reverted.Changes = []drill.Change{
+	reverted := watch.New()
+	reverted.Changes = []watch.Change{
 		{Version: 1, Doc: []byte("x"), Accepted: true},
 		{Version: 1, Doc: []byte("y"), Accepted: true},
 		{Version: 7, Accepted: true},
 	}
 	reverted.History = []admin.Subtree{{Version: 2, Doc: json.RawMessage("x")}}
 	reverted.Versions = []uint64{2, 1}
-	must.SliceLen(t, 4, drill.CheckSettings(reverted))
+	must.SliceLen(t, 4, watch.CheckSettings(reverted))
 
-	cut := drill.NewRecord()
-	cut.Answers = []drill.Answer{{Host: "h", Stream: true, Reply: caller.Reply{Events: 3, Resumes: 1}}}
-	must.SliceLen(t, 1, drill.CheckUncut(cut))
+	cut := watch.New()
+	cut.Answers = []watch.Answer{{Host: "h", Stream: true, Reply: caller.Reply{Events: 3, Resumes: 1}}}
+	must.SliceLen(t, 1, watch.CheckUncut(cut))
 	cut.Lost["h"] = true
-	must.SliceEmpty(t, drill.CheckUncut(cut))
+	must.SliceEmpty(t, watch.CheckUncut(cut))
 
-	left := drill.NewRecord()
+	left := watch.New()
 	left.NewWork["e"] = 1
-	must.SliceLen(t, 1, drill.CheckLeft(left))
+	must.SliceLen(t, 1, watch.CheckLeft(left))
 
-	crashes := drill.NewRecord()
+	crashes := watch.New()
 	crashes.Crashes["e"] = 4
-	must.SliceLen(t, 1, drill.CheckCrashes(crashes, 3))
-	must.SliceEmpty(t, drill.CheckCrashes(crashes, 4))
+	must.SliceLen(t, 1, watch.CheckCrashes(crashes, 3))
+	must.SliceEmpty(t, watch.CheckCrashes(crashes, 4))
 }
--- a/tests/scenario_test.go
+++ b/tests/scenario_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"cyclamenford/bench/drill"
+	"cyclamenford/bench/watch"
 )
 
 // binary is the program under test, built once.
@@ -89,14 +90,14 @@
 		t.Log("crashes at", r.CrashTimes)
 	}
 	var broken []string
-	broken = append(broken, drill.CheckAnswers(r, x.Expected)...)
-	broken = append(broken, drill.CheckNotRun(r)...)
-	broken = append(broken, drill.CheckOnce(r)...)
-	broken = append(broken, drill.CheckSettings(r)...)
-	broken = append(broken, drill.CheckLeft(r)...)
-	broken = append(broken, drill.CheckCrashes(r, s.MostCrashes)...)
+	broken = append(broken, watch.CheckAnswers(r, x.Expected)...)
+	broken = append(broken, watch.CheckNotRun(r)...)
+	broken = append(broken, watch.CheckOnce(r)...)
+	broken = append(broken, watch.CheckSettings(r)...)
+	broken = append(broken, watch.CheckLeft(r)...)
+	broken = append(broken, watch.CheckCrashes(r, s.MostCrashes)...)
 	if s.Uncut {
-		broken = append(broken, drill.CheckUncut(r)...)
+		broken = append(broken, watch.CheckUncut(r)...)
 	}
 	for _, b := range broken {
 		t.Error(b)
@@ -114,7 +115,7 @@
 	text                    string
 }
 
-func summary(r *drill.Record) done {
+func summary(r *watch.Record) done {
 	var d done
 	outcomes := map[string]int{}
 	resumed := 0
