Take requests on that a lost leader had taken on, and play its loss

Cause: the hosts place everything that waits anew at once, 0.7 s into its time; the care for less urgent ranks then refused clients that had been accepted, with their work half done. Such a request is taken on if it is expected to be on time. The copied events are numbered on when a leader loses its lease and leads again in the same term: they had begun at 0 again, and a keeper that copied would have missed the first ones.

The new load replaces the scheduler twice, in a burst and after it, with the results in use and the requests placed anew. Pieces without room stay many: the results of the calls in progress are known to nobody. Taking such an endpoint as full was tried and served no more.

--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -4,9 +4,11 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -74,6 +76,12 @@
 		Count    uint64
 		At, Back float64
 	}
+	// Takeovers replace the scheduler: the old one decides nothing more from At on, and Gap milliseconds later a new one
+	// starts from the results that were in use, and the hosts place their requests anew.
+	Takeovers []struct {
+		At  float64
+		Gap core.Millis
+	}
 	// Least is the smallest share of the worth owed that must be earned, by class; from the sites' floors and marks.
 	Least map[string]float64
 	// MostFalse is the largest share of the requests that may be given up later than an eighth of their aim.
@@ -129,8 +137,12 @@
 	calls, pieces, goneInputs, noRoom int
 	// lives are the present lives of the entry hosts; a host that is down has none.
 	lives map[core.HostID]core.Incarnation
-	busy  map[core.EndpointID]core.Millis
-	read  map[core.EndpointID]map[string]bool
+	// down tells that no scheduler decides; waiting are the requests that have no endpoint, and held the results in use.
+	down    bool
+	waiting map[order.Key]*played
+	held    map[order.Key][]order.Held
+	busy    map[core.EndpointID]core.Millis
+	read    map[core.EndpointID]map[string]bool
 }
 
 type played struct {
@@ -179,31 +191,11 @@
 
 func play(l load) *player {
 	p := &player{
-		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), sched: New(fleet.Retries{Ratio: 0.2, Slack: 56, Window: 10 * core.Second}), now: 1, asks: map[order.Key]*played{}, domains: map[core.EndpointID]int{}, tally: map[string]*tally{},
+		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), now: 1, waiting: map[order.Key]*played{}, held: map[order.Key][]order.Held{}, asks: map[order.Key]*played{}, domains: map[core.EndpointID]int{}, tally: map[string]*tally{},
 		handle: map[string]core.Millis{}, bytes: map[string]int64{}, room: map[string]int64{},
 		lives: map[core.HostID]core.Incarnation{}, busy: map[core.EndpointID]core.Millis{}, read: map[core.EndpointID]map[string]bool{},
 	}
-	var services []conf.Service
-	for _, s := range l.Services {
-		services = append(services, s.Service)
-	}
-	p.sched.Configure(p.now, services)
-	for _, s := range l.Services {
-		slots := 6
-		if s.Pieces != nil {
-			slots = s.Pieces.Slots
-		}
-		if s.Engine != nil {
-			slots = s.Engine.Slots
-		}
-		for i := range s.Endpoints {
-			p.domains[endpointName(s.Name, i)] = i % 3
-			p.sched.Join(p.now, order.Endpoint{
-				ID: endpointName(s.Name, i), Incarnation: 1, Address: string(endpointName(s.Name, i)),
-				FailureDomain: core.FailureDomain(fmt.Sprint("d", i%3)), Service: s.Name, Slots: slots,
-			}, false)
-		}
-	}
+	p.schedule()
 	for i := range l.Classes {
 		p.tally[l.Classes[i].Name] = &tally{}
 		p.arrive(i, 0)
@@ -217,9 +209,15 @@
 			p.at(core.Millis(d.Back*1000), func() { p.begin(hostName(n), core.Incarnation(p.now)) })
 		}
 	}
+	for _, x := range l.Takeovers {
+		p.at(core.Millis(x.At*1000), func() { p.down = true })
+		p.at(core.Millis(x.At*1000)+x.Gap, p.takeOver)
+	}
 	var tick func()
 	tick = func() {
-		p.sched.Tick(p.now)
+		if !p.down {
+			p.sched.Tick(p.now)
+		}
 		if p.now < core.Millis(l.Seconds*1000)+30000 {
 			p.at(p.now+20, tick)
 		}
@@ -234,6 +232,50 @@
 	return p
 }
 
+// schedule starts a scheduler that knows the services and the endpoints.
+func (p *player) schedule() {
+	p.sched = New(fleet.Retries{Ratio: 0.2, Slack: 56, Window: 10 * core.Second})
+	var services []conf.Service
+	for _, s := range p.load.Services {
+		services = append(services, s.Service)
+	}
+	p.sched.Configure(p.now, services)
+	for _, s := range p.load.Services {
+		slots := 6
+		if s.Pieces != nil {
+			slots = s.Pieces.Slots
+		}
+		if s.Engine != nil {
+			slots = s.Engine.Slots
+		}
+		for i := range s.Endpoints {
+			p.domains[endpointName(s.Name, i)] = i % 3
+			p.sched.Join(p.now, order.Endpoint{
+				ID: endpointName(s.Name, i), Incarnation: 1, Address: string(endpointName(s.Name, i)),
+				FailureDomain: core.FailureDomain(fmt.Sprint("d", i%3)), Service: s.Name, Slots: slots,
+			}, false)
+		}
+	}
+}
+
+// takeOver lets a new scheduler go on: it inherits the results in use, and the hosts place what waits anew.
+func (p *player) takeOver() {
+	p.schedule()
+	p.down = false
+	var list []order.Held
+	for _, key := range slices.SortedFunc(maps.Keys(p.held), compareKeys) {
+		list = append(list, p.held[key]...)
+	}
+	clear(p.held)
+	p.sched.Inherit(p.now, list)
+	waiting := maps.Clone(p.waiting)
+	clear(p.waiting)
+	for _, key := range slices.SortedFunc(maps.Keys(waiting), compareKeys) {
+		waiting[key].ask.Former = key
+		p.place(waiting[key])
+	}
+}
+
 func (p *player) arrive(i int, from float64) {
 	c := p.load.Classes[i]
 	rate := c.PerSecond
@@ -319,29 +361,47 @@
 	}
 	host := hostName(n % max(1, p.load.Hosts))
 	x.ask.Key = order.Key{Host: host, Life: p.lives[host], Seq: p.seq}
+	x.arrived = p.now
+	x.ask.Former = order.Key{}
+	if p.down {
+		p.asks[x.ask.Key], p.waiting[x.ask.Key] = x, x
+		return
+	}
+	p.place(x)
+}
+
+// place hands a request to the scheduler under a key of its own.
+func (p *player) place(x *played) {
+	p.seq++
+	x.ask.Key.Seq = p.seq
 	c := p.load.Classes[x.class]
 	x.ask.Aim = x.first + c.Aim - p.now
 	x.ask.Left = x.first + c.Left - p.now
-	x.arrived = p.now
-	p.asks[x.ask.Key] = x
+	p.asks[x.ask.Key], p.waiting[x.ask.Key] = x, x
 	p.sched.Arrive(p.now, x.ask)
 }
 
 func (p *player) carryOut() {
-	for {
+	for !p.down {
 		list := p.sched.Take()
 		if len(list) == 0 {
 			return
 		}
 		for _, a := range list {
 			switch {
+			case a.Made != nil:
+				p.held[a.Made.Key] = append(p.held[a.Made.Key], *a.Made)
 			case a.Grant != nil:
+				delete(p.held, a.Grant.Key)
+				delete(p.waiting, a.Grant.Key)
 				p.grant(*a.Grant)
 			case a.Refuse != nil:
+				delete(p.waiting, a.Refuse.Key)
 				p.refuse(*a.Refuse)
 			case a.Call != nil:
 				p.call(*a.Call)
 			case a.Free != nil:
+				p.held[a.Free.Key] = slices.DeleteFunc(p.held[a.Free.Key], func(h order.Held) bool { return h.Stage == a.Free.Stage })
 				for _, h := range a.Free.Handles {
 					p.expire(h)
 				}
@@ -390,7 +450,7 @@
 	for _, h := range g.Inputs {
 		if p.handle[h] < p.now {
 			p.goneInputs++
-			p.at(p.now+3, func() { p.sched.Ended(p.now, g.Key, order.GoneInput, true) })
+			p.at(p.now+3, func() { p.again(g.Key, order.GoneInput) })
 			return
 		}
 	}
@@ -421,6 +481,22 @@
 	p.at(end+25, func() { p.done(g.Key, x) })
 }
 
+// again asks for another endpoint, of a scheduler that does not know the request as for a new one.
+func (p *player) again(key order.Key, how order.Ending) {
+	x := p.asks[key]
+	switch {
+	case p.down:
+		x.ask.Attempts = 1
+		p.waiting[key] = x
+	case p.sched.Knows(key):
+		p.waiting[key] = x
+		p.sched.Ended(p.now, key, how, true)
+	default:
+		x.ask.Attempts, x.ask.Former = 1, key
+		p.place(x)
+	}
+}
+
 func (p *player) done(key order.Key, x *played) {
 	if p.gone(key) {
 		return
@@ -473,10 +549,12 @@
 
 func (p *player) call(c order.Call) {
 	s := p.load.Services[p.serviceOf(c.Service)]
+	// A call's answer goes to the scheduler that ordered it.
+	sched := p.sched
 	p.calls++
 	p.pieces += len(c.Items)
 	if p.lost(c.Service, c.Endpoint) {
-		p.at(p.now+400, func() { p.sched.CallDone(p.now, c.Number, nil, order.Unreachable) })
+		p.at(p.now+400, func() { sched.CallDone(p.now, c.Number, nil, order.Unreachable) })
 		return
 	}
 	took := s.Pieces.CallTime
@@ -518,7 +596,7 @@
 				p.at(p.now+s.Pieces.Keep+1, func() { p.expire(h) })
 			}
 		}
-		p.sched.CallDone(p.now, c.Number, results, order.Served)
+		sched.CallDone(p.now, c.Number, results, order.Served)
 	})
 }
 
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -248,6 +248,10 @@
 	expected := s.predict(r)
 	waiting := expected - core.Millis(r.tail0()) - s.firstByte(r)
 	careful := expected + core.Millis(caution*float64(1+rankOf(r))*float64(waiting)) + core.Millis(spread*float64(expected))
+	if r.Former != (order.Key{}) {
+		// A former scheduler has taken it on, and its client has waited for the new one.
+		careful = expected
+	}
 	if careful <= r.aimAt-s.now {
 		return expected, true
 	}
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -97,7 +97,8 @@
 	}
 	a.waiting = map[order.Key]chan order.Action{}
 	a.version, a.revision = 0, 0
-	a.ledger = ledger{}
+	// The numbers go on, so that a keeper that copies events within one term misses none.
+	a.ledger = ledger{next: a.ledger.next}
 }
 
 // lead makes sure that this keeper leads, and starts anew with each term.
