Keep requests by due time and count what services have left

Requests are now kept in the order in which they are due, one pass serves all stages of an arrival, what a service has left is counted as it changes, and a stage counts its results by failure domain.

Still not flat: what is due earlier is added up for each arrival, and every endpoint of a service is looked at for each placement.

--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -102,7 +102,10 @@
 	st := &r.stages[i.Stage]
 	st.handles[i.Piece] = result.Handle
 	st.left--
-	r.note(result.Handle, c.at, c.started)
+	if st.at != nil {
+		st.at.left--
+	}
+	r.note(i.Stage, result.Handle, c.at, c.started)
 	// A configuration may have turned the service into one without stages meanwhile.
 	if svc := s.services[st.Service]; svc.Pieces != nil && (st.keptTill == 0 || s.now+svc.Pieces.Keep < st.keptTill) {
 		st.keptTill = s.now + svc.Pieces.Keep
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -199,13 +199,8 @@
 
 // foreign returns the bytes of a stage's results that were made in another failure domain than an endpoint's.
 func (r *request) foreign(stage int, e *fleet.Endpoint) int64 {
-	var bytes int64
-	for _, h := range r.stages[stage].handles {
-		if m, ok := r.made(h); ok && m.by.FailureDomain != e.FailureDomain {
-			bytes += r.stages[stage].Bytes
-		}
-	}
-	return bytes
+	st := &r.stages[stage]
+	return int64(st.made-st.madeIn[e.FailureDomain]) * st.Bytes
 }
 
 // keys orders the groups of a service, the smallest first.
--- a/core/sched/handles.go
+++ b/core/sched/handles.go
@@ -17,8 +17,14 @@
 	since core.Millis
 }
 
-func (r *request) note(handle string, by *fleet.Endpoint, since core.Millis) {
+func (r *request) note(stage int, handle string, by *fleet.Endpoint, since core.Millis) {
 	r.results = append(r.results, made{handle: handle, by: by, since: since})
+	st := &r.stages[stage]
+	if st.madeIn == nil {
+		st.madeIn = map[core.FailureDomain]int{}
+	}
+	st.madeIn[by.FailureDomain]++
+	st.made++
 }
 
 func (r *request) made(handle string) (made, bool) {
@@ -66,6 +72,7 @@
 			svc.LearnHeld(st.Bytes, s.now-m.since)
 		}
 	}
+	st.made, st.madeIn = 0, nil
 	r.results = slices.DeleteFunc(r.results, func(m made) bool { return slices.Contains(st.handles, m.handle) })
 	slices.SortFunc(makers, func(a, b *fleet.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, m := range makers {
--- a/core/sched/inherit.go
+++ b/core/sched/inherit.go
@@ -65,7 +65,7 @@
 			}
 			st.handles[piece] = h.Handles[n]
 			st.left--
-			r.note(h.Handles[n], e, s.now)
+			r.note(h.Stage, h.Handles[n], e, s.now)
 		}
 		if st.keptTill == 0 || h.Till < st.keptTill {
 			st.keptTill = h.Till
--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -13,9 +13,14 @@
 // stageState is what has been prepared of one stage.
 type stageState struct {
 	order.StageAsk
+	// at is the service that prepares it, nil for one that is not configured.
+	at      *service
 	started bool
 	left    int
 	handles []string
+	// made counts the results that are held, and madeIn those in each failure domain.
+	made   int
+	madeIn map[core.FailureDomain]int
 	// running counts the pieces that calls work on, except overdue ones.
 	running int
 	tries   int
@@ -23,8 +28,8 @@
 	keptTill core.Millis
 }
 
-func newStage(a order.StageAsk) stageState {
-	return stageState{StageAsk: a, left: a.Pieces, handles: make([]string, a.Pieces)}
+func newStage(a order.StageAsk, at *service) stageState {
+	return stageState{StageAsk: a, at: at, left: a.Pieces, handles: make([]string, a.Pieces)}
 }
 
 // queued counts the pieces that no call works on.
@@ -106,11 +111,13 @@
 	r.released = false
 	s.unqueue(r)
 	r.unfinished = 0
+	r.count(-1)
 	for i := range r.stages {
-		r.stages[i] = newStage(r.stages[i].StageAsk)
+		r.stages[i] = newStage(r.stages[i].StageAsk, s.services[r.stages[i].Service])
 		if r.stages[i].Pieces > 0 {
 			r.unfinished++
 		}
 	}
+	r.count(1)
 	s.advance(r)
 }
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -600,7 +600,7 @@
 	})
 }
 
-func loads(t *testing.T) []load {
+func loadsOf(t testing.TB) []load {
 	raw, err := os.ReadFile("testdata/loads.json")
 	must.NoError(t, err)
 	var list []load
@@ -610,7 +610,7 @@
 
 // TestLoads plays each load and holds what its clients get against the least that they must get.
 func TestLoads(t *testing.T) {
-	for _, l := range loads(t) {
+	for _, l := range loadsOf(t) {
 		t.Run(l.Name, func(t *testing.T) {
 			p := play(l)
 			held, asked := 0, 0
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -136,6 +136,7 @@
 // A stage starts once its inputs are there and the work that goes before has been done: what has been taken on of
 // the same or better ranks, and what arrives of better ranks meanwhile.
 func (s *Scheduler) predict(r *request) core.Millis {
+	s.measure(r)
 	ready := make([]float64, len(r.stages))
 	longest := 0.0
 	for i := range r.stages {
@@ -155,13 +156,13 @@
 	return core.Millis(longest) + s.firstByte(r)
 }
 
-// queueBefore returns the pieces that go before a request's own at a stage's service, and the milliseconds that they keep
-// it busy.
+// queueBefore returns the pieces that go before those of the request measured last at a stage's service, and the
+// milliseconds that they keep it busy.
 func (s *Scheduler) queueBefore(svc *service, r *request) (pieces int, wait float64) {
 	if svc == nil || svc.Pieces == nil {
 		return 0, 0
 	}
-	pieces = s.outstanding(svc, r.aimAt-core.Millis(r.tail0())+core.Millis(r.Priority)*rankWeight)
+	pieces = svc.before
 	capacity := svc.Capacity(s.now)
 	if capacity == 0 {
 		return pieces, svc.CallTime()
@@ -171,6 +172,7 @@
 
 // longestQueue returns the queue at which a request would wait longest, or none when no stage is left to be done.
 func (s *Scheduler) longestQueue(r *request) order.Queue {
+	s.measure(r)
 	var longest order.Queue
 	for i := range r.stages {
 		st := &r.stages[i]
@@ -194,23 +196,6 @@
 	return longest
 }
 
-// outstanding counts the pieces that requests due before a time still need of a service. Those in calls are left out:
-// another of the service's endpoints is free long before their calls end.
-func (s *Scheduler) outstanding(svc *service, before core.Millis) int {
-	n := 0
-	for _, r := range s.requests {
-		if r.at != nil || r.late || r.aimAt-core.Millis(r.tail0())+core.Millis(r.Priority)*rankWeight > before {
-			continue
-		}
-		for i := range r.stages {
-			if r.stages[i].Service == svc.Name {
-				n += r.stages[i].queued()
-			}
-		}
-	}
-	return n
-}
-
 // backlog is the time, in typical calls, in which a stage's service could do all that has been taken on.
 func (s *Scheduler) backlog(svc *service) float64 {
 	if svc == nil || svc.Pieces == nil {
@@ -220,15 +205,7 @@
 	if capacity == 0 {
 		return 0
 	}
-	n := 0
-	for _, r := range s.requests {
-		for i := range r.stages {
-			if r.stages[i].Service == svc.Name {
-				n += r.stages[i].left
-			}
-		}
-	}
-	return float64(n) / capacity / svc.CallTime()
+	return float64(svc.left) / capacity / svc.CallTime()
 }
 
 // hasSpare reports whether every service that a request still needs has room for work that will be late.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -23,6 +23,8 @@
 	fleet    *fleet.Fleet
 	services map[string]*service
 	requests map[order.Key]*request
+	// byDue are the same requests in the order in which they must begin.
+	byDue []*request
 	// lives is the last known life of each entry host.
 	lives    map[core.HostID]core.Incarnation
 	calls    map[uint64]*call
@@ -40,6 +42,8 @@
 	groups  []*group
 	waiting []*request
 	flow    flow
+	// left counts the pieces that all requests still need, and before those that go before the request measured last.
+	left, before int
 }
 
 // request is one client attempt from its arrival to the end of its last attempt at an endpoint.
@@ -48,7 +52,9 @@
 	arrived    core.Millis
 	aimAt      core.Millis
 	deadlineAt core.Millis
-	stages     []stageState
+	// due is when its first stage must begin, later by its rank.
+	due    core.Millis
+	stages []stageState
 	// unfinished counts the stages that have not ended.
 	unfinished int
 	attempts   int
@@ -120,13 +126,14 @@
 	r := &request{Ask: a, arrived: now, aimAt: now + a.Aim, deadlineAt: now + a.Left, attempts: a.Attempts}
 	r.stages = make([]stageState, len(a.Stages))
 	for i, ask := range a.Stages {
-		r.stages[i] = newStage(ask)
+		r.stages[i] = newStage(ask, s.services[ask.Service])
 		if ask.Pieces > 0 {
 			r.unfinished++
 		}
 	}
 	s.claim(r)
 	r.tail, r.chain = s.tails(r), fleet.NewChain(a.Prompt.Parts)
+	r.due = r.dueAt()
 	r.home = s.findHome(r)
 	if expected, ok := s.admit(r); !ok {
 		s.refuse(r, core.ReasonDeadlineInfeasible, expected)
@@ -134,7 +141,7 @@
 		return
 	}
 	s.arrivedPieces(r)
-	s.requests[a.Key] = r
+	s.known(r)
 	s.advance(r)
 	s.pump()
 }
@@ -287,7 +294,7 @@
 	r.leaveEndpoint()
 	s.release(r)
 	s.unqueue(r)
-	delete(s.requests, r.Key)
+	s.forgotten(r)
 }
 
 func (s *Scheduler) unqueue(r *request) {
