Let entry hosts choose the endpoints of plain requests, without a scheduler

The scheduler publishes the endpoints of plain services as a roll under a version; hosts copy it by held calls and draw an endpoint by what they have seen of each (core/roll, core/door). Lives that have ended come by the control state and are never chosen, however late a roll lists them; a leaving endpoint is acknowledged once all serving hosts have applied it, or after 300 ms. Each host has its share of the repeats. An endpoint that was never reached does not count as an attempt.

Ruled out: a host that always takes the endpoint with the least cost (295 hosts that agree would all move to one that is new), and preferring the own domain (one endpoint a domain cannot take a burst there).

--- a/core/conf/types.go
+++ b/core/conf/types.go
@@ -75,6 +75,9 @@
 	Pieces *Pieces
 }
 
+// Plain reports whether the service's requests need neither a batch nor a shared cache, so that any endpoint serves them alike.
+func (s Service) Plain() bool { return s.Engine == nil && s.Pieces == nil }
+
 // Engine describes one endpoint of a generating service.
 type Engine struct {
 	Slots int
--- a/core/fleet/budget.go
+++ b/core/fleet/budget.go
@@ -5,8 +5,8 @@
 // buckets is the number of parts of the window in which repeats are counted.
 const buckets = 20
 
-// budget bounds how many requests of a service are sent to a second endpoint, in any window.
-type budget struct {
+// Budget bounds how many requests of a service are sent to a second endpoint, in any window.
+type Budget struct {
 	requests, repeats [buckets]int
 	last              int64
 }
@@ -18,11 +18,12 @@
 	Window core.Millis
 }
 
-// safeShare is the part of the allowed repeats that one leader uses: the next one may begin within the same window.
+// safeShare is the part of the allowed repeats that one holder of a budget uses: the next one, a later leader or life of a
+// host, may begin within the same window.
 const safeShare = 0.45
 
 // move forgets the buckets that have left the window and returns the present one.
-func (b *budget) move(now core.Millis, window core.Millis) int {
+func (b *Budget) move(now core.Millis, window core.Millis) int {
 	at := int64(now) * buckets / max(1, int64(window))
 	for b.last < at {
 		b.last++
@@ -34,12 +35,13 @@
 	return int(at % buckets)
 }
 
-func (b *budget) first(now core.Millis, r Retries) {
+// First notes a request's first attempt, which earns a share of a repeat.
+func (b *Budget) First(now core.Millis, r Retries) {
 	b.requests[b.move(now, r.Window)]++
 }
 
-// left returns how many repeats are allowed now.
-func (b *budget) left(now core.Millis, r Retries) int {
+// Left returns how many repeats are allowed now.
+func (b *Budget) Left(now core.Millis, r Retries) int {
 	b.move(now, r.Window)
 	requests, repeats := 0, 0
 	for i := range buckets {
@@ -49,9 +51,9 @@
 	return max(0, int(safeShare*(r.Ratio*float64(requests)+r.Slack))-repeats)
 }
 
-// spend takes one repeat and reports whether it was allowed.
-func (b *budget) spend(now core.Millis, r Retries) bool {
-	if b.left(now, r) == 0 {
+// Spend takes one repeat and reports whether it was allowed.
+func (b *Budget) Spend(now core.Millis, r Retries) bool {
+	if b.Left(now, r) == 0 {
 		return false
 	}
 	b.repeats[b.move(now, r.Window)]++
--- a/core/fleet/budget_test.go
+++ b/core/fleet/budget_test.go
@@ -10,12 +10,12 @@
 
 func TestRepeatsStayWithinTheBudgetOfEveryWindow(t *testing.T) {
 	r := Retries{Ratio: 0.2, Slack: 20, Window: 10 * core.Second}
-	var b budget
+	var b Budget
 	var at []core.Millis
 	for now := core.Millis(1); now < 60*core.Second; now += 50 {
-		b.first(now, r)
+		b.First(now, r)
 		for range 3 {
-			if b.spend(now, r) {
+			if b.Spend(now, r) {
 				at = append(at, now)
 			}
 		}
--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -23,7 +23,7 @@
 	// endpoints are in the order of their names.
 	endpoints []*Endpoint
 	first     estimate
-	budget    budget
+	budget    Budget
 	// footprint is the room that a result takes up times how long, in byte milliseconds.
 	footprint estimate
 }
@@ -65,13 +65,13 @@
 }
 
 // CountFirst notes a request's first attempt, which earns the service a share of a repeat.
-func (s *Service) CountFirst(now core.Millis, r Retries) { s.budget.first(now, r) }
+func (s *Service) CountFirst(now core.Millis, r Retries) { s.budget.First(now, r) }
 
 // RepeatsLeft returns how many repeats the service's budget holds.
-func (s *Service) RepeatsLeft(now core.Millis, r Retries) int { return s.budget.left(now, r) }
+func (s *Service) RepeatsLeft(now core.Millis, r Retries) int { return s.budget.Left(now, r) }
 
 // SpendRepeat takes one repeat out of the service's budget and reports whether there was one.
-func (s *Service) SpendRepeat(now core.Millis, r Retries) bool { return s.budget.spend(now, r) }
+func (s *Service) SpendRepeat(now core.Millis, r Retries) bool { return s.budget.Spend(now, r) }
 
 func (s *Service) fastestSpeed(now core.Millis) float64 {
 	best := 0.0
--- /dev/null
+++ b/core/roll/roll_test.go
@@ -0,0 +1,74 @@
+package roll
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
+	"cyclamenford/core/order"
+)
+
+func listed(id core.EndpointID, life core.Incarnation) Listed {
+	return Listed{Endpoint: order.Endpoint{ID: id, Incarnation: life}}
+}
+
+// TestPagesBringEveryHostUpToDate changes a roll at random; hosts that ask now and then must hold what it holds.
+func TestPagesBringEveryHostUpToDate(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := New(1, 0)
+	type host struct {
+		term, version uint64
+		has           map[core.EndpointID]Listed
+	}
+	hosts := make([]host, 20)
+	for step := range 20_000 {
+		id := core.EndpointID(fmt.Sprint("e", rng.IntN(40)))
+		switch rng.IntN(3) {
+		case 0:
+			r.Remove(id)
+		default:
+			r.Put(listed(id, core.Incarnation(rng.IntN(4))))
+		}
+		if step%5000 == 4999 {
+			// The scheduler begins anew, the second time within its term.
+			r = New(1+uint64(step/10_000), r.Version()+1)
+		}
+		h := &hosts[rng.IntN(len(hosts))]
+		if step%7 > 0 && h.version > 0 && rng.IntN(30) > 0 {
+			continue
+		}
+		p := r.Since(h.term, h.version)
+		if p.Whole {
+			h.has = map[core.EndpointID]Listed{}
+		}
+		for _, l := range p.Listed {
+			h.has[l.ID] = l
+		}
+		for _, gone := range p.Gone {
+			delete(h.has, gone)
+		}
+		h.term, h.version = p.Term, p.Version
+		want := map[core.EndpointID]Listed{}
+		for id, l := range r.listed {
+			want[id] = l.Listed
+		}
+		must.True(t, maps.Equal(want, h.has), must.Sprintf("step %d", step))
+	}
+}
+
+func TestAnAnnouncementThatChangesNothingIsNoNews(t *testing.T) {
+	r := New(1, 0)
+	cold := listed("a", 1)
+	cold.Cold = 500
+	must.True(t, r.Put(cold))
+	cold.Cold = 300
+	must.False(t, r.Put(cold))
+	must.True(t, r.Put(listed("a", 1)))
+	must.False(t, r.Put(listed("a", 1)))
+	must.True(t, r.Remove("a"))
+	must.False(t, r.Remove("a"))
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -16,6 +16,9 @@
 // silentHost is how long after its deadline a request is forgotten whose host has not told its end.
 const silentHost = 2 * core.Second
 
+// maxUnreached is how many endpoints that cannot be reached are passed over before they count as attempts.
+const maxUnreached = 3
+
 // Scheduler decides about all requests of a deployment; its caller passes the time with every event.
 type Scheduler struct {
 	retries  fleet.Retries
@@ -58,12 +61,16 @@
 	// unfinished counts the stages that have not ended.
 	unfinished int
 	attempts   int
-	tried      []core.EndpointID
-	at         *fleet.Endpoint
-	granted    core.Millis
-	began      bool
-	load       fleet.Load
-	remade     int
+	// counted tells that the request has earned its share of the budget of repeats, and unreached counts its endpoints that
+	// could not be reached.
+	counted   bool
+	unreached int
+	tried     []core.EndpointID
+	at        *fleet.Endpoint
+	granted   core.Millis
+	began     bool
+	load      fleet.Load
+	remade    int
 	// tail is the time of each stage's call and of the calls after it; home the failure domain that holds its prompt.
 	tail  []float64
 	home  core.FailureDomain
@@ -188,18 +195,30 @@
 	switch {
 	case !again:
 		s.drop(r)
+	case how == order.Unreachable && r.unreached < maxUnreached:
+		// The endpoint has not had the request.
+		r.unreached++
+		r.attempts--
+		s.wait(r)
 	case how == order.GoneInput && r.remade < maxRemakes:
 		r.remade++
 		r.attempts--
 		s.remake(r)
-	case r.released && len(r.stages) > 0:
-		s.remake(r)
 	default:
-		s.queue(r)
+		s.wait(r)
 	}
 	s.pump()
 }
 
+// wait lets a request wait for another endpoint, after its inputs if they have been given up.
+func (s *Scheduler) wait(r *request) {
+	if r.released && len(r.stages) > 0 {
+		s.remake(r)
+		return
+	}
+	s.queue(r)
+}
+
 // Tick lets time pass: what can no longer be served is refused.
 func (s *Scheduler) Tick(now core.Millis) {
 	s.now = now
@@ -279,9 +298,11 @@
 		s.drop(r)
 		return
 	}
-	if r.attempts == 0 {
+	switch {
+	case r.attempts == 0 && !r.counted:
+		r.counted = true
 		svc.CountFirst(s.now, s.retries)
-	} else if !svc.SpendRepeat(s.now, s.retries) {
+	case r.attempts > 0 && !svc.SpendRepeat(s.now, s.retries):
 		s.refuse(r, core.ReasonRetryBudget, 0)
 		s.drop(r)
 		return
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -42,6 +42,8 @@
 	Located() keeper.Located
 	Image() state.Image
 	Commit(ctx context.Context, c state.Command) (state.Reply, error)
+	// InForce reports whether every host that holds a serving lease has applied a revision.
+	InForce(revision uint64) bool
 }
 
 // Options are the settings of an assigner.
@@ -74,6 +76,7 @@
 	revision uint64
 	standby  standby
 	ledger   ledger
+	roll     publisher
 }
 
 // New returns an assigner that is not running yet.
@@ -84,6 +87,9 @@
 	return a
 }
 
+// Silence is how long an endpoint that announces itself at a period may be silent before it is forgotten.
+func Silence(announceEvery core.Millis) core.Millis { return announceEvery * silentBeats }
+
 // Register offers the assigner's calls on the server.
 func (a *Assigner) Register(s *peer.Server) error {
 	return s.Register(Service, &calls{a})
@@ -91,7 +97,7 @@
 
 func (a *Assigner) reset() {
 	a.sched = sched.New(a.options.Retries)
-	a.roster = newRoster(a.options.AnnounceEvery * silentBeats)
+	a.roster = newRoster(Silence(a.options.AnnounceEvery))
 	for _, w := range a.waiting {
 		close(w)
 	}
@@ -99,6 +105,7 @@
 	a.version, a.revision = 0, 0
 	// The numbers go on, so that a keeper that copies events within one term misses none.
 	a.ledger = ledger{next: a.ledger.next}
+	a.roll.reset(a.term)
 }
 
 // lead makes sure that this keeper leads, and starts anew with each term.
@@ -108,6 +115,9 @@
 		if a.term != 0 {
 			a.log.Info("assigner stopped: this keeper no longer leads", "term", a.term)
 			a.term = 0
+			// A lease that lapsed for a moment may come back within the term: then it goes on from its own endpoints.
+			now := a.clock.Now()
+			a.standby.known, a.standby.at = a.roster.list(now), now
 			a.reset()
 		}
 		return false
@@ -156,6 +166,7 @@
 	}
 	a.version = c.Version
 	a.sched.Configure(a.clock.Now(), config.Services)
+	a.roll.configure(config.Services, a.roster)
 	a.log.Info("configuration in force", "version", c.Version, "services", len(config.Services))
 }
 
@@ -171,6 +182,7 @@
 	for _, id := range a.roster.lapsed(now) {
 		a.log.Warn("endpoint forgotten: silent for too long", "endpoint", id, "silence_ms", a.roster.silence)
 		a.sched.Part(now, id)
+		a.roll.remove(id)
 	}
 	a.sched.Tick(now)
 	a.carryOut()
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/core/order"
@@ -9,6 +10,14 @@
 	"cyclamenford/io/keeper"
 )
 
+const (
+	// retireWait is how long the acknowledgement of a leaving endpoint waits for hosts to apply it: a held call of theirs and a
+	// retransmission. All have applied it, or stopped taking work, soon after.
+	retireWait = 300 * core.Millis(1)
+	// retirePause is the time between two looks: about a round trip to the hosts.
+	retirePause = 3 * time.Millisecond
+)
+
 type calls struct{ a *Assigner }
 
 // Place waits until a request has an endpoint or is refused.
@@ -104,6 +113,7 @@
 	if args.Gone {
 		delete(a.roster.known, args.Endpoint.ID)
 		a.sched.Part(now, args.Endpoint.ID)
+		a.roll.remove(args.Endpoint.ID)
 		a.carryOut()
 		return nil
 	}
@@ -115,12 +125,41 @@
 	for _, id := range replaced {
 		a.log.Info("endpoint replaced at its address", "endpoint", id, "address", args.Endpoint.Address, "by", args.Endpoint.ID)
 		a.sched.Part(now, id)
+		a.roll.remove(id)
 	}
 	a.sched.Join(now, args.Endpoint, args.Leaving)
+	a.roll.put(args)
 	a.carryOut()
 	return nil
 }
 
+// Roll tells what has changed of the endpoints that entry hosts choose among by themselves, and waits for news if nothing has.
+func (c *calls) Roll(args RollArgs, reply *RollReply) error {
+	a := c.a
+	deadline := time.NewTimer(min(args.Wait, maxRollWait).Duration())
+	defer deadline.Stop()
+	for waited := false; ; {
+		a.mu.Lock()
+		reply.Located = a.leader.Located()
+		if !a.lead() {
+			a.mu.Unlock()
+			reply.Leading = false
+			return nil
+		}
+		page, news, changed := a.roll.news(args.Term, args.Version)
+		a.mu.Unlock()
+		if news || waited {
+			reply.Page = page
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			waited = true
+		}
+	}
+}
+
 // Known lists the endpoints, for a keeper that may have to lead next.
 func (c *calls) Known(_ KnownArgs, reply *Endpoints) error {
 	a := c.a
@@ -172,10 +211,26 @@
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	command := state.Command{RetireEndpoint: &state.RetireEndpoint{Endpoint: args.Endpoint.ID, Incarnation: life}}
-	if _, err := a.leader.Commit(ctx, command); err != nil {
+	reply, err := a.leader.Commit(ctx, command)
+	if err != nil {
 		a.log.Warn("leaving endpoint not recorded", "endpoint", args.Endpoint.ID, "err", err)
 		return err
 	}
-	a.log.Info("endpoint leaves", "endpoint", args.Endpoint.ID, "incarnation", life, "goodbye", args.Gone)
+	applied := a.awaitHosts(reply.Revision)
+	a.log.Info("endpoint leaves", "endpoint", args.Endpoint.ID, "incarnation", life, "goodbye", args.Gone,
+		"revision", reply.Revision, "applied_by_all", applied)
 	return nil
 }
+
+// awaitHosts waits a moment until every serving host has applied a revision, and reports whether all have: hosts that choose
+// among endpoints by themselves must have heard that one leaves. A silent host is not waited for longer.
+func (a *Assigner) awaitHosts(revision uint64) bool {
+	for until := a.clock.Now() + retireWait; ; time.Sleep(retirePause) {
+		if a.leader.InForce(revision) {
+			return true
+		}
+		if a.clock.Now() >= until {
+			return false
+		}
+	}
+}
--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -41,6 +41,8 @@
 	return state.Reply{}, nil
 }
 
+func (l *lapsing) InForce(uint64) bool { return true }
+
 // plainDialect sends pieces as JSON and takes the answer's words as handles.
 type plainDialect struct{ cio.Dialect }
 
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -99,6 +99,7 @@
 	taken := a.roster.adopt(now, list, a.leader.Image().Retired)
 	for _, x := range taken {
 		a.sched.Join(now, x.Endpoint, x.Leaving)
+		a.roll.put(x)
 	}
 	held := a.standby.held.list()
 	a.sched.Inherit(now, held)
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -3,6 +3,7 @@
 import (
 	"cyclamenford/core"
 	"cyclamenford/core/order"
+	"cyclamenford/core/roll"
 	"cyclamenford/io/keeper"
 )
 
@@ -56,6 +57,18 @@
 	Detail string
 }
 
+// RollArgs asks for what has changed of the roll since a version of a term's; the call waits up to Wait for news.
+type RollArgs struct {
+	Term, Version uint64
+	Wait          core.Millis
+}
+
+// RollReply carries the changes.
+type RollReply struct {
+	keeper.Located
+	Page roll.Page
+}
+
 // KnownArgs asks for the endpoints.
 type KnownArgs struct{}
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
+	"cyclamenford/core/door"
 	"cyclamenford/core/ledger"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
@@ -56,6 +57,8 @@
 	Rotation core.Millis
 	// Grace is how long a shutdown may take in all.
 	Grace core.Millis
+	// Door bounds the requests whose endpoints the host chooses by itself.
+	Door door.Settings
 }
 
 // Entry is the front of one entry host.
@@ -73,6 +76,7 @@
 	sweeper  *loop.Loop
 	events   *events
 	placing  *placing
+	door     *doorkeeper
 	follower *loop.Loop
 	table    atomic.Pointer[conf.Table]
 	stopping atomic.Bool
@@ -86,6 +90,7 @@
 	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, clock: clock, meter: m, log: log}
 	e.events = newEvents(c, peers, clock, log)
 	e.placing = newPlacing()
+	e.door = newDoorkeeper(o.Door, c, peers, e.placing, clock, log)
 	e.follower = loop.New(leaderEvery, e.followLeader)
 	e.front = listen.New(listen.Options{
 		Name: "clients", Address: o.Address, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
@@ -100,7 +105,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.wg.Go(func() { e.watch(background) })
-	return errors.Join(e.sweeper.Start(ctx), e.follower.Start(ctx), e.events.Start(ctx), e.front.Start(ctx), e.ready.Start(ctx))
+	return errors.Join(e.sweeper.Start(ctx), e.follower.Start(ctx), e.events.Start(ctx), e.door.Start(ctx), e.front.Start(ctx), e.ready.Start(ctx))
 }
 
 // Stop lets the balancer take the host out of rotation, finishes what is in flight, and closes.
@@ -119,14 +124,16 @@
 	e.cancel()
 	e.wg.Wait()
 	// What is still queued for the scheduler after a bounded stop is of no use to it.
-	return errors.Join(err, e.events.Stop(ctx), e.ready.Stop(ctx), e.sweeper.Stop(ctx), e.follower.Stop(ctx))
+	return errors.Join(err, e.events.Stop(ctx), e.door.Stop(ctx), e.ready.Stop(ctx), e.sweeper.Stop(ctx), e.follower.Stop(ctx))
 }
 
 // watch rebuilds the table with each new configuration.
 func (e *Entry) watch(ctx context.Context) {
 	for {
 		changed := e.control.Changed()
-		e.adopt(e.control.Image().Config)
+		image := e.control.Image()
+		e.door.adopt(image)
+		e.adopt(image.Config)
 		select {
 		case <-ctx.Done():
 			return
@@ -163,7 +170,7 @@
 
 // Ready reports whether the host takes new clients.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.table.Load() != nil && e.control.Serving()
+	return !e.stopping.Load() && e.table.Load() != nil && e.door.heard() && e.control.Serving()
 }
 
 func (e *Entry) answerReady(w http.ResponseWriter, _ *http.Request) {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -43,8 +43,10 @@
 	http  *http.Request
 	route conf.Route
 	// service is the one that the route's split chose, and generates tells that it generates tokens.
-	service      string
-	generates    bool
+	service   string
+	generates bool
+	// plain requests need neither a batch nor a shared cache: this host chooses their endpoints by itself.
+	plain        bool
 	organisation conf.Organisation
 	body         []byte
 	arrived      core.Millis
@@ -52,6 +54,9 @@
 	// key names the request to the scheduler, and former did so to an earlier one.
 	key, former order.Key
 	attempts    int
+	// tried are the endpoints that this host has chosen, and unreached counts those of all attempts that could not be reached.
+	tried     []core.EndpointID
+	unreached int
 	// kept is an endpoint's own failure, delivered if no other attempt does better.
 	kept *answer
 }
@@ -101,6 +106,7 @@
 	r.service = route.Pick(r.in.ID)
 	service, _ := table.Service(r.service)
 	r.generates = service.Engine != nil
+	r.plain = service.Plain() && !slices.ContainsFunc(r.in.Pieces, func(n int) bool { return n > 0 })
 	left := r.in.Left
 	if left <= 0 {
 		left = max(defaultLeft, route.Timeout)
@@ -152,6 +158,9 @@
 // place asks the scheduler for an endpoint; when the leader is lost meanwhile, the next one is asked anew.
 func (r *request) place(ctx context.Context) (*order.Grant, *core.Problem) {
 	e := r.entry
+	if r.chosenHere() {
+		return r.choose(false)
+	}
 	for {
 		leader := e.control.Leader()
 		if e.clock.Now()-e.control.Reached() > leaderSilence {
@@ -190,6 +199,9 @@
 // placeAgain asks for another endpoint after an attempt ended; a leader that came after the attempt's place is asked as for
 // a new request.
 func (r *request) placeAgain(ctx context.Context, how order.Ending) (*order.Grant, *core.Problem) {
+	if r.chosenHere() {
+		return r.choose(r.attempts > 0)
+	}
 	grant, problem := r.decide(ctx, assign.Service+".Again", func() any { return assign.AgainArgs{Key: r.key, How: how} })
 	if problem != nil && problem.Reason == core.ReasonNoQuorum && ctx.Err() == nil {
 		r.entry.log.Info("attempt placed anew", "request", r.in.ID, "why", problem.Detail)
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -34,6 +34,9 @@
 	out := newWriter(w, e.clock)
 	for {
 		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			if grant != nil {
+				r.attempted(grant, order.Abandoned, 0)
+			}
 			r.end(out, order.Abandoned, nil)
 			return
 		}
@@ -41,11 +44,16 @@
 			problem = r.allowed()
 		}
 		if problem != nil {
+			if grant != nil {
+				r.attempted(grant, order.Abandoned, 0)
+			}
 			r.end(out, order.Abandoned, problem)
 			return
 		}
 		r.attempts++
+		began := e.clock.Now()
 		how, done := r.attempt(ctx, grant, out)
+		r.attempted(grant, how, e.clock.Now()-began)
 		if done {
 			r.end(out, how, nil)
 			return
@@ -67,7 +75,7 @@
 	switch how {
 	case order.Rejected, order.Unreachable, order.GoneInput, order.OtherEndpoint:
 		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonEndpointRefused,
-			"no endpoint took the request").WithRetryAfter(fullRetry)
+			"no endpoint took the request").WithRetryAfter(r.notRunRetry())
 	case order.Late:
 		return core.NewProblem(http.StatusGatewayTimeout, core.Unknown, core.ReasonDeadlineExceeded, "no answer in time")
 	}
@@ -77,7 +85,7 @@
 // end answers the client if nothing has been, and tells the scheduler and the log.
 func (r *request) end(out *writer, how order.Ending, p *core.Problem) {
 	e := r.entry
-	e.events.ended(r.key, how)
+	r.tellEnded(how)
 	if p != nil && p.Outcome != core.NotRun && r.kept != nil && !out.started {
 		out.whole(r.kept)
 		p = nil
@@ -146,7 +154,7 @@
 	case !v.Signed:
 		return order.Broken, false
 	}
-	e.events.began(r.key)
+	r.tellBegan()
 	if r.route.Class == conf.Stream && resp.Status == http.StatusOK {
 		how := r.stream(ctx, resp, out)
 		return how, how == order.Served
--- a/io/keeper/serve.go
+++ b/io/keeper/serve.go
@@ -264,5 +264,16 @@
 	return k.commit(ctx, raw)
 }
 
+// InForce reports whether every host that holds a serving lease has applied a revision.
+func (k *Keeper) InForce(revision uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leases == nil {
+		return false
+	}
+	done, _ := k.leases.InForce(k.clock.Now(), revision)
+	return done
+}
+
 // Located tells whether this keeper leads, or where the leader answers its peers.
 func (k *Keeper) Located() Located { return k.locate() }
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -9,7 +9,7 @@
 	"runtime/debug"
 
 	"cyclamenford/core"
-	"cyclamenford/core/fleet"
+	"cyclamenford/core/door"
 	"cyclamenford/core/kernel"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
@@ -198,10 +198,7 @@
 	if w.err != nil {
 		return w.err
 	}
-	retries := r.settings.Retries
-	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs, Retries: fleet.Retries{
-		Ratio: retries.Ratio, Slack: retries.Slack, Window: core.Millis(retries.WindowSeconds * float64(core.Second)),
-	}}
+	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs, Retries: r.settings.retries()}
 	a := assign.New(o, k, client, r.outside.Dialect, p, r.clock, r.meter, r.log)
 	if err := a.Register(server); err != nil {
 		return err
@@ -241,6 +238,7 @@
 		Host: r.settings.Host.ID, FailureDomain: r.settings.Host.FailureDomain,
 		Address: r.settings.Listeners.Clients, Ready: r.settings.Listeners.Ready,
 		Rotation: r.settings.RotationMs, Grace: r.settings.grace() - 2*stopReserve,
+		Door: door.Settings{Retries: r.settings.retries(), Keep: assign.Silence(r.settings.AnnounceEveryMs)},
 	}
 	e := entry.New(o, f, r.outside.Dialect, p, client, r.clock, r.meter, r.log)
 	return w.register(frontService, e, followService, dialService, placeService)
--- a/setup/relay_settings.go
+++ b/setup/relay_settings.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"cyclamenford/core"
+	"cyclamenford/core/fleet"
 	"cyclamenford/core/tree"
 )
 
@@ -136,6 +137,13 @@
 	return core.Millis(s.GraceSeconds * float64(core.Second))
 }
 
+// retries returns the bound of the repeats that a service gets from all hosts.
+func (s RelaySettings) retries() fleet.Retries {
+	return fleet.Retries{
+		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: core.Millis(s.Retries.WindowSeconds * float64(core.Second)),
+	}
+}
+
 // join returns the peer addresses behind the seeds.
 func (s RelaySettings) join() []string {
 	var list []string
