Suspend a keeper whose disk refuses writes instead of ending it

A keeper whose write fails gives leadership away, drops what it holds beyond its disk (nobody has been told of it), and takes part again from what the disk holds once a new file with all of it could be synced, as if its process had ended and begun. A corrupt disk still ends it.

--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -81,6 +81,32 @@
 	return s, c, err
 }
 
+// Reopen reads the folder again after a failed write and writes what is kept of the log to a new file: a sync that failed
+// leaves open which of the earlier writes are durable. An error other than a CorruptError may pass when it is tried again.
+func (s *Store) Reopen() (Contents, error) {
+	if s.segment != nil {
+		// The file's writes are in doubt either way.
+		_ = s.segment.Close()
+	}
+	s.segment, s.name, s.size = nil, "", 0
+	names, err := s.folder.List()
+	if err != nil {
+		return Contents{}, err
+	}
+	if err := s.readIdentity(s.Identity().Host); err != nil {
+		return Contents{}, err
+	}
+	c, err := s.load(names, true)
+	if err != nil {
+		return Contents{}, err
+	}
+	if err := s.rewrite(c.HardState, c.Entries); err != nil {
+		return Contents{}, err
+	}
+	s.failed = nil
+	return c, nil
+}
+
 func (s *Store) create(names []string, host core.HostID, fresh core.Incarnation) (*Store, Contents, error) {
 	for _, name := range names {
 		if strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapPrefix) {
@@ -100,15 +126,19 @@
 	if !ok {
 		return &CorruptError{File: formatFile, Detail: "bad checksum"}
 	}
-	if err := cbor.Unmarshal(payload, &s.identity); err != nil {
+	var i Identity
+	if err := cbor.Unmarshal(payload, &i); err != nil {
 		return &CorruptError{File: formatFile, Detail: err.Error()}
 	}
-	if s.identity.Format != FormatVersion {
-		return core.NewFieldError(formatFile+" Format", s.identity.Format, FormatVersion)
+	if i.Format != FormatVersion {
+		return core.NewFieldError(formatFile+" Format", i.Format, FormatVersion)
 	}
-	if host != "" && s.identity.Host != host {
-		return core.NewFieldError(formatFile+" Host", s.identity.Host, host)
+	if host != "" && i.Host != host {
+		return core.NewFieldError(formatFile+" Host", i.Host, host)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.identity = i
 	return nil
 }
 
--- a/io/keeper/report.go
+++ b/io/keeper/report.go
@@ -19,5 +19,10 @@
 	m.Set("control_learners", int64(len(k.view.config.Learners)))
 	m.Set("control_commit_index", int64(k.view.commit))
 	m.Set("control_lag_entries", int64(k.view.lag))
+	suspended := int64(0)
+	if k.suspended > 0 {
+		suspended = 1
+	}
+	m.Set("control_disk_refuses", suspended)
 	m.Set("control_revision", int64(k.machine.Image().Revision))
 }
