--- a/setup/app.go
+++ b/setup/app.go
@@ -10,7 +10,6 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/kernel"
-	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
 	"cyclamenford/io/broker"
 	"cyclamenford/io/certs"
@@ -135,17 +134,10 @@
 	return source.Client()
 }
 
-func (a *App) quorumSettings() quorum.Settings {
-	s := quorum.Defaults()
-	s.ElectionTimeout = a.settings.Keepers.ElectionTimeoutMs
-	s.Heartbeat = max(20, s.ElectionTimeout/6)
-	return s
-}
-
 func (a *App) keeperOptions() keeper.Options {
 	o := keeper.Options{
 		Host: a.settings.Host.ID, Address: a.settings.Listeners.peersAddress(), Voters: a.settings.Keepers.Voters,
-		Patience: a.settings.Keepers.PatienceMs, Quorum: a.quorumSettings(),
+		Patience: a.settings.Keepers.PatienceMs, Quorum: a.settings.Keepers.quorum(),
 	}
 	for _, f := range a.settings.Founding {
 		o.Founding = append(o.Founding, keeper.Address{ID: f.ID, Address: f.Address})
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -11,7 +11,6 @@
 	"cyclamenford/core"
 	"cyclamenford/core/door"
 	"cyclamenford/core/kernel"
-	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
 	"cyclamenford/io/assign"
@@ -152,9 +151,8 @@
 	o := keeper.Options{
 		Host: r.settings.Host.ID, Address: r.settings.Listeners.advertised(), Rejoin: !r.settings.Bootstrap,
 		Voters: voterFactor*r.settings.FaultTolerance + 1, Patience: r.settings.Keepers.PatienceMs,
-		Quorum: quorum.Defaults(), Trace: t,
+		Quorum: r.settings.Keepers.quorum(), Trace: t,
 	}
-	o.Quorum.ElectionTimeout = r.settings.Keepers.ElectionTimeoutMs
 	for _, a := range r.settings.join() {
 		o.Founding = append(o.Founding, keeper.Address{Address: a})
 	}
--- a/setup/relay_settings.go
+++ b/setup/relay_settings.go
@@ -81,6 +81,9 @@
 		// About 150 lines a second.
 		Log: RelayLogSettings{Level: "Info", BytesPerSecond: 48 << 10},
 	}
+	// Nobody schedules until a lost leader's successor is elected, which takes one to two of these. It is six heartbeats, and
+	// several round trips between failure domains.
+	s.Keepers.ElectionTimeoutMs = 300
 	return s
 }
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"cyclamenford/core"
+	"cyclamenford/core/quorum"
 	"cyclamenford/core/tree"
 	"cyclamenford/io/certs"
 	"cyclamenford/io/trace"
@@ -70,6 +71,14 @@
 	ElectionTimeoutMs core.Millis
 }
 
+// quorum returns the settings of the replicated log.
+func (s KeeperSettings) quorum() quorum.Settings {
+	q := quorum.Defaults()
+	q.ElectionTimeout = s.ElectionTimeoutMs
+	q.Heartbeat = max(20, s.ElectionTimeoutMs/6)
+	return q
+}
+
 // Keys are the secrets and the hashes of secrets.
 type Keys struct {
 	// Cluster is the secret that all hosts of the deployment share.
