Bound every part of an endpoint's answer and close the connection at the bound

Cause: an endpoint that sends header lines or interim answers without end made an entry host allocate hundreds of megabytes until the request's deadline; one event or one body without end did the same.

A head with its interim answers has 64 KB, a skipped answer to another request 256 KB, an event 256 KB. Of an answer that is not a stream 64 KB are held before it is passed on, so that what many requests hold at once fits into a small host; a longer one is passed on as it comes and shows when it breaks off. The product's own client and the settings call have bounds too.

--- a/io/admin/settings.go
+++ b/io/admin/settings.go
@@ -14,6 +14,9 @@
 	"cyclamenford/io"
 )
 
+// maxDoc bounds a subtree of the settings: several times the largest known.
+const maxDoc = 16 << 20
+
 // Subtree is a part of the settings tree as operators see it.
 type Subtree struct {
 	Path     string
@@ -88,7 +91,10 @@
 	if opID == "" {
 		return nil, badRequest("header Operation-Id: found none, expected a text that is used for this change alone")
 	}
-	doc, err := stdio.ReadAll(r.Body)
+	doc, err := stdio.ReadAll(stdio.LimitReader(r.Body, maxDoc+1))
+	if err == nil && len(doc) > maxDoc {
+		return nil, badRequest("the body has more than %d bytes", maxDoc)
+	}
 	if err != nil {
 		return nil, badRequest("read body: %w", err)
 	}
--- a/io/dial/client.go
+++ b/io/dial/client.go
@@ -25,6 +25,8 @@
 	idleTimeout     = 30 * time.Second
 	controlTimeout  = 2 * time.Second
 	probeTimeout    = 300 * time.Millisecond
+	// maxHeadBytes bounds the head of an answer with the interim answers before it.
+	maxHeadBytes = 64 << 10
 	// MaxAnswerBytes bounds an answer that is not streamed.
 	MaxAnswerBytes = 4 << 20
 )
@@ -83,7 +85,7 @@
 	d := &net.Dialer{Timeout: connectTimeout, LocalAddr: &net.TCPAddr{IP: from}}
 	return &http.Transport{
 		DialContext: d.DialContext, TLSClientConfig: tlsConfig, DisableKeepAlives: single,
-		MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout,
+		MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -16,7 +16,10 @@
 	// freshIdle is how long a connection may have been idle that carries what may not be repeated: an endpoint that
 	// closes it meanwhile would leave the outcome unknown.
 	freshIdle = core.Second
-	// maxAnswer bounds an answer that is read whole before it is passed on.
+	// heldAnswer bounds what is read of an answer before it is passed on: an answer that breaks off within it can be replaced,
+	// and what many requests hold at once must fit into a small host's memory.
+	heldAnswer = 64 << 10
+	// maxAnswer bounds an answer in all.
 	maxAnswer = 16 << 20
 )
 
@@ -162,9 +165,9 @@
 	return r.whole(ctx, resp, out)
 }
 
-// whole reads an answer to its end before any of it is passed on.
+// whole reads an answer to its end before any of it is passed on, unless it is long.
 func (r *request) whole(ctx context.Context, resp *pipe.Response, out *writer) (order.Ending, bool) {
-	body, err := resp.ReadAll(maxAnswer)
+	body, whole, err := resp.ReadUpTo(heldAnswer)
 	if err != nil {
 		return r.lost(ctx, err), false
 	}
@@ -173,10 +176,17 @@
 	}
 	a := &answer{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError && r.again(order.Erred) {
-		r.kept = a
+		if whole {
+			r.kept = a
+		}
 		return order.Erred, false
 	}
-	out.whole(a)
+	if whole {
+		out.whole(a)
+	} else if err := out.long(a, resp); err != nil {
+		r.entry.log.Info("long answer broke off", "request", r.in.ID, "err", err)
+		return r.lost(ctx, err), false
+	}
 	if resp.Status >= http.StatusInternalServerError {
 		return order.Erred, true
 	}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -16,7 +17,11 @@
 	"cyclamenford/io/pipe"
 )
 
-const eventBuffer = 4 << 10
+const (
+	eventBuffer = 4 << 10
+	// maxEvent bounds one event, which is held until it is whole.
+	maxEvent = 256 << 10
+)
 
 // writer passes an answer to the client and remembers how far it got.
 type writer struct {
@@ -69,6 +74,27 @@
 	o.finished = err == nil
 }
 
+// long passes on an answer of which only the beginning has been read; one that breaks off has begun and is not finished.
+func (o *writer) long(a *answer, rest *pipe.Response) error {
+	a.header.Del("Content-Length")
+	if rest.Length >= 0 {
+		a.header.Set("Content-Length", strconv.FormatInt(rest.Length, 10))
+	}
+	o.header(a.status, a.header)
+	if _, err := o.w.Write(a.body); err != nil {
+		return fmt.Errorf("pass answer on: %w", err)
+	}
+	n, err := io.Copy(o.w, io.LimitReader(rest, maxAnswer))
+	switch {
+	case err != nil:
+		return fmt.Errorf("pass answer on: %w", err)
+	case n == maxAnswer:
+		return fmt.Errorf("%w: over %d bytes", pipe.ErrEndless, maxAnswer)
+	}
+	o.finished = true
+	return nil
+}
+
 // stream passes events on as they come, each one whole, and says how the stream ended.
 func (r *request) stream(ctx context.Context, resp *pipe.Response, out *writer) order.Ending {
 	if !out.started {
@@ -80,6 +106,10 @@
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
+		if len(event) > maxEvent {
+			r.entry.log.Warn("event too long", "request", r.in.ID, "bytes", len(event))
+			return order.Broken
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -69,8 +69,10 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	since   core.Millis
-	keep    core.Millis
+	// bound limits what the reader may take off the connection.
+	bound *bounded
+	since core.Millis
+	keep  core.Millis
 }
 
 // New returns a client without connections.
@@ -123,7 +125,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return &conn{Conn: raw, address: r.Address, reader: bufio.NewReaderSize(raw, readBuffer), keep: maxIdle}, nil
+	bound := &bounded{from: raw}
+	return &conn{Conn: raw, address: r.Address, reader: bufio.NewReaderSize(bound, readBuffer), bound: bound, keep: maxIdle}, nil
 }
 
 func (c *Client) takeIdle(r Request) *conn {
--- /dev/null
+++ b/io/pipe/endless_test.go
@@ -0,0 +1,114 @@
+package pipe
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/io/wall"
+)
+
+// hostMemory is the part of a small entry host's memory, 184 MB, that its collector lets the process use.
+const hostMemory = 128 << 20
+
+// flood answers each request with a beginning and then with the same bytes again and again until the connection closes; it
+// returns its address and the number of bytes that it could send on one connection at most.
+func flood(t *testing.T, begin, again string) (string, *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	most := &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				sent := int64(0)
+				for err := error(nil); err == nil; {
+					var n int
+					n, err = io.WriteString(c, begin)
+					begin := strings.Repeat(again, max(1, 4096/len(again)))
+					for sent += int64(n); err == nil; sent += int64(n) {
+						n, err = io.WriteString(c, begin)
+					}
+				}
+				for old := most.Load(); sent > old && !most.CompareAndSwap(old, sent); old = most.Load() {
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), most
+}
+
+// TestEndlessAnswersEndAtTheirBound lets fifty endpoints at once send bytes without end in each part of an answer. Every call
+// must end by the bound, long before its time is up, and take little memory.
+func TestEndlessAnswersEndAtTheirBound(t *testing.T) {
+	for name, c := range map[string]struct{ begin, again string }{
+		"no answer at all":      {"", "x"},
+		"head lines":            {"HTTP/1.1 200 OK\r\n", "X-More: of the same\r\n"},
+		"one head line":         {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"interim answers":       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"an answer of another":  {"HTTP/1.1 200 OK\r\nId: z\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nwxyz\r\n"},
+		"answers of others":     {"", "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 0\r\n\r\n"},
+		"chunks":                {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nwxyz\r\n"},
+		"one chunk's extension": {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+		"a trailer":             {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: of the same\r\n"},
+		"a body without length": {"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, most := flood(t, c.begin, c.again)
+			client := New(Options{Clock: wall.New()})
+			ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var wg sync.WaitGroup
+			for range 50 {
+				wg.Go(func() {
+					resp, err := client.Do(ctx, Request{
+						Address: address, Method: http.MethodGet, Target: "/", Host: "h",
+						Belongs: func(r *http.Response) bool { return r.Header.Get("Id") == "a" },
+					})
+					if err == nil {
+						_, err = resp.ReadAll(64 << 10)
+						resp.Close()
+					}
+					test.Error(t, err)
+				})
+			}
+			wg.Wait()
+			runtime.ReadMemStats(&after)
+			test.NoError(t, ctx.Err())
+			test.LessEq(t, hostMemory, after.TotalAlloc-before.TotalAlloc)
+			// The sockets' buffers take some megabytes before the endpoint notices.
+			test.LessEq(t, 16<<20, most.Load())
+		})
+	}
+}
+
+// TestABodyPastItsLengthEndsTheConnection sends more than the declared length: the answer is whole, and the rest is nobody's.
+func TestABodyPastItsLengthEndsTheConnection(t *testing.T) {
+	address, _ := flood(t, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\none", "x")
+	client := New(Options{Clock: wall.New()})
+	for range 3 {
+		must.Eq(t, "one", ask(client, address, "a"))
+	}
+	must.Eq(t, 3, client.Dials())
+}
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -89,20 +89,27 @@
 // read returns the answer that belongs to the request, past interim ones and late ones to earlier requests.
 func (c *Client) read(x *conn, r Request) (*http.Response, error) {
 	asked := &http.Request{Method: r.Method}
-	for strays := 0; strays <= maxStrays; {
+	x.bound.left = maxHead
+	for strays, interim := 0, 0; strays <= maxStrays; {
 		resp, err := http.ReadResponse(x.reader, asked)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim {
+				return nil, fmt.Errorf("%w: interim answers", ErrEndless)
+			}
 			continue
 		}
 		if r.Belongs == nil || r.Belongs(resp) {
+			x.bound.left = unbounded
 			return resp, nil
 		}
+		x.bound.left = maxStray
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
+		x.bound.left = maxHead
 		strays++
 	}
 	return nil, ErrStray
@@ -133,16 +140,25 @@
 
 // ReadAll returns the whole body, or an error if it broke off or is longer than most.
 func (r *Response) ReadAll(most int64) ([]byte, error) {
-	raw, err := io.ReadAll(io.LimitReader(r, most+1))
+	raw, whole, err := r.ReadUpTo(most)
 	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
+		return nil, err
 	}
-	if int64(len(raw)) > most {
-		return nil, fmt.Errorf("read body: more than %d bytes", most)
+	if !whole {
+		return nil, fmt.Errorf("read body: %w: over %d bytes", ErrEndless, most)
 	}
 	return raw, nil
 }
 
+// ReadUpTo returns a body of at most the given bytes; of a longer one it returns one byte more, and the rest can be read on.
+func (r *Response) ReadUpTo(most int64) (raw []byte, whole bool, err error) {
+	raw, err = io.ReadAll(io.LimitReader(r, most+1))
+	if err != nil {
+		return nil, false, fmt.Errorf("read body: %w", err)
+	}
+	return raw, int64(len(raw)) <= most, nil
+}
+
 // Close gives the connection back if the answer was read to its end, and closes it otherwise.
 func (r *Response) Close() {
 	if r.stop() && r.whole && r.reuse {
