End a stream in which no whole event comes for as long as clients wait, and resume it where that is allowed

Bytes that make no event kept a stalled stream alive until its deadline. The bound is the longest of 2 s, four aims and eight allowed pauses. Tests: a stalled stream that sends a byte each 100 ms is resumed at another endpoint; a stream with an event each 900 ms is not cut.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/core/order"
@@ -19,6 +20,10 @@
 
 const (
 	eventBuffer = 4 << 10
+	// leastStall, or so many times the route's aim or longest pause, is how long clients wait for the next event of a stream.
+	leastStall = 2 * core.Second
+	stallAims  = 4
+	stallGaps  = 8
 	// maxEvent bounds one event, which is held until it is whole.
 	maxEvent = 256 << 10
 )
@@ -100,6 +105,12 @@
 	if !out.started {
 		out.header(resp.Status, resp.Header)
 	}
+	bound := r.stallBound()
+	stall := time.AfterFunc(bound.Duration(), func() {
+		r.entry.log.Warn("stream stalled", "request", r.in.ID, "bound_ms", bound)
+		resp.Break()
+	})
+	defer stall.Stop()
 	flush := http.NewResponseController(out.w)
 	reader := bufio.NewReaderSize(resp, eventBuffer)
 	var event []byte
@@ -123,6 +134,7 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		stall.Reset(bound.Duration())
 		id, numbered := eventID(event)
 		if !numbered || id > out.last {
 			if _, err := out.w.Write(event); err != nil {
@@ -141,6 +153,11 @@
 	}
 }
 
+// stallBound is the longest time without a whole event of a stream; bytes that make no event do not count.
+func (r *request) stallBound() core.Millis {
+	return max(leastStall, stallAims*r.route.Aim, stallGaps*r.route.GapAim)
+}
+
 // eventID returns the number of an event, if it has one.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.Lines(event) {
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -159,6 +159,9 @@
 	return raw, int64(len(raw)) <= most, nil
 }
 
+// Break closes the connection at once, so that a read in progress ends with an error.
+func (r *Response) Break() { r.client.discard(r.conn) }
+
 // Close gives the connection back if the answer was read to its end, and closes it otherwise.
 func (r *Response) Close() {
 	if r.stop() && r.whole && r.reuse {
