Give stage results up once they have been fetched, and count their room until the endpoint has heard it

- Its room counts as taken until the endpoint has answered: a call that is sent with the message may overtake it on another connection.
- A call of which a few pieces lack room no longer pauses its endpoint, except while results of a former scheduler's calls may be held there.

--- a/core/conf/types.go
+++ b/core/conf/types.go
@@ -95,6 +95,8 @@
 	Room int64
 	// Keep is how long a result is held after its call.
 	Keep core.Millis
+	// LinkMbps is the bandwidth at which results are fetched, in megabits a second; 0 if it is not known.
+	LinkMbps float64
 }
 
 // Limits bound what a client may send.
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -197,10 +197,14 @@
 	Items    []Item
 	// Expected is the predicted time of the call.
 	Expected core.Millis
+	// Bytes is the room that its results need, and Room what the endpoint is believed to have.
+	Bytes, Room int64
 }
 
 // Free tells an endpoint that results are no longer needed.
 type Free struct {
+	// Number names the order in the acknowledgement.
+	Number uint64
 	// Key and Stage are those of the request that the results were made for, if it was still known.
 	Key     Key
 	Stage   int
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -13,6 +13,8 @@
 	overdueFactor = 2
 	// overdueSlack is added to it for the time on the network.
 	overdueSlack = 150 * core.Millis(1)
+	// mostLacking is the part of a call's pieces that may find no room before its endpoint is left alone.
+	mostLacking = 0.5
 	// maxTries is how often one piece is sent to endpoints that fail it.
 	maxTries = 4
 )
@@ -28,6 +30,8 @@
 	overdueAt core.Millis
 	overdue   bool
 	bytes     int64
+	// fetchedAt is when its endpoint has surely fetched its pieces' inputs, 0 if that is not known or has been noted.
+	fetchedAt core.Millis
 }
 
 func (s *Scheduler) startCall(svc *service, e *fleet.Endpoint, items []order.Item, bytes int64) {
@@ -35,12 +39,14 @@
 	usual := svc.Pieces.CallTime + float64(len(items))*svc.Pieces.ItemTime
 	expected := core.Millis(e.Speed() * usual)
 	c := &call{number: s.lastCall, at: e, items: items, started: s.now, expected: expected, bytes: bytes}
+	room := e.Room()
 	c.overdueAt = s.now + core.Millis(overdueFactor*usual*min(fleet.TooSlow, e.Speed())) + overdueSlack
+	c.fetchedAt = s.fetchedAt(svc, items)
 	s.calls[c.number] = c
 	s.countRunning(c, 1)
 	e.BeginCall(bytes)
 	s.out = append(s.out, order.Action{Call: &order.Call{
-		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected,
+		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected, Bytes: bytes, Room: room,
 	}})
 }
 
@@ -58,6 +64,10 @@
 	}
 	if how == order.Served && len(results) == len(c.items) {
 		c.at.LearnCall(s.now, s.now-c.started, c.expected)
+		// A few pieces lack room because sizes are approximate, more because the endpoint holds results that are not known here.
+		if lack := withoutRoom(results); lack > mostLacking || lack > 0 && s.now < s.unknownTill {
+			c.at.Full(s.now)
+		}
 		for i, r := range results {
 			s.pieceDone(c, c.items[i], r)
 		}
@@ -72,6 +82,17 @@
 	s.pump()
 }
 
+// withoutRoom returns the part of a call's pieces that found no room.
+func withoutRoom(results []order.ItemResult) float64 {
+	lacking := 0
+	for _, r := range results {
+		if r.Reason == order.ItemNoRoom {
+			lacking++
+		}
+	}
+	return float64(lacking) / float64(max(1, len(results)))
+}
+
 // countRunning notes that a call begins or no longer counts on its pieces' stages. A stage that has begun anew since counts
 // from zero.
 func (s *Scheduler) countRunning(c *call, by int) {
@@ -89,14 +110,10 @@
 	switch {
 	case result.Handle == "":
 		c.at.GiveBack(i.Bytes)
-		if result.Reason == order.ItemNoRoom {
-			c.at.Full(s.now)
-		}
 		s.pieceFailed(i, result.Reason)
 		return
 	case !wanted:
-		c.at.GiveBack(i.Bytes)
-		s.out = append(s.out, order.Action{Free: &order.Free{Address: c.at.Address, Handles: []string{result.Handle}}})
+		s.free(order.Free{Handles: []string{result.Handle}}, c.at, i.Bytes)
 		return
 	}
 	st := &r.stages[i.Stage]
@@ -135,7 +152,12 @@
 	if !ok || r.stages[i.Stage].handles[i.Piece] != "" {
 		return
 	}
+	if r.inputsGiven(i.Stage) {
+		s.loseInputs(r)
+		return
+	}
 	st := &r.stages[i.Stage]
+	st.fetched[i.Piece] = false
 	if counted {
 		st.tries++
 	}
--- a/core/sched/handles.go
+++ b/core/sched/handles.go
@@ -67,7 +67,6 @@
 			makers = append(makers, m.by)
 		}
 		byMaker[m.by] = append(byMaker[m.by], h)
-		m.by.GiveBack(st.Bytes)
 		if svc := s.services[st.Service]; svc != nil {
 			svc.LearnHeld(st.Bytes, s.now-m.since)
 		}
@@ -76,6 +75,6 @@
 	r.results = slices.DeleteFunc(r.results, func(m made) bool { return slices.Contains(st.handles, m.handle) })
 	slices.SortFunc(makers, func(a, b *fleet.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, m := range makers {
-		s.out = append(s.out, order.Action{Free: &order.Free{Key: r.Key, Stage: stage, Address: m.Address, Handles: byMaker[m]}})
+		s.free(order.Free{Key: r.Key, Stage: stage, Handles: byMaker[m]}, m, st.Bytes*int64(len(byMaker[m])))
 	}
 }
--- a/core/sched/inherit.go
+++ b/core/sched/inherit.go
@@ -37,6 +37,11 @@
 func (s *Scheduler) Inherit(now core.Millis, list []order.Held) {
 	s.now = now
 	s.claimTill = now + claimTime
+	for _, svc := range s.services {
+		if svc.Pieces != nil {
+			s.unknownTill = max(s.unknownTill, now+svc.Pieces.Keep)
+		}
+	}
 	for _, h := range list {
 		e, ok := s.fleet.Endpoint(h.Endpoint, h.Life)
 		if !ok || now+expiryMargin > h.Till {
@@ -104,8 +109,7 @@
 	for _, key := range slices.SortedFunc(maps.Keys(s.inherited), compareKeys) {
 		for _, h := range s.inherited[key] {
 			if e, ok := s.fleet.Endpoint(h.Endpoint, h.Life); ok {
-				e.GiveBack(h.Bytes * int64(len(h.Handles)))
-				s.out = append(s.out, order.Action{Free: &order.Free{Address: e.Address, Handles: h.Handles}})
+				s.free(order.Free{Handles: h.Handles}, e, h.Bytes*int64(len(h.Handles)))
 			}
 		}
 	}
--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -24,12 +24,16 @@
 	// running counts the pieces that calls work on, except overdue ones.
 	running int
 	tries   int
+	// fetched are the pieces in calls that have fetched their inputs; given tells that the results were given up before the
+	// stages that need them were done.
+	fetched []bool
+	given   bool
 	// keptTill is when the first of its results ends.
 	keptTill core.Millis
 }
 
 func newStage(a order.StageAsk, at *service) stageState {
-	return stageState{StageAsk: a, at: at, left: a.Pieces, handles: make([]string, a.Pieces)}
+	return stageState{StageAsk: a, at: at, left: a.Pieces, handles: make([]string, a.Pieces), fetched: make([]bool, a.Pieces)}
 }
 
 // queued counts the pieces that no call works on.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -32,10 +32,15 @@
 	lives    map[core.HostID]core.Incarnation
 	calls    map[uint64]*call
 	lastCall uint64
+	// freeing are the results whose endpoints have not heard yet that they are given up.
+	freeing  map[uint64]freeing
+	lastFree uint64
 	// inherited are results that an earlier scheduler had made, and claimTill is when those that nobody claimed are freed.
 	inherited map[order.Key][]order.Held
 	claimTill core.Millis
-	out       []order.Action
+	// unknownTill is until when endpoints may hold results of an earlier scheduler's calls that nobody told of.
+	unknownTill core.Millis
+	out         []order.Action
 }
 
 // service is the queues of one service.
@@ -86,7 +91,7 @@
 func New(r fleet.Retries) *Scheduler {
 	return &Scheduler{
 		retries: r, fleet: fleet.New(), services: map[string]*service{},
-		requests: map[order.Key]*request{}, lives: map[core.HostID]core.Incarnation{}, calls: map[uint64]*call{},
+		requests: map[order.Key]*request{}, lives: map[core.HostID]core.Incarnation{}, calls: map[uint64]*call{}, freeing: map[uint64]freeing{},
 		inherited: map[order.Key][]order.Held{},
 	}
 }
@@ -223,6 +228,7 @@
 func (s *Scheduler) Tick(now core.Millis) {
 	s.now = now
 	s.hurryCalls()
+	s.freeFetched()
 	s.freeUnclaimed()
 	for _, r := range s.ordered() {
 		if r.at != nil {
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -211,7 +211,16 @@
 			a.Go(func() { a.callStage(s, call) })
 		case x.Free != nil:
 			free := *x.Free
-			a.Go(func() { a.freeResults(free) })
+			s := a.sched
+			a.Go(func() {
+				a.freeResults(free)
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				if a.lead() && a.sched == s {
+					s.Freed(a.clock.Now(), free.Number)
+					a.carryOut()
+				}
+			})
 		}
 	}
 }
@@ -233,8 +242,14 @@
 			ids = append(ids, i.ID)
 		}
 	}
+	noRoom := 0
+	for _, r := range results {
+		if r.Reason == order.ItemNoRoom {
+			noRoom++
+		}
+	}
 	a.log.Info("stage call ended", "service", c.Service, "endpoint", c.Endpoint, "call", c.Number, "how", how,
-		"pieces", len(c.Items), "expected_ms", c.Expected, "requests", ids, "err", err)
+		"pieces", len(c.Items), "expected_ms", c.Expected, "bytes", c.Bytes, "room", c.Room, "no_room", noRoom, "requests", ids, "err", err)
 	a.meter.Count("stage_calls_total", 1, "service", c.Service, "how", string(how))
 	a.mu.Lock()
 	defer a.mu.Unlock()
