Tell announcements that were held back on their way by their endpoint's uptime

Endpoints may tell the time since their start. A host remembers the earliest start that a life's announcements have shown; one that shows a later start was longer on its way by as much, and its lease counts from its sending. Clocks may drift by a thousandth, and a clock that stood still is believed with the second announcement that agrees. Ruled out: the time of day, which jumps, and a token of the host's, which the balancer's other hosts lack.

--- a/bench/stand/announce.go
+++ b/bench/stand/announce.go
@@ -49,6 +49,7 @@
 	s.seq++
 	return core.Announcement{
 		ID: s.options.ID, Incarnation: s.incarnation, Seq: s.seq, Address: s.advertised,
+		UptimeMs:      core.Millis(time.Since(s.began).Milliseconds()),
 		FailureDomain: s.options.FailureDomain, Kind: s.options.Kind, Models: s.options.Models, Slots: s.options.Slots,
 		CacheEntries:  s.options.CacheEntries,
 		ChecksFencing: s.options.ChecksFencing, ChecksIssuer: s.options.ChecksIssuer,
--- a/bench/stand/server.go
+++ b/bench/stand/server.go
@@ -23,6 +23,7 @@
 type Server struct {
 	options     Options
 	incarnation core.Incarnation
+	began       time.Time
 	listener    net.Listener
 	http        *http.Server
 	batch       *batch
@@ -47,7 +48,7 @@
 func New(o Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
-		options: o, incarnation: core.Incarnation(time.Now().UnixMicro()), ctx: ctx, cancel: cancel,
+		options: o, incarnation: core.Incarnation(time.Now().UnixMicro()), began: time.Now(), ctx: ctx, cancel: cancel,
 		seen: map[core.RequestID]int{}, batch: newBatch(o.Slots), cache: newCache(o.CacheEntries, o.GapPercent), calls: newCallLog(),
 	}
 	s.orders = newOrderLog(s)
--- a/core/endpoint.go
+++ b/core/endpoint.go
@@ -44,9 +44,12 @@
 
 // Announcement is an endpoint's statement of what it is; it acts as a lease that renewals extend.
 type Announcement struct {
-	ID            EndpointID
-	Incarnation   Incarnation
-	Seq           uint64
+	ID          EndpointID
+	Incarnation Incarnation
+	Seq         uint64
+	// UptimeMs is the time since the endpoint's start on its steady clock, by which announcements that were held back on their way
+	// are told; 0 if it is not known.
+	UptimeMs      Millis
 	Address       string
 	FailureDomain FailureDomain
 	Kind          StageKind
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -32,6 +32,7 @@
 	last    core.Announcement
 	renewed core.Millis
 	lapsed  bool
+	start   start
 }
 
 // Table is what one host knows of the endpoints.
@@ -44,7 +45,8 @@
 	return &Table{records: map[core.EndpointID]*record{}}
 }
 
-// Announce takes in an announcement that left its endpoint age milliseconds ago.
+// Announce takes in an announcement that left its endpoint at least age milliseconds ago. One that was held back for longer than
+// its lease is ignored: its endpoint may have said goodbye since, to a host that is out of reach.
 func (t *Table) Announce(now core.Millis, a core.Announcement, age core.Millis) Change {
 	r, ok := t.records[a.ID]
 	if ok && !newer(a, r.last) {
@@ -53,8 +55,20 @@
 	if ok && r.last.Goodbye && a.Incarnation == r.last.Incarnation {
 		return Ignored
 	}
+	var began start
+	if ok && a.Incarnation == r.last.Incarnation {
+		began = r.start
+	}
+	age = max(age, 0)
+	age += began.delay(now, now-age-a.UptimeMs, a.UptimeMs)
+	if ok {
+		r.start = began
+	}
+	if age >= LeaseTTL && !a.Goodbye {
+		return Ignored
+	}
 	fresh := !ok || r.lapsed || a.Incarnation > r.last.Incarnation
-	t.records[a.ID] = &record{last: a, renewed: now - max(age, 0)}
+	t.records[a.ID] = &record{last: a, renewed: now - age, start: began}
 	switch {
 	case a.Goodbye:
 		return Left
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -14,6 +14,7 @@
 	At, Age     core.Millis
 	Incarnation core.Incarnation
 	Seq         uint64
+	Uptime      core.Millis
 	Goodbye     bool
 	Change      string
 	Alive       *bool
@@ -40,7 +41,7 @@
 
 func runStep(t *testing.T, table *Table, i int, s step) {
 	if s.Change != "" {
-		a := core.Announcement{ID: "e", Incarnation: s.Incarnation, Seq: s.Seq, Goodbye: s.Goodbye}
+		a := core.Announcement{ID: "e", Incarnation: s.Incarnation, Seq: s.Seq, UptimeMs: s.Uptime, Goodbye: s.Goodbye}
 		must.Eq(t, s.Change, table.Announce(s.At, a, s.Age).String(), must.Sprintf("step %d", i))
 	}
 	if s.Expired {
