--- a/core/fleet/cache.go
+++ b/core/fleet/cache.go
@@ -39,6 +39,23 @@
 	return c
 }
 
+// Shared returns the tokens of all parts but the last.
+func (c Chain) Shared() int {
+	tokens := 0
+	for _, p := range c.parts[:max(0, len(c.parts)-1)] {
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// home returns the chain's name up to the last part that other requests share: the last part of all is the request's own.
+func (c Chain) home() string {
+	if len(c.names) == 0 {
+		return ""
+	}
+	return c.names[max(0, len(c.names)-2)]
+}
+
 // held returns how many tokens of the prompt need not be read: a part counts only if all parts before it are held too.
 func (c *cache) held(chain Chain) int {
 	tokens := 0
--- a/core/fleet/serve.go
+++ b/core/fleet/serve.go
@@ -49,6 +49,9 @@
 	return cost + e.speed.value*tokenGuess*float64(e.reading+unread) + runningWeight*float64(e.running)
 }
 
+// ReadTime returns the predicted milliseconds in which the engine reads so many tokens.
+func (e *Endpoint) ReadTime(tokens int) float64 { return e.speed.value * tokenGuess * float64(tokens) }
+
 // Cached returns how many tokens of a prompt the endpoint is believed to hold.
 func (e *Endpoint) Cached(c Chain) int { return e.cache.held(c) }
 
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -9,6 +9,10 @@
 	"cyclamenford/core/order"
 )
 
+// homeWeight is the part of the time to read a prompt's shared parts by which their home is preferred to engines that do not hold
+// them either: about how often the home holds them although that is not known.
+const homeWeight = 0.5
+
 // place grants the waiting requests of a service, the most urgent first, as far as endpoints are free.
 func (s *Scheduler) place(svc *service) {
 	if len(svc.waiting) == 0 {
@@ -32,11 +36,15 @@
 func (s *Scheduler) choose(svc *service, r *request) (*fleet.Endpoint, float64) {
 	var best *fleet.Endpoint
 	var least float64
+	home := svc.Home(s.now, r.chain)
 	for _, e := range svc.Endpoints() {
 		if !e.Usable(s.now) || slices.Contains(r.tried, e.ID) || !e.Fits(r.Prompt) {
 			continue
 		}
 		cost := e.StartCost(s.now, r.Prompt, r.chain, r.FailureDomain) + r.crossing(e)
+		if e == home {
+			cost -= homeWeight * e.ReadTime(r.chain.Shared())
+		}
 		if best == nil || cost < least {
 			best, least = e, cost
 		}
