--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -48,7 +48,8 @@
 
 func (plainDialect) Config([]byte) (conf.Config, error) {
 	return conf.Config{Services: []conf.Service{
-		{Name: "engine", Engine: &conf.Engine{Slots: 4, CacheTokens: 1000}}, {Name: "desk"},
+		{Name: "engine", Engine: &conf.Engine{Slots: 4, CacheTokens: 1000}},
+		{Name: "desk"},
 		{Name: "first", Pieces: &conf.Pieces{Slots: 1, Batch: 4, CallTime: 100, ItemTime: 1, Room: 1000, Keep: 4000}},
 		{Name: "second", Pieces: &conf.Pieces{Slots: 1, Batch: 4, CallTime: 100, ItemTime: 1, Room: 1000, Keep: 4000}},
 	}}, nil
--- a/io/broker/acquire.go
+++ b/io/broker/acquire.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/core/desk"
 	"cyclamenford/core/pool"
 	"cyclamenford/core/tree"
+	"cyclamenford/io/loop"
 )
 
 // shortWait is a wait for a team's limit that costs a caller less than a refusal and the way back: a few round trips.
@@ -105,7 +105,7 @@
 	b.count(team)
 	after, ok := b.admit(team, limits, tokens)
 	if !ok && after <= shortWait {
-		pause(ctx, after)
+		loop.Pause(ctx, after.Duration())
 		after, ok = b.admit(team, limits, tokens)
 	}
 	if ok {
@@ -115,15 +115,6 @@
 		"team %s is at its limit", team).WithRetryAfter(after)
 }
 
-func pause(ctx context.Context, d core.Millis) {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (b *Broker) count(team core.TeamID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/io/entry/door.go
+++ b/io/entry/door.go
@@ -13,6 +13,7 @@
 	"cyclamenford/core/order"
 	"cyclamenford/core/state"
 	"cyclamenford/io/assign"
+	"cyclamenford/io/loop"
 	"cyclamenford/io/peer"
 )
 
@@ -23,7 +24,7 @@
 	rollTimeout = 1600 * time.Millisecond
 	// rollPause is the time between calls while no scheduler answers; it is drawn between half and all of it, so that the
 	// hosts that have lost the same scheduler do not ask in step.
-	rollPause = 60 * core.Millis(1)
+	rollPause = 60 * time.Millisecond
 	// rollSilence is the age from which the log tells that the roll is not confirmed: two held calls.
 	rollSilence = 2 * core.Second
 )
@@ -57,7 +58,7 @@
 		for ctx.Err() == nil {
 			if err := k.copyRoll(ctx); err != nil {
 				k.notConfirmed(err)
-				pause(ctx, rollPause/2+core.Millis(rand.Int64N(int64(rollPause/2))))
+				loop.Pause(ctx, rollPause/2+rand.N(rollPause/2))
 			}
 		}
 	})
@@ -154,12 +155,3 @@
 	defer k.mu.Unlock()
 	k.door.Ended(k.clock.Now(), id, how, took)
 }
-
-func pause(ctx context.Context, d core.Millis) {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -15,9 +15,6 @@
 	maxUnreached = 3
 )
 
-// chosenHere reports whether this host chooses the request's endpoint by itself, without the scheduler.
-func (r *request) chosenHere() bool { return r.plain }
-
 // choose takes an endpoint from the roll.
 func (r *request) choose(again bool) (*order.Grant, *core.Problem) {
 	e := r.entry
@@ -36,21 +33,21 @@
 
 // tellBegan tells that the endpoint has begun to answer.
 func (r *request) tellBegan() {
-	if !r.chosenHere() {
+	if !r.plain {
 		r.entry.events.began(r.key)
 	}
 }
 
 // tellEnded tells the scheduler that the request is over.
 func (r *request) tellEnded(how order.Ending) {
-	if !r.chosenHere() {
+	if !r.plain {
 		r.entry.events.ended(r.key, how)
 	}
 }
 
 // attempted notes how an attempt at a chosen endpoint ended. One that never reached its endpoint has not used it up.
 func (r *request) attempted(g *order.Grant, how order.Ending, took core.Millis) {
-	if r.chosenHere() {
+	if r.plain {
 		r.entry.door.ended(g.Endpoint, how, took)
 	}
 	if how == order.Unreachable && r.unreached < maxUnreached {
@@ -61,7 +58,7 @@
 
 // notRunRetry is when a client should come back whose request no endpoint took.
 func (r *request) notRunRetry() core.Millis {
-	if r.chosenHere() && r.entry.door.others(r.service, r.tried) {
+	if r.plain && r.entry.door.others(r.service, r.tried) {
 		return otherRetry
 	}
 	return fullRetry
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -158,7 +158,7 @@
 // place asks the scheduler for an endpoint; when the leader is lost meanwhile, the next one is asked anew.
 func (r *request) place(ctx context.Context) (*order.Grant, *core.Problem) {
 	e := r.entry
-	if r.chosenHere() {
+	if r.plain {
 		return r.choose(false)
 	}
 	for {
@@ -199,7 +199,7 @@
 // placeAgain asks for another endpoint after an attempt ended; a leader that came after the attempt's place is asked as for
 // a new request.
 func (r *request) placeAgain(ctx context.Context, how order.Ending) (*order.Grant, *core.Problem) {
-	if r.chosenHere() {
+	if r.plain {
 		return r.choose(r.attempts > 0)
 	}
 	grant, problem := r.decide(ctx, assign.Service+".Again", func() any { return assign.AgainArgs{Key: r.key, How: how} })
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -14,6 +14,7 @@
 	"cyclamenford/core/state"
 	"cyclamenford/io"
 	"cyclamenford/io/keeper"
+	"cyclamenford/io/loop"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/peer"
 	"cyclamenford/io/trace"
@@ -138,7 +139,7 @@
 	reply, err := f.Propose(ctx, state.Command{JoinHost: &state.JoinHost{Host: self}})
 	if err != nil {
 		f.log.Debug("join", "err", err)
-		pause(ctx, retryPause)
+		loop.Pause(ctx, retryPause)
 		return
 	}
 	f.mu.Lock()
@@ -174,18 +175,18 @@
 	f.locator.found(address)
 	if reply.Ended {
 		f.log.Error("another process runs as this host; this one stops taking work", "host", args.Host)
-		pause(ctx, endedPause)
+		loop.Pause(ctx, endedPause)
 		return
 	}
 	if err := f.apply(*reply, sent); err != nil {
 		f.log.Error("apply control state", "err", err)
-		pause(ctx, retryPause)
+		loop.Pause(ctx, retryPause)
 	}
 }
 
 // search asks every known keeper who leads until one does, since the next in turn may be as silent as the last.
 func (f *Follower) search(ctx context.Context) {
-	for began := f.clock.Now(); f.clock.Now()-began < core.Millis(searchLimit.Milliseconds()); pause(ctx, retryPause) {
+	for began := f.clock.Now(); f.clock.Now()-began < core.Millis(searchLimit.Milliseconds()); loop.Pause(ctx, retryPause) {
 		if ctx.Err() != nil || f.askAll(ctx) {
 			return
 		}
@@ -318,15 +319,6 @@
 			var zero R
 			return zero, fmt.Errorf("%s: %w", method, errors.Join(io.ErrNoQuorum, err))
 		}
-		pause(ctx, retryPause)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		loop.Pause(ctx, retryPause)
 	}
 }
--- a/io/loop/loop.go
+++ b/io/loop/loop.go
@@ -51,3 +51,13 @@
 		}
 	}
 }
+
+// Pause waits for a time or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
