Let a new scheduler know the calls in progress of the former one

A call's beginning and end go to the keepers that copy held results. A new leader counts a former call's endpoint as taken until the call is expected to end, and its results' room until they do.

A planned stop of the leader gives its calls' results up, so that their room counts as taken for up to 4 s too long there.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -148,8 +148,22 @@
 	Refuse *Refuse
 	Call   *Call
 	Free   *Free
-	// Made is to be remembered for a scheduler that may have to go on in this one's place.
-	Made *Held
+	// Made, Began and Over are to be remembered for a scheduler that may have to go on in this one's place. Over is the number of
+	// a call that is no longer in progress.
+	Made  *Held
+	Began *Running
+	Over  uint64
+}
+
+// Running is a stage call in progress.
+type Running struct {
+	Number   uint64
+	Endpoint core.EndpointID
+	// Life is the endpoint's.
+	Life core.Incarnation
+	// Bytes is the room that the call's results need; EndsAt is when it is expected to end, and Till when its results do.
+	Bytes        int64
+	EndsAt, Till core.Millis
 }
 
 // Grant lets an entry host send a request to an endpoint.
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -47,6 +47,8 @@
 	e.BeginCall(bytes)
 	s.out = append(s.out, order.Action{Call: &order.Call{
 		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected, Bytes: bytes, Room: room,
+	}}, order.Action{Began: &order.Running{
+		Number: c.number, Endpoint: e.ID, Life: e.Incarnation, Bytes: bytes, EndsAt: s.now + expected, Till: s.now + expected + svc.Pieces.Keep,
 	}})
 }
 
@@ -58,6 +60,7 @@
 		return
 	}
 	delete(s.calls, number)
+	s.out = append(s.out, order.Action{Over: number})
 	c.at.EndCall()
 	if !c.overdue {
 		s.countRunning(c, -1)
--- a/core/sched/inherit.go
+++ b/core/sched/inherit.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"cyclamenford/core"
+	"cyclamenford/core/fleet"
 	"cyclamenford/core/order"
 )
 
@@ -32,10 +33,25 @@
 	}
 }
 
-// Inherit takes over the results that an earlier scheduler had made. They take up room until their requests arrive again
-// or, if these do not, are freed.
-func (s *Scheduler) Inherit(now core.Millis, list []order.Held) {
+// foreign is a call of an earlier scheduler: nobody here is told of its results, which take up room until they end.
+type foreign struct {
+	order.Running
+	at *fleet.Endpoint
+	// over tells that its endpoint is free again.
+	over bool
+}
+
+// Inherit takes over the results that an earlier scheduler had made, and its calls in progress. The results take up room until
+// their requests arrive again or, if these do not, are freed.
+func (s *Scheduler) Inherit(now core.Millis, list []order.Held, running []order.Running) {
 	s.now = now
+	for _, c := range running {
+		if e, ok := s.fleet.Endpoint(c.Endpoint, c.Life); ok && now < c.Till {
+			e.BeginCall(c.Bytes)
+			s.foreign = append(s.foreign, foreign{Running: c, at: e})
+		}
+	}
+	s.endForeign()
 	s.claimTill = now + claimTime
 	for _, svc := range s.services {
 		if svc.Pieces != nil {
@@ -52,6 +68,26 @@
 	}
 }
 
+// endForeign counts an earlier scheduler's calls as over, and later their results as ended.
+func (s *Scheduler) endForeign() {
+	s.foreign = slices.DeleteFunc(s.foreign, func(c foreign) bool { return s.now >= c.Till && c.giveBack() })
+	for i := range s.foreign {
+		if c := &s.foreign[i]; !c.over && s.now >= c.EndsAt {
+			c.over = true
+			c.at.EndCall()
+		}
+	}
+}
+
+// giveBack ends a call's results.
+func (c foreign) giveBack() bool {
+	if !c.over {
+		c.at.EndCall()
+	}
+	c.at.GiveBack(c.Bytes)
+	return true
+}
+
 // claim gives an arriving request the results that an earlier scheduler had made for it.
 func (s *Scheduler) claim(r *request) {
 	list := s.inherited[r.Former]
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -141,6 +141,7 @@
 	down    bool
 	waiting map[order.Key]*played
 	held    map[order.Key][]order.Held
+	running map[uint64]order.Running
 	busy    map[core.EndpointID]core.Millis
 	read    map[core.EndpointID]map[string]bool
 }
@@ -191,7 +192,8 @@
 
 func play(l load) *player {
 	p := &player{
-		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), now: 1, waiting: map[order.Key]*played{}, held: map[order.Key][]order.Held{}, asks: map[order.Key]*played{}, domains: map[core.EndpointID]int{}, tally: map[string]*tally{},
+		running: map[uint64]order.Running{},
+		load:    l, rng: rand.New(rand.NewPCG(l.Seed, 1)), now: 1, waiting: map[order.Key]*played{}, held: map[order.Key][]order.Held{}, asks: map[order.Key]*played{}, domains: map[core.EndpointID]int{}, tally: map[string]*tally{},
 		handle: map[string]core.Millis{}, bytes: map[string]int64{}, room: map[string]int64{},
 		lives: map[core.HostID]core.Incarnation{}, busy: map[core.EndpointID]core.Millis{}, read: map[core.EndpointID]map[string]bool{},
 	}
@@ -267,7 +269,12 @@
 		list = append(list, p.held[key]...)
 	}
 	clear(p.held)
-	p.sched.Inherit(p.now, list)
+	var running []order.Running
+	for _, n := range slices.Sorted(maps.Keys(p.running)) {
+		running = append(running, p.running[n])
+	}
+	clear(p.running)
+	p.sched.Inherit(p.now, list, running)
 	waiting := maps.Clone(p.waiting)
 	clear(p.waiting)
 	for _, key := range slices.SortedFunc(maps.Keys(waiting), compareKeys) {
@@ -406,6 +413,10 @@
 		}
 		for _, a := range list {
 			switch {
+			case a.Began != nil:
+				p.running[a.Began.Number] = *a.Began
+			case a.Over > 0:
+				delete(p.running, a.Over)
 			case a.Made != nil:
 				p.held[a.Made.Key] = append(p.held[a.Made.Key], *a.Made)
 			case a.Grant != nil:
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -38,6 +38,7 @@
 	// inherited are results that an earlier scheduler had made, and claimTill is when those that nobody claimed are freed.
 	inherited map[order.Key][]order.Held
 	claimTill core.Millis
+	foreign   []foreign
 	// unknownTill is until when endpoints may hold results of an earlier scheduler's calls that nobody told of.
 	unknownTill core.Millis
 	out         []order.Action
@@ -229,6 +230,7 @@
 	s.now = now
 	s.hurryCalls()
 	s.freeFetched()
+	s.endForeign()
 	s.freeUnclaimed()
 	for _, r := range s.ordered() {
 		if r.at != nil {
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -30,6 +30,7 @@
 	Again    bool
 	Life     core.Incarnation
 	Held     []order.Held
+	Running  []order.Running
 	Want     []string
 }
 
@@ -77,7 +78,7 @@
 	case "Leave":
 		s.Leave(x.At, key)
 	case "Inherit":
-		s.Inherit(x.At, x.Held)
+		s.Inherit(x.At, x.Held, x.Running)
 	case "HostBegan":
 		s.HostBegan(x.At, key.Host, x.Life)
 	case "HostLost":
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -102,9 +102,10 @@
 		a.roll.put(x)
 	}
 	held := a.standby.held.list()
-	a.sched.Inherit(now, held)
+	running := a.standby.held.calls()
+	a.sched.Inherit(now, held, running)
 	a.standby.held = heldCopy{}
-	a.log.Info("endpoints taken over", "endpoints", len(taken), "copied", len(list), "age_ms", age, "held_results", len(held))
+	a.log.Info("endpoints taken over", "endpoints", len(taken), "copied", len(list), "age_ms", age, "held_results", len(held), "running_calls", len(running))
 }
 
 var _ Leader = (*keeper.Keeper)(nil)
