Keep a granted request's results known to the keepers until they are freed

The copies dropped a request's results when it was granted an endpoint; the loss of the leader before the first byte left them to nobody.

--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -420,7 +420,6 @@
 			case a.Made != nil:
 				p.held[a.Made.Key] = append(p.held[a.Made.Key], *a.Made)
 			case a.Grant != nil:
-				delete(p.held, a.Grant.Key)
 				delete(p.waiting, a.Grant.Key)
 				p.grant(*a.Grant)
 			case a.Refuse != nil:
--- a/io/assign/ledger.go
+++ b/io/assign/ledger.go
@@ -46,9 +46,6 @@
 		l.add(HeldEvent{Over: x.Over})
 	case x.Free != nil && x.Free.Key != order.Key{}:
 		l.add(HeldEvent{Key: x.Free.Key, Stage: x.Free.Stage})
-	case x.Grant != nil:
-		// The endpoint is about to fetch the results, which must not be freed.
-		l.add(HeldEvent{Key: x.Grant.Key, AllStages: true})
 	}
 }
 
@@ -85,7 +82,7 @@
 		}
 		kept := c.held[e.Key][:0]
 		for _, h := range c.held[e.Key] {
-			if !e.AllStages && h.Stage != e.Stage {
+			if h.Stage != e.Stage {
 				kept = append(kept, h)
 			}
 		}
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -84,13 +84,12 @@
 // HeldEvent is one event about the results that stages' endpoints hold.
 type HeldEvent struct {
 	// Made are new results, Began is a call that began and Over the number of one that is no longer in progress; otherwise the
-	// results of a request's stage, or of all its stages, are no longer of use.
-	Made      *order.Held
-	Began     *order.Running
-	Over      uint64
-	Key       order.Key
-	Stage     int
-	AllStages bool
+	// results of a request's stage are no longer of use.
+	Made  *order.Held
+	Began *order.Running
+	Over  uint64
+	Key   order.Key
+	Stage int
 }
 
 // HeldReply carries events in their order.
