Log what a keeper holds, who answers while no leader is known, and how many losses the voters tolerate

Observability for the incident of replaced keepers; no decision changes. New: 'keeper opened its disk', 'no leader of the keepers is known', 'redundancy of keepers is reduced' and 'is restored', 'host has joined the deployment', 'following another leader', the gauges control_losses_tolerated and control_redundancy_reduced_ms.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -53,6 +53,9 @@
 	leaseUntil  core.Millis
 	joined      bool
 	lastContact core.Millis
+	// joinBegan is when this host began to look for a leader to join, and leader the address that it last followed.
+	joinBegan core.Millis
+	leader    string
 }
 
 // New returns a follower for this host that finds the keepers through the given seed addresses.
@@ -67,6 +70,7 @@
 func (f *Follower) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
+	f.joinBegan = f.clock.Now()
 	f.wg.Go(func() { f.run(ctx) })
 	return nil
 }
@@ -150,6 +154,8 @@
 	defer f.mu.Unlock()
 	if reply.Result == state.Accepted {
 		f.joined = true
+		f.log.Info("host has joined the deployment", "incarnation", f.self.Incarnation, "keeper", f.self.Keeper,
+			"leader", f.locator.leader(), "took_ms", f.clock.Now()-f.joinBegan)
 		return
 	}
 	f.self.Incarnation = max(f.self.Incarnation, core.Incarnation(reply.Version)) + 1
@@ -183,12 +189,23 @@
 		loop.Sleep(ctx, supersededPause)
 		return
 	}
+	if f.leader != address {
+		f.log.Info("following another leader", "leader", address, "former", f.leader, "unheard_ms", f.unheard(), "revision", reply.Revision)
+		f.leader = address
+	}
 	if err := f.apply(*reply, sent); err != nil {
 		f.log.Error("apply control state", "err", err)
 		loop.Sleep(ctx, retryPause)
 	}
 }
 
+// unheard returns how long no leader has replied, since the start of the host if none ever has.
+func (f *Follower) unheard() core.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Now() - max(f.lastContact, f.joinBegan)
+}
+
 // findLeader asks all known keepers until one leads or findLeaderTimeout has passed. Trying one address after the other
 // would take longer, since several may be unreachable.
 func (f *Follower) findLeader(ctx context.Context) {
@@ -254,6 +271,7 @@
 	}
 	if known, ok := next.Hosts[f.self.ID]; ok && known.Expired && known.Incarnation == f.self.Incarnation {
 		f.joined = false
+		f.joinBegan = f.clock.Now()
 		return nil
 	}
 	if reply.LeaseMs > 0 {
--- a/io/keeper/found.go
+++ b/io/keeper/found.go
@@ -19,6 +19,10 @@
 	discoveryTimeout = 300 * time.Millisecond
 	// foundingWait is how long the founding keeper waits for all wanted voters before it starts with fewer.
 	foundingWait = 4 * core.Second
+	// minNoLeaderInterval and maxNoLeaderInterval bound the interval between two log lines of a keeper that knows no leader.
+	// It doubles with each line, since a spare keeper may stay outside the configuration for good.
+	minNoLeaderInterval = core.Second
+	maxNoLeaderInterval = 60 * core.Second
 )
 
 // foundingTerm and foundingIndex are the term and index of the snapshot with which every log starts.
@@ -35,12 +39,20 @@
 	defer ticker.Stop()
 	began := k.clock.Now()
 	exists := k.options.Existing
+	leaderSeen, logged, interval := began, began, minNoLeaderInterval
 	for {
 		if k.needsLeader() {
-			exists = k.exchangeAddresses(ctx) || exists
+			found := k.exchangeAddresses(ctx)
+			exists = found.founded || exists
 			if voters, ok := k.foundingVoters(began); ok && !exists {
 				k.startDeployment(ctx, voters)
 			}
+			if now := k.clock.Now(); now-max(logged, leaderSeen) >= interval {
+				logged, interval = now, min(2*interval, maxNoLeaderInterval)
+				k.logNoLeader(now-leaderSeen, found.members)
+			}
+		} else {
+			leaderSeen, interval = k.clock.Now(), minNoLeaderInterval
 		}
 		select {
 		case <-ctx.Done():
@@ -57,9 +69,35 @@
 	return k.view.leader == "" && k.failed == nil
 }
 
-// exchangeAddresses calls Meet on every known keeper and reports whether this keeper or one that replied belongs to a
-// deployment.
-func (k *Keeper) exchangeAddresses(ctx context.Context) bool {
+// logNoLeader logs which voters answer, and whose hosts answer with another disk, while no leader is known.
+func (k *Keeper) logNoLeader(lasted core.Millis, met []quorum.Member) {
+	k.mu.Lock()
+	config, term, commit := k.view.config, k.view.term, k.view.commit
+	k.mu.Unlock()
+	var present, diskLost, silent []quorum.Member
+	for _, v := range config.Voters {
+		switch {
+		case v == k.Member() || slices.Contains(met, v):
+			present = append(present, v)
+		case slices.ContainsFunc(met, func(m quorum.Member) bool { return m.Host() == v.Host() }):
+			diskLost = append(diskLost, v)
+		default:
+			silent = append(silent, v)
+		}
+	}
+	k.log.Warn("no leader of the keepers is known", "lasted_ms", lasted, "member", k.Member(), "term", term, "commit", commit,
+		"voters", len(config.Voters), "present", present, "disk_lost", diskLost, "silent", silent)
+}
+
+// meeting is the result of one exchange of addresses: the keepers that replied, and whether one of them or this keeper
+// belongs to a deployment.
+type meeting struct {
+	members []quorum.Member
+	founded bool
+}
+
+// exchangeAddresses calls Meet on every known keeper.
+func (k *Keeper) exchangeAddresses(ctx context.Context) meeting {
 	ctx, cancel := context.WithTimeout(ctx, discoveryTimeout)
 	defer cancel()
 	args := MeetArgs{
@@ -77,7 +115,7 @@
 	delete(addresses, k.options.Address)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	founded := k.store.Identity().Founded
+	met := meeting{founded: k.store.Identity().Founded}
 	for _, address := range slices.Sorted(maps.Keys(addresses)) {
 		wg.Go(func() {
 			var reply MeetReply
@@ -88,11 +126,13 @@
 			k.addressBook.merge(MeetArgs{Member: reply.Member, Known: reply.Known})
 			mu.Lock()
 			defer mu.Unlock()
-			founded = founded || reply.Founded
+			met.founded = met.founded || reply.Founded
+			met.members = append(met.members, reply.Member)
 		})
 	}
 	wg.Wait()
-	return founded
+	slices.Sort(met.members)
+	return met
 }
 
 // isFounder reports whether this keeper is the first founding keeper, by its host ID or, if the settings give no ID, by its
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/lease"
 	"cyclamenford/core/quorum"
+	"cyclamenford/core/repair"
 	"cyclamenford/core/state"
 	"cyclamenford/io/disk"
 	"cyclamenford/io/peer"
@@ -93,6 +94,10 @@
 	failed    error
 	// suspendedAt is the time at which a write to the disk failed, 0 while writes succeed.
 	suspendedAt core.Millis
+	// redundancy is what this keeper, while it leads, last found, and reducedAt the time since which fewer losses are
+	// tolerated than wanted, or 0.
+	redundancy repair.Redundancy
+	reducedAt  core.Millis
 }
 
 // view is a copy of the node's state that the loop publishes for other goroutines.
@@ -144,6 +149,9 @@
 		return nil, err
 	}
 	k.startNode(contents)
+	log.Info("keeper opened its disk", "member", k.Member(), "founded", store.Identity().Founded, "term", contents.HardState.Term,
+		"last_index", k.node.LastIndex(), "snapshot", contents.Snapshot.Index, "config", k.machine.Image().Config.Version,
+		"voters", k.node.Config().Voters, "learners", k.node.Config().Learners, "torn_bytes", contents.TornBytes)
 	return k, nil
 }
 
@@ -408,6 +416,7 @@
 	}
 	if k.view.role != quorum.Leader {
 		k.leases = nil
+		k.redundancy, k.reducedAt = repair.Redundancy{}, 0
 		return
 	}
 	for _, v := range k.view.config.Voters {
--- a/io/keeper/report.go
+++ b/io/keeper/report.go
@@ -19,6 +19,9 @@
 	m.SetGauge("control_learners", int64(len(k.view.config.Learners)))
 	m.SetGauge("control_commit_index", int64(k.view.commit))
 	m.SetGauge("control_lag_entries", int64(k.view.lag))
+	// Only the leader knows these; the others report 0 for both.
+	m.SetGauge("control_losses_tolerated", int64(k.redundancy.Tolerated))
+	m.SetGauge("control_redundancy_reduced_ms", int64(reducedFor(k.reducedAt, k.clock.Now())))
 	suspended := int64(0)
 	if k.suspendedAt > 0 {
 		suspended = 1
--- a/io/keeper/sweep.go
+++ b/io/keeper/sweep.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"cyclamenford/core"
 	"cyclamenford/core/fence"
 	"cyclamenford/core/ledger"
 	"cyclamenford/core/quorum"
@@ -20,6 +21,7 @@
 	}
 	k.lastMaintenance = now
 	k.expireHosts()
+	k.reportRedundancy()
 	k.repairMembership()
 	if now-k.lastPurge >= purgeInterval {
 		k.lastPurge = now
@@ -67,6 +69,37 @@
 	k.log.Info("membership of keepers changes", "why", change.Reason, "voters", change.Config.Voters, "learners", change.Config.Learners)
 }
 
+// reportRedundancy logs when the voters tolerate fewer losses than a complete set, and when they do again.
+func (k *Keeper) reportRedundancy() {
+	v := k.repairView()
+	v.Patience = 2 * k.options.Quorum.ElectionTimeout
+	r := repair.Assess(v)
+	k.mu.Lock()
+	before, since := k.redundancy, k.reducedAt
+	if since > 0 && r.Tolerated >= r.Wanted {
+		k.reducedAt = 0
+	} else if since == 0 && r.Tolerated < r.Wanted {
+		k.reducedAt = v.Now
+	}
+	k.redundancy = r
+	k.mu.Unlock()
+	switch {
+	case r.Tolerated < r.Wanted && (since == 0 || r.Tolerated != before.Tolerated):
+		k.log.Warn("redundancy of keepers is reduced", "tolerated", r.Tolerated, "wanted", r.Wanted, "silent", r.Silent,
+			"voters", v.Config.Voters, "learners", v.Config.Learners, "disks", len(v.Disks), "reduced_ms", reducedFor(since, v.Now))
+	case r.Tolerated >= r.Wanted && since > 0:
+		k.log.Info("redundancy of keepers is restored", "tolerated", r.Tolerated, "voters", v.Config.Voters, "reduced_ms", reducedFor(since, v.Now))
+	}
+}
+
+// reducedFor returns how long the redundancy has been reduced, 0 if it has not been.
+func reducedFor(since, now core.Millis) core.Millis {
+	if since == 0 {
+		return 0
+	}
+	return now - since
+}
+
 // repairView collects the input for the next membership decision.
 func (k *Keeper) repairView() repair.View {
 	config := k.node.Config()
