Find the leader before joining, by all known keepers and by the one that they name

Callers: a spare keeper, or an entry host that starts again, whose seeds name lost machines joined 2 s later for each of them, since a call to a machine without power hangs until its timeout. With two of three seeds lost this is the whole time in which a successor is to vote. Cause: joining called one address after the other; only following searched all in parallel, and it ignored the leader that a keeper names. Also: a host's own keeper is asked, which knows the others by its log when all seeds are gone, and expired hosts are asked last. Failed before: TestAHostJoinsThoughItsFirstSeedsAreLost, TestAHostAsksTheLeaderThatAnotherKeeperNames.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -60,8 +60,12 @@
 
 // New returns a follower for this host that finds the keepers through the given seed addresses.
 func New(self state.Host, seeds []string, client *peer.Client, clock core.Clock, t *trace.Tracer, log *slog.Logger) *Follower {
+	own := ""
+	if self.Keeper != "" {
+		own = self.PeerAddress
+	}
 	return &Follower{
-		client: client, clock: clock, trace: t, log: log, locator: newLocator(seeds),
+		client: client, clock: clock, trace: t, log: log, locator: newLocator(own, seeds),
 		self: self, image: state.EmptyImage(), changed: make(chan struct{}),
 	}
 }
@@ -144,6 +148,12 @@
 	f.mu.Lock()
 	self := f.self
 	f.mu.Unlock()
+	// The seeds may name hosts that are lost, and a call to one of them would take until its timeout.
+	if !f.findLeader(ctx) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	reply, err := f.Propose(ctx, state.Command{JoinHost: &state.JoinHost{Host: self}})
 	if err != nil {
 		f.log.Debug("join", "err", err)
@@ -206,17 +216,22 @@
 	return f.clock.Now() - max(f.lastContact, f.joinBegan)
 }
 
-// findLeader asks all known keepers until one leads or findLeaderTimeout has passed. Trying one address after the other
-// would take longer, since several may be unreachable.
-func (f *Follower) findLeader(ctx context.Context) {
+// findLeader asks all known keepers until one leads or findLeaderTimeout has passed, and reports whether one does. Trying one
+// address after the other would take longer, since several may be unreachable.
+func (f *Follower) findLeader(ctx context.Context) bool {
 	for began := f.clock.Now(); f.clock.Now()-began < core.Millis(findLeaderTimeout.Milliseconds()); loop.Sleep(ctx, retryPause) {
-		if ctx.Err() != nil || f.locateOnce(ctx) {
-			return
+		if ctx.Err() != nil {
+			return false
+		}
+		if f.locateOnce(ctx) {
+			return true
 		}
 	}
+	return false
 }
 
-// locateOnce asks every known keeper in parallel and reports whether one of them leads.
+// locateOnce asks every known keeper in parallel and reports whether one of them leads. A leader that another keeper names is
+// asked the next time.
 func (f *Follower) locateOnce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
@@ -229,6 +244,9 @@
 			if err != nil || !reply.Leading {
 				address = ""
 			}
+			if err == nil && reply.LeaderAddress != "" {
+				f.locator.add(reply.LeaderAddress)
+			}
 			leads <- address
 		}()
 	}
--- a/io/follow/locator.go
+++ b/io/follow/locator.go
@@ -11,7 +11,9 @@
 
 // locator selects the address to which calls for the leader are sent.
 type locator struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// own is the address of this host's own keeper, which may know the leader when all seeds are lost, or "".
+	own     string
 	seeds   []string
 	known   []string
 	current string
@@ -20,12 +22,30 @@
 	nextIndex  int
 }
 
-func newLocator(seeds []string) *locator {
-	l := &locator{seeds: seeds}
-	l.known = slices.Clone(seeds)
+func newLocator(own string, seeds []string) *locator {
+	l := &locator{own: own, seeds: seeds}
+	l.known = l.alwaysKnown()
 	return l
 }
 
+// alwaysKnown returns the seeds, followed by the address of this host's own keeper.
+func (l *locator) alwaysKnown() []string {
+	list := slices.Clone(l.seeds)
+	if l.own != "" && !slices.Contains(list, l.own) {
+		list = append(list, l.own)
+	}
+	return list
+}
+
+// add adds an address that another keeper has named.
+func (l *locator) add(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !slices.Contains(l.known, address) {
+		l.known = append(l.known, address)
+	}
+}
+
 // address returns the presumed address of the leader, or the next known address in turn.
 func (l *locator) address() string {
 	l.mu.Lock()
@@ -88,15 +108,19 @@
 	l.current = ""
 }
 
-// setHosts replaces the known addresses by the seeds and the peer addresses of all hosts that run a keeper.
+// setHosts replaces the known addresses by the seeds and the peer addresses of all hosts that run a keeper, those of expired
+// hosts last.
 func (l *locator) setHosts(hosts map[core.HostID]state.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := slices.Clone(l.seeds)
-	for _, id := range slices.Sorted(maps.Keys(hosts)) {
-		h := hosts[id]
-		if h.Keeper != "" && !slices.Contains(known, h.PeerAddress) {
-			known = append(known, h.PeerAddress)
+	known := l.alwaysKnown()
+	ids := slices.Sorted(maps.Keys(hosts))
+	for _, expired := range []bool{false, true} {
+		for _, id := range ids {
+			h := hosts[id]
+			if h.Keeper != "" && h.Expired == expired && !slices.Contains(known, h.PeerAddress) {
+				known = append(known, h.PeerAddress)
+			}
 		}
 	}
 	l.known = known
--- a/io/follow/search_test.go
+++ b/io/follow/search_test.go
@@ -12,6 +12,7 @@
 	"cyclamenford/core/state"
 	"cyclamenford/io/keeper"
 	"cyclamenford/io/peer"
+	"cyclamenford/io/trace"
 	"cyclamenford/io/wall"
 )
 
@@ -29,13 +30,37 @@
 	return nil
 }
 
+// Propose accepts every command.
+func (c candidate) Propose(_ keeper.ProposeArgs, reply *keeper.ProposeReply) error {
+	reply.Leading, reply.Reply.Result = true, state.Accepted
+	return nil
+}
+
 func startCandidate(t *testing.T, leadsFrom int64) string {
+	return startControl(t, candidate{asked: new(atomic.Int64), leadsFrom: leadsFrom})
+}
+
+// naming is a keeper stub that names another keeper as leader.
+type naming struct{ leader string }
+
+// Locate names the leader.
+func (n naming) Locate(_ keeper.LocateArgs, reply *keeper.Located) error {
+	reply.LeaderAddress = n.leader
+	return nil
+}
+
+func startNaming(t *testing.T, leader string) string {
+	return startControl(t, naming{leader: leader})
+}
+
+// startControl serves a stub of a keeper's calls and returns its address.
+func startControl(t *testing.T, stub any) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	address := l.Addr().String()
 	must.NoError(t, l.Close())
 	s := peer.NewServer(address, []byte(testKey), nil, slog.New(slog.DiscardHandler))
-	must.NoError(t, s.Register(keeper.ControlService, candidate{asked: new(atomic.Int64), leadsFrom: leadsFrom}))
+	must.NoError(t, s.Register(keeper.ControlService, stub))
 	must.NoError(t, s.Start(context.Background()))
 	t.Cleanup(func() { must.NoError(t, s.Stop(context.Background())) })
 	return address
@@ -53,3 +78,33 @@
 	f.findLeader(context.Background())
 	must.Eq(t, elected, f.LeaderAddress())
 }
+
+// TestAHostJoinsThoughItsFirstSeedsAreLost guards against a new keeper that waits for each lost seed until a call times out, while
+// it should replace a lost one.
+func TestAHostJoinsThoughItsFirstSeedsAreLost(t *testing.T) {
+	var seeds []string
+	for range 2 {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		defer func() { must.NoError(t, silent.Close()) }()
+		seeds = append(seeds, silent.Addr().String())
+	}
+	seeds = append(seeds, startCandidate(t, 1))
+	client := peer.NewClient([]byte(testKey), nil, nil)
+	f := New(state.Host{ID: "h"}, seeds, client, wall.New(), trace.New(trace.Options{}), slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	f.join(ctx)
+	must.True(t, f.isJoined())
+}
+
+// TestAHostAsksTheLeaderThatAnotherKeeperNames guards against a search that asks its seeds only, though one of them names a
+// leader at a new address.
+func TestAHostAsksTheLeaderThatAnotherKeeperNames(t *testing.T) {
+	leader := startCandidate(t, 1)
+	named := startNaming(t, leader)
+	client := peer.NewClient([]byte(testKey), nil, nil)
+	f := New(state.Host{ID: "h"}, []string{named}, client, wall.New(), nil, slog.New(slog.DiscardHandler))
+	must.True(t, f.findLeader(context.Background()))
+	must.Eq(t, leader, f.LeaderAddress())
+}
