--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -196,6 +196,54 @@
 	}
 }
 
+// unsyncedFolder keeps copies of the files that were removed since the last Sync.
+type unsyncedFolder struct {
+	Folder
+	path    string
+	removed map[string][]byte
+}
+
+func (f *unsyncedFolder) Remove(name string) error {
+	raw, err := f.Folder.Read(name)
+	if err != nil {
+		return err
+	}
+	f.removed[name] = raw
+	return f.Folder.Remove(name)
+}
+
+func (f *unsyncedFolder) Sync() error {
+	clear(f.removed)
+	return f.Folder.Sync()
+}
+
+// losePower brings the files back whose removal was not synced.
+func (f *unsyncedFolder) losePower(t *testing.T) {
+	for name, raw := range f.removed {
+		must.NoError(t, os.WriteFile(filepath.Join(f.path, name), raw, fileMode))
+	}
+}
+
+// TestEntriesAfterASnapshotSurviveALossOfPower guards against a removed segment that comes back with an entry that conflicts with
+// the snapshot, upon which all later entries were dropped.
+func TestEntriesAfterASnapshotSurviveALossOfPower(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	writeStore(t, path)
+	folder, err := OpenFolder(path)
+	must.NoError(t, err)
+	f := &unsyncedFolder{Folder: folder, path: path, removed: map[string][]byte{}}
+	s, _, err := Open(f, "h", 8)
+	must.NoError(t, err)
+	must.NoError(t, s.SaveSnapshot(quorum.Snapshot{Index: 21, Term: 30, Data: []byte("of another leader")}))
+	must.NoError(t, s.RewriteLog(quorum.HardState{Term: 30}, nil))
+	must.NoError(t, s.Save(nil, []quorum.Entry{{Index: 22, Term: 30}}))
+	f.losePower(t)
+	_, contents, err := Open(folder, "h", 9)
+	must.NoError(t, err)
+	must.SliceLen(t, 1, contents.Entries)
+	must.Eq(t, 22, contents.Entries[0].Index)
+}
+
 // FuzzReadRecords guards against panics and impossible lengths when a corrupt segment is decoded.
 func FuzzReadRecords(f *testing.F) {
 	f.Add(encodeFrame([]byte{0xa0}), true)
--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -20,8 +20,10 @@
 	Replace(name string, data []byte) error
 	// Truncate shortens a file to the given size and syncs it.
 	Truncate(name string, size int64) error
-	// Remove deletes a file.
+	// Remove deletes a file. The file may come back after a loss of power until the next Sync.
 	Remove(name string) error
+	// Sync makes removals durable.
+	Sync() error
 }
 
 // File is a file that is open for appending.
@@ -81,7 +83,7 @@
 		return nil, fmt.Errorf("open %s: %w", name, err)
 	}
 	if errors.Is(statErr, os.ErrNotExist) {
-		if err := f.syncFolder(); err != nil {
+		if err := f.Sync(); err != nil {
 			return nil, errors.Join(err, file.Close())
 		}
 	}
@@ -96,7 +98,7 @@
 	if err := os.Rename(temporary, f.path(name)); err != nil {
 		return fmt.Errorf("rename %s: %w", name, err)
 	}
-	return f.syncFolder()
+	return f.Sync()
 }
 
 // writeSynced writes a file and syncs it before it is closed.
@@ -134,8 +136,8 @@
 	return nil
 }
 
-// syncFolder syncs the folder itself, so that created and renamed files survive a crash.
-func (f osFolder) syncFolder() error {
+// Sync syncs the folder itself, so that created, renamed and removed names survive a crash.
+func (f osFolder) Sync() error {
 	d, err := os.Open(string(f))
 	if err != nil {
 		return fmt.Errorf("open data folder: %w", err)
--- a/io/disk/snapshot.go
+++ b/io/disk/snapshot.go
@@ -73,7 +73,8 @@
 	return s.removeBefore(segmentPrefix, keep)
 }
 
-// removeBefore removes the files with the prefix whose names sort before keep.
+// removeBefore removes the files with the prefix whose names sort before keep, durably: a former segment that came back could
+// hold entries that conflict with those written since.
 func (s *Store) removeBefore(prefix, keep string) error {
 	names, err := s.folder.List()
 	if err != nil {
@@ -85,6 +86,9 @@
 			errs = append(errs, s.folder.Remove(name))
 		}
 	}
+	if len(errs) > 0 {
+		errs = append(errs, s.folder.Sync())
+	}
 	return errors.Join(errs...)
 }
 
