--- a/bench/soak/series.go
+++ b/bench/soak/series.go
@@ -20,8 +20,10 @@
 	// meanFaultInterval is the mean time between two faults. As a fault lasts for up to maxFaultLength, two or three
 	// overlap.
 	meanFaultInterval = core.Millis(1200)
-	minFaultLength    = core.Millis(100)
-	maxFaultLength    = 4 * core.Second
+	// settleTime is the time after the repair of all faults within which hosts run again.
+	settleTime     = 2 * core.Second
+	minFaultLength = core.Millis(100)
+	maxFaultLength = 4 * core.Second
 	// leaveGrace is the time after its goodbye during which an endpoint may still be sent new work.
 	leaveGrace = 3 * core.Second
 	// maxDelay is the longest added delay in milliseconds. It exceeds the keepers' election timeout in the example
@@ -65,6 +67,28 @@
 	if seed%floodEvery == 0 {
 		s.Load.Bulk = 40
 	}
+	if LosesDisksInSeries(seed) {
+		s = withLosses(s, seed, d)
+	}
+	return s
+}
+
+// withLosses returns a script that loses disks in series after its faults, with a load that lasts until service is back.
+func withLosses(s drill.Script, seed uint64, d site.Deployment) drill.Script {
+	var disks []fault.Party
+	founding := 0
+	for _, h := range d.Hosts {
+		if h.HasDisk {
+			disks = append(disks, fault.Party{Name: string(h.ID), Domain: h.FailureDomain})
+		}
+		if h.IsFoundingKeeper {
+			founding++
+		}
+	}
+	repaired := core.Millis(recoveryStart*float64(s.RunMs)) + settleTime + catchUp
+	steps, until := GenerateLosses(seed, disks, (founding-1)/2, repaired)
+	s.Steps = Merge(s.Steps, withoutReplacements(steps))
+	s.RunMs = until + settleTime
 	return s
 }
 
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -64,16 +65,20 @@
 	wiped := 0
 	for n := range uint64(200) {
 		steps := soak.GenerateScript(n, d, run).Steps
-		healed := false
+		healed, started := false, false
 		for _, s := range steps {
+			if s.Do == "StartAll" || s.Do == "KillAll" {
+				started = s.Do == "StartAll"
+			}
 			healed = healed || s.Do == "HealAll"
 			if s.Do == "Wipe" {
 				wiped++
 			}
-			// After the repair only steps that inject no further fault may follow.
-			must.True(t, !healed || s.Do == "HealAll" || s.Do == "StartAll" || s.Do == "Mark", must.Sprint(n, s))
+			// After the repair only steps that inject no further fault may follow, and those of the losses in series.
+			lost := soak.LosesDisksInSeries(n) && slices.Contains([]string{"Kill", "Wipe", "Start", "KillAll"}, s.Do)
+			must.True(t, !healed || s.Do == "HealAll" || s.Do == "StartAll" || s.Do == "Mark" || lost, must.Sprint(n, s))
 		}
-		must.True(t, healed)
+		must.True(t, healed && started)
 	}
 	must.Positive(t, wiped)
 }
