--- a/core/poison/content.go
+++ b/core/poison/content.go
@@ -32,6 +32,11 @@
 // String returns the content in hexadecimal, the form used in log lines.
 func (c Content) String() string { return strconv.FormatUint(uint64(c), 16) }
 
+// NewPartContent returns the Content of a part of a prompt for the engines of a service, whichever request holds it.
+func NewPartContent(service, part string) Content {
+	return NewContent("", nil, "part", service, part)
+}
+
 // ForStage returns the Content of the pieces that one stage prepares for a request. It differs from that of the request
 // because pieces that crash a stage's endpoint need not crash the endpoint that serves the request.
 func (c Content) ForStage(stage int) Content {
--- a/core/poison/cuts.go
+++ b/core/poison/cuts.go
@@ -26,6 +26,10 @@
 	Content      Content
 	// Alone means that the request was in a trial at the endpoint.
 	Alone bool
+	// Parts identify the parts of the request's prompt that other requests share.
+	Parts []Content
+	// Began means that a part of the answer's body had arrived before the connection broke.
+	Began bool
 }
 
 // Cut groups the requests that lost their connection to the same incarnation of an endpoint.
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -8,9 +8,14 @@
 	"cyclamenford/core/poison"
 )
 
-// computeContent computes the identity of the request's content, which is the same when the client sends the request again.
+// computeContent computes the identity of the request's content, which is the same when the client sends the request again, and
+// those of the parts of its prompt that other requests share: all but the last.
 func (r *request) computeContent() {
 	r.content = poison.NewContent(r.organisation.Name, r.body, r.httpRequest.Method, r.httpRequest.Host, r.httpRequest.RequestURI)
+	parts := r.incoming.Prompt.Parts
+	for _, p := range parts[:max(0, len(parts)-1)] {
+		r.parts = append(r.parts, poison.NewPartContent(r.service, p.ID))
+	}
 }
 
 // admit asks the guard, just before sending, whether the request may be sent to its endpoint, and whether that is a trial.
@@ -28,7 +33,7 @@
 		}
 		return poison.Clear
 	}
-	suspect := poison.Suspect{Request: r.incoming.ID, Organisation: r.organisation.Name, Content: r.content, Alone: trial}
+	suspect := poison.Suspect{Request: r.incoming.ID, Organisation: r.organisation.Name, Content: r.content, Alone: trial, Parts: r.parts, Began: r.bodyBegan}
 	target := core.Target{Life: core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}, Address: g.Address}
 	if !r.mayRetry(ending) {
 		// Without another attempt the client need not wait for the report.
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -66,6 +66,10 @@
 	// mayHaveRun is the ending of the last attempt in which the request may have run; it is empty if the request has
 	// certainly not run.
 	mayHaveRun order.AttemptOutcome
+	// parts identify the shared parts of the prompt. bodyBegan means that a part of the answer's body has arrived in the
+	// present attempt.
+	parts     []poison.Content
+	bodyBegan bool
 	// errorAnswer is an error answer of an endpoint, which the client gets if no later attempt succeeds.
 	errorAnswer *answer
 	sending     sending
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -155,6 +155,7 @@
 // attempt sends the request to one endpoint. It returns how the attempt ended and whether the client has its answer.
 func (r *request) attempt(ctx context.Context, g *order.Grant, out *answerWriter) (order.AttemptOutcome, bool) {
 	e := r.entry
+	r.bodyBegan = false
 	urgency := -1
 	if r.generatesTokens {
 		urgency = r.urgency()
--- a/io/guard/blame.go
+++ b/io/guard/blame.go
@@ -82,7 +82,7 @@
 	g.mu.Unlock()
 	for _, s := range suspects {
 		g.log.Info("endpoint broke off", "request", s.Request, "endpoint", target.Endpoint, "content", s.Content.String(),
-			"ended", ended, "leaving", leaving, "alone", s.Alone, "err", err)
+			"ended", ended, "leaving", leaving, "alone", s.Alone, "began", s.Began, "parts", contentNames(s.Parts), "err", err)
 	}
 	if ended && !leaving {
 		g.recordCrash(ctx, target.Life, suspects)
@@ -98,6 +98,15 @@
 	g.forwardUnclear(ctx, target, suspects)
 }
 
+// contentNames returns the names of contents as used in log lines.
+func contentNames(list []poison.Content) []string {
+	names := make([]string, 0, len(list))
+	for _, c := range list {
+		names = append(names, c.String())
+	}
+	return names
+}
+
 // forwardUnclear forwards a cut connection for others to decide, because the probe failed or the endpoint's address still
 // accepts connections. Without a way to forward it, the endpoint is assumed to be alive.
 func (g *Guard) forwardUnclear(ctx context.Context, target core.Target, suspects []poison.Suspect) {
