Quarantine parts of prompts that crash engines, in both programs

Cause: a crashing request is known by organisation, target and body, and no two of these were alike. Class: an identity that is narrower than what causes the harm. What tells the guilty part from the others is that no answer on it ever begins: it was in a cut request without an event at 53 of 53 crashes, the others had begun answers.

Now: of the requests that a crash cuts, the shared parts of those without an event are noted in the replicated state; an answer that begins on a part, at any host, clears it; two crashes of different requests, the second sent after the first crash, make it a suspect, which runs only in trials; a crash in the trial convicts. Parts convicted together are told apart by the trial of a request that holds only some of them. In serve the part is the start of the prompt. Ruled out: blaming the part that all crashes share (the system prompt), counting crashes alone (a domain ends at once), and counting one request's retries.

--- a/core/poison/book.go
+++ b/core/poison/book.go
@@ -163,20 +163,26 @@
 	return e
 }
 
-// convict returns the entry of a suspect after a crash in its trial. Each conviction lasts longer than the one before.
+// convict returns the entry of a suspect after a crash in its trial.
 func (e Entry) convict(now core.Millis) Entry {
-	e.Standing, e.Till = Convicted, 0
-	if e.Sentences < maxTimedConvictions {
-		duration := firstConviction
-		for range e.Sentences {
-			duration *= convictionGrowth
-		}
-		e.Till = now + duration
-	}
+	e.Standing, e.Till = Convicted, convictedUntil(now, e.Sentences)
 	e.Sentences++
 	return e
 }
 
+// convictedUntil returns when a conviction after the given number of earlier ones expires, 0 if only an operator can end it. Each
+// conviction lasts longer than the one before.
+func convictedUntil(now core.Millis, earlier int) core.Millis {
+	if earlier >= maxTimedConvictions {
+		return 0
+	}
+	duration := firstConviction
+	for range earlier {
+		duration *= convictionGrowth
+	}
+	return now + duration
+}
+
 // BeginTrial starts a trial of a suspect on an endpoint. A limit that is zero, negative or above maxTrialTime counts as
 // maxTrialTime. The result is false if the request is not suspected, or if the request or the endpoint is already in a
 // trial.
--- a/core/poison/cuts.go
+++ b/core/poison/cuts.go
@@ -30,8 +30,13 @@
 	Parts []Content
 	// Began means that a part of the answer's body had arrived before the connection broke.
 	Began bool
+	// Age is how long before the cut the request was sent to the endpoint.
+	Age core.Millis
 }
 
+// Identity returns what the quarantine knows the request by.
+func (s Suspect) Identity() Identity { return Identity{Content: s.Content, Parts: s.Parts} }
+
 // Cut groups the requests that lost their connection to the same incarnation of an endpoint.
 type Cut struct {
 	Life     core.Life
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -27,6 +27,9 @@
 	Release      *Release      `cbor:",omitempty"`
 	Resolve      *Resolve      `cbor:",omitempty"`
 	Suspect      *Suspect      `cbor:",omitempty"`
+	PartCrashes  *PartCrashes  `cbor:",omitempty"`
+	PartTrial    *PartTrial    `cbor:",omitempty"`
+	ClearParts   *ClearParts   `cbor:",omitempty"`
 	BeginTrial   *BeginTrial   `cbor:",omitempty"`
 	EndTrial     *EndTrial     `cbor:",omitempty"`
 	Pardon       *Pardon       `cbor:",omitempty"`
@@ -128,6 +131,33 @@
 	Well     bool
 }
 
+// PartCrashes counts the crash of an endpoint against the parts of the prompts of requests that it was running and of whose answers
+// nothing had arrived.
+type PartCrashes struct {
+	Life     core.Life
+	Requests []PartCrash
+}
+
+// PartCrash is one request of PartCrashes: its content, the shared parts of its prompt, and how long ago it was sent.
+type PartCrash struct {
+	Request poison.Content
+	Parts   []poison.Content
+	Age     core.Millis
+}
+
+// PartTrial starts or ends the trial of a request at an endpoint for parts of its prompt.
+type PartTrial struct {
+	Parts    []poison.Content
+	Endpoint core.EndpointID
+	// End ends the trial; it has then shown nothing about the parts.
+	End bool `cbor:",omitempty"`
+	// Limit is the time limit of a trial that starts; 0 means the longest time that any trial may take.
+	Limit core.Millis `cbor:",omitempty"`
+}
+
+// ClearParts removes the records of parts of prompts on which an endpoint has begun an answer.
+type ClearParts struct{ Parts []poison.Content }
+
 // Pardon releases a request from quarantine.
 type Pardon struct{ Content poison.Content }
 
@@ -161,8 +191,10 @@
 	Verdict ledger.Verdict `cbor:",omitempty"`
 	Entry   *ledger.Entry  `cbor:",omitempty"`
 	Suspect []poison.Entry `cbor:",omitempty"`
-	Order   *Order         `cbor:",omitempty"`
-	Lost    int            `cbor:",omitempty"`
+	// Parts are the records of the parts of prompts that the command concerns.
+	Parts []poison.PartEntry `cbor:",omitempty"`
+	Order *Order             `cbor:",omitempty"`
+	Lost  int                `cbor:",omitempty"`
 }
 
 // Encode returns the command as CBOR.
--- a/core/state/format_test.go
+++ b/core/state/format_test.go
@@ -22,6 +22,7 @@
 	golden.CBOR[Retirement](t, "Retirement")
 	golden.CBOR[Subtree](t, "Subtree")
 	golden.CBOR[poison.Entry](t, "Suspect")
+	golden.CBOR[poison.PartEntry](t, "Part")
 	golden.CBOR[ledger.Record](t, "Call")
 }
 
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -20,6 +20,7 @@
 	hostPrefix     = "Host/"
 	drainPrefix    = "Drain/"
 	poisonPrefix   = "Poison/"
+	partPrefix     = "Part/"
 	retiredPrefix  = "Retired/"
 	configKey      = "Config/"
 	// supersededKey replaces the key of a delta that a later one supersedes.
@@ -62,6 +63,8 @@
 	Hosts    map[core.HostID]Host
 	Drained  map[core.EndpointID]bool
 	Poison   map[poison.Content]poison.Entry
+	// Parts holds the crash records of parts of prompts.
+	Parts map[poison.Content]poison.PartEntry
 	// Config is the operator's configuration. Retired holds the incarnations of endpoints that get no new work.
 	Config  Config
 	Retired map[core.EndpointID]Retirement
@@ -71,7 +74,7 @@
 func EmptyImage() Image {
 	return Image{
 		values: map[string][]byte{}, Hosts: map[core.HostID]Host{},
-		Drained: map[core.EndpointID]bool{}, Poison: map[poison.Content]poison.Entry{},
+		Drained: map[core.EndpointID]bool{}, Poison: map[poison.Content]poison.Entry{}, Parts: map[poison.Content]poison.PartEntry{},
 		Retired: map[core.EndpointID]Retirement{},
 	}
 }
@@ -83,6 +86,7 @@
 	next.Hosts = maps.Clone(i.Hosts)
 	next.Drained = maps.Clone(i.Drained)
 	next.Poison = maps.Clone(i.Poison)
+	next.Parts = maps.Clone(i.Parts)
 	next.Retired = maps.Clone(i.Retired)
 	for _, d := range deltas {
 		if d.Revision <= i.Revision {
@@ -147,6 +151,8 @@
 		return applyEntry(i.Drained, core.EndpointID(name), d.Value)
 	case poisonPrefix:
 		return i.applyPoison(name, d.Value)
+	case partPrefix:
+		return i.applyPart(name, d.Value)
 	case retiredPrefix:
 		return applyEntry(i.Retired, core.EndpointID(name), d.Value)
 	case configKey:
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -36,6 +36,7 @@
 	opOrder    []string
 	callLedger *ledger.Ledger
 	quarantine *poison.Quarantine
+	parts      *poison.Parts
 	orders     map[uint64]Order
 }
 
@@ -43,7 +44,7 @@
 func New() *Machine {
 	return &Machine{
 		image: EmptyImage(), history: map[string][]Subtree{}, opReplies: map[string]Reply{},
-		callLedger: ledger.New(), quarantine: poison.New(), orders: map[uint64]Order{},
+		callLedger: ledger.New(), quarantine: poison.New(), parts: poison.NewParts(), orders: map[uint64]Order{},
 	}
 }
 
@@ -127,6 +128,15 @@
 		return acceptedIf(m.callLedger.Resolve(c.Resolve.Key, c.Resolve.Answer))
 	case c.Suspect != nil:
 		return m.suspect(*c.Suspect)
+	case c.PartCrashes != nil:
+		return m.countPartCrashes(*c.PartCrashes)
+	case c.PartTrial != nil:
+		return m.partTrial(*c.PartTrial)
+	case c.ClearParts != nil:
+		if !m.parts.Clear(c.ClearParts.Parts) {
+			return Reply{Result: Refused, Detail: "no crash of these parts is on record"}
+		}
+		return m.publishParts(Reply{Result: Accepted})
 	case c.BeginTrial != nil:
 		return m.beginTrial(*c.BeginTrial)
 	case c.EndTrial != nil:
@@ -144,8 +154,9 @@
 	case c.PurgeExpired != nil:
 		m.callLedger.Purge(m.unix)
 		m.quarantine.Purge(m.unix)
+		m.parts.Purge(m.unix)
 		m.purgeOrders()
-		return m.publishSuspects(Reply{Result: Accepted})
+		return m.publishParts(m.publishSuspects(Reply{Result: Accepted}))
 	}
 	return Reply{Result: Refused, Detail: "the command has no part that this version knows"}
 }
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -37,6 +37,7 @@
 	Ops      []opReply
 	Calls    []ledger.Record
 	Suspects []poison.Entry
+	Parts    []poison.PartEntry
 	Orders   []Order
 }
 
@@ -45,7 +46,7 @@
 	s := snapshot{
 		Format: formatVersion, Applied: m.applied, Unix: m.unix, Revision: m.image.Revision,
 		Image: m.image.Deltas(), Deltas: m.deltas, Calls: m.callLedger.Records(),
-		Suspects: m.quarantine.Entries(), Orders: m.Orders(),
+		Suspects: m.quarantine.Entries(), Parts: m.parts.Entries(), Orders: m.Orders(),
 	}
 	for _, path := range sortedKeys(m.history) {
 		s.History = append(s.History, pathHistory{Path: path, Versions: m.history[path]})
@@ -85,6 +86,7 @@
 	}
 	m.callLedger = ledger.Restore(s.Calls)
 	m.quarantine = poison.Restore(s.Suspects)
+	m.parts = poison.RestoreParts(s.Parts)
 	for _, o := range s.Orders {
 		m.orders[o.Fence] = o
 	}
--- a/io/assign/suspects.go
+++ b/io/assign/suspects.go
@@ -59,7 +59,7 @@
 			a.guard.EndTrials(cut.Life, cut.Suspects)
 			continue
 		}
-		a.guard.RecordCrash(cut.Life, cut.Suspects)
+		a.guard.RecordCrash(cut.Life, cut.Suspects, cut.At)
 	}
 	for _, cut := range alive {
 		a.log.Debug("cut settled", "endpoint", cut.Life.Endpoint, "suspects", len(cut.Suspects), "ended", false, "age_ms", now-cut.At)
@@ -80,7 +80,7 @@
 	if !c.Alone {
 		return true
 	}
-	_, problem := a.guard.Admit(context.Background(), c.Owners[0].ID, c.Owners[0].Content, c.Endpoint, maxCallTime(c))
+	_, problem := a.guard.Admit(context.Background(), c.Owners[0].ID, poison.Identity{Content: c.Owners[0].Content}, c.Endpoint, maxCallTime(c))
 	return problem == nil
 }
 
@@ -96,6 +96,6 @@
 		}
 		a.guard.ReportAndWait(context.Background(), target, suspects...)
 	case c.Alone:
-		a.guard.EndTrial(c.Owners[0].Content, c.Endpoint, outcome == order.Served || outcome == order.Erred)
+		a.guard.EndTrial(poison.Identity{Content: c.Owners[0].Content}, c.Endpoint, outcome == order.Served || outcome == order.Erred)
 	}
 }
--- a/io/disk/format_test.go
+++ b/io/disk/format_test.go
@@ -40,6 +40,7 @@
 	Hosts     map[core.HostID]state.Host
 	Drained   map[core.EndpointID]bool
 	Suspects  map[poison.Content]poison.Entry
+	Parts     map[poison.Content]poison.PartEntry
 	Config    state.Config
 	Retired   map[core.EndpointID]state.Retirement
 	Subtree   state.Subtree
@@ -96,6 +97,12 @@
 		suspect(content + 1),
 		{Pardon: &state.Pardon{Content: content + 1}},
 		suspect(content + 2),
+		{PartCrashes: &state.PartCrashes{
+			Life:     core.Life{Endpoint: "e", Incarnation: 3},
+			Requests: []state.PartCrash{{Request: content, Parts: []poison.Content{content + 3, content + 4}, Age: 2}},
+		}},
+		{PartTrial: &state.PartTrial{Parts: []poison.Content{content + 3}, Endpoint: "e", End: true, Limit: 7}},
+		{ClearParts: &state.ClearParts{Parts: []poison.Content{content + 4}}},
 		{PurgeExpired: &state.PurgeExpired{}},
 	}
 	for i := range list {
@@ -157,7 +164,7 @@
 		h.Replies = append(h.Replies, m.Apply(e.Index, command))
 	}
 	i := m.Image()
-	h.Hosts, h.Drained, h.Suspects, h.Config, h.Retired = i.Hosts, i.Drained, i.Poison, i.Config, i.Retired
+	h.Hosts, h.Drained, h.Suspects, h.Parts, h.Config, h.Retired = i.Hosts, i.Drained, i.Poison, i.Parts, i.Config, i.Retired
 	h.Subtree, _ = i.Subtree("Teams/t")
 	h.History, h.Orders = m.History("Teams/t"), m.Orders()
 	for _, k := range []string{"r1finished", "r1lost", "r2finished", "r2lost"} {
@@ -169,6 +176,30 @@
 	golden.Same(t, "data", h)
 }
 
+// TestDataFolderOfAFormerReleaseIsRead opens a folder of the release before the records of parts of prompts were kept.
+func TestDataFolderOfAFormerReleaseIsRead(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	must.NoError(t, os.CopyFS(path, os.DirFS(filepath.Join(golden.Folder, "former"))))
+	folder, err := OpenFolder(path)
+	must.NoError(t, err)
+	_, c, err := Open(folder, "h", 8)
+	must.NoError(t, err)
+	m, err := state.Restore(c.Snapshot.Data)
+	must.NoError(t, err)
+	for _, e := range c.Entries {
+		if e.Kind != quorum.CommandEntry {
+			continue
+		}
+		command, err := state.DecodeCommand(e.Data)
+		must.NoError(t, err)
+		m.Apply(e.Index, command)
+	}
+	must.Eq(t, 2, m.Image().Config.Version)
+	must.MapLen(t, 2, m.Image().Hosts)
+	must.MapNotEmpty(t, m.Image().Poison)
+	must.MapEmpty(t, m.Image().Parts)
+}
+
 // checkWhole holds that the commands are of all kinds, each with no field left at zero.
 func checkWhole(t *testing.T, commands []state.Command) {
 	t.Helper()
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -18,9 +18,22 @@
 	}
 }
 
+// identity returns what the guard knows the request by.
+func (r *request) identity() poison.Identity {
+	return poison.Identity{Content: r.content, Parts: r.parts}
+}
+
+// markBegun records that the answer has begun at the endpoint of the present attempt.
+func (r *request) markBegun() {
+	if !r.bodyBegan {
+		r.bodyBegan = true
+		r.entry.guard.Begun(r.identity())
+	}
+}
+
 // admit asks the guard, just before sending, whether the request may be sent to its endpoint, and whether that is a trial.
 func (r *request) admit(ctx context.Context, g *order.Grant) (trial bool, p *core.Problem) {
-	return r.entry.guard.Admit(ctx, r.incoming.ID, r.content, g.Endpoint, r.deadline-r.entry.clock.Now())
+	return r.entry.guard.Admit(ctx, r.incoming.ID, r.identity(), g.Endpoint, r.deadline-r.entry.clock.Now())
 }
 
 // reportOutcome reports to the guard how an attempt ended: it ends a trial, or reports a broken connection as a possible
@@ -29,11 +42,11 @@
 	e := r.entry
 	if ending != order.Broken {
 		if trial {
-			e.guard.EndTrial(r.content, g.Endpoint, ending == order.Served || ending == order.Erred)
+			e.guard.EndTrial(r.identity(), g.Endpoint, ending == order.Served || ending == order.Erred)
 		}
 		return poison.Clear
 	}
-	suspect := poison.Suspect{Request: r.incoming.ID, Organisation: r.organisation.Name, Content: r.content, Alone: trial, Parts: r.parts, Began: r.bodyBegan}
+	suspect := poison.Suspect{Request: r.incoming.ID, Organisation: r.organisation.Name, Content: r.content, Alone: trial, Parts: r.parts, Began: r.bodyBegan, Age: e.clock.Now() - r.attemptBegan}
 	target := core.Target{Life: core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}, Address: g.Address}
 	if !r.mayRetry(ending) {
 		// Without another attempt the client need not wait for the report.
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -66,10 +66,11 @@
 	// mayHaveRun is the ending of the last attempt in which the request may have run; it is empty if the request has
 	// certainly not run.
 	mayHaveRun order.AttemptOutcome
-	// parts identify the shared parts of the prompt. bodyBegan means that a part of the answer's body has arrived in the
-	// present attempt.
-	parts     []poison.Content
-	bodyBegan bool
+	// parts identify the shared parts of the prompt. attemptBegan is when the present attempt was sent, and bodyBegan means
+	// that a part of its answer's body has arrived.
+	parts        []poison.Content
+	attemptBegan core.Millis
+	bodyBegan    bool
 	// errorAnswer is an error answer of an endpoint, which the client gets if no later attempt succeeds.
 	errorAnswer *answer
 	sending     sending
@@ -147,7 +148,7 @@
 	}
 	r.body = body
 	r.computeContent()
-	return r.entry.guard.CheckQuarantine(r.content)
+	return r.entry.guard.CheckQuarantine(r.identity())
 }
 
 // newAsk returns the description of the request for the scheduler.
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -155,7 +155,7 @@
 // attempt sends the request to one endpoint. It returns how the attempt ended and whether the client has its answer.
 func (r *request) attempt(ctx context.Context, g *order.Grant, out *answerWriter) (order.AttemptOutcome, bool) {
 	e := r.entry
-	r.bodyBegan = false
+	r.bodyBegan, r.attemptBegan = false, e.clock.Now()
 	urgency := -1
 	if r.generatesTokens {
 		urgency = r.urgency()
@@ -210,6 +210,9 @@
 	if err != nil {
 		return r.classifyError(ctx, err), false
 	}
+	if resp.Status == http.StatusOK {
+		r.markBegun()
+	}
 	if out.started {
 		return order.Erred, false
 	}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -144,7 +144,9 @@
 		}
 		stall.Reset(timeout.Duration())
 		id, numbered := eventID(event)
-		r.bodyBegan = r.bodyBegan || numbered
+		if numbered {
+			r.markBegun()
+		}
 		if !numbered || id > out.lastEvent {
 			if _, err := out.w.Write(event); err != nil {
 				return order.Abandoned
--- a/io/flow/failed.go
+++ b/io/flow/failed.go
@@ -13,7 +13,7 @@
 
 // recordFailure releases the grant of a failed attempt, reports a crash against the request if one occurred, and
 // returns the result with the problem for the caller and whether a retry is allowed.
-func (r *Runner) recordFailure(ctx context.Context, g *progress, grant broker.Grant, content poison.Content, err error) attemptResult {
+func (r *Runner) recordFailure(ctx context.Context, g *progress, grant broker.Grant, work poison.Identity, sent tries.Sent, err error) attemptResult {
 	var e *dial.Error
 	if !errors.As(err, &e) {
 		e = &dial.Error{Outcome: core.Failed, Reason: core.ReasonEndpointFailed, Err: err}
@@ -21,8 +21,11 @@
 	if e.Outcome != core.NotRun {
 		g.markMayHaveRun()
 	}
-	if r.FinishFailed(ctx, g.request.ID, g.request.TeamSettings.Organisation, grant, content, e) == poison.Convicted {
-		return attemptResult{grant: grant, problem: r.QuarantineProblem(r.Entry(content), core.Failed)}
+	if r.FinishFailed(ctx, g.request.ID, g.request.TeamSettings.Organisation, grant, work, sent, e) == poison.Convicted {
+		if p := r.CheckQuarantine(work); p != nil {
+			p.Outcome = core.Failed
+			return attemptResult{grant: grant, problem: p}
+		}
 	}
 	return attemptResult{grant: grant, problem: tries.ProblemOf(e), retryable: ctx.Err() == nil}
 }
--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -62,7 +62,7 @@
 	issuedAt core.Millis
 	bodyHash uint64
 	holder   ledger.Holder
-	content  poison.Content
+	work     poison.Identity
 	stage    plan.Key
 }
 
@@ -78,12 +78,12 @@
 	}
 	holder := r.Control.Holder()
 	holder.Attempt = newAttemptID(q.ID, c.Name)
-	content := poison.NewContent(q.TeamSettings.Organisation, q.Body, s.Name, c.Name)
-	if problem := r.CheckQuarantine(content); problem != nil {
+	work := poison.Identity{Content: poison.NewContent(q.TeamSettings.Organisation, q.Body, s.Name, c.Name)}
+	if problem := r.CheckQuarantine(work); problem != nil {
 		return nil, problem
 	}
 	return &nonRepeatableCall{
-		runner: r, request: q, service: s, call: c, issuedAt: issuedAt, holder: holder, content: content,
+		runner: r, request: q, service: s, call: c, issuedAt: issuedAt, holder: holder, work: work,
 		key:      ledger.Key{Organisation: q.TeamSettings.Organisation, Text: key},
 		bodyHash: xxhash.Sum64String(s.Name + "/" + c.Name + "/" + string(q.Body)),
 		stage:    plan.Key{Pool: s.Pool(), Name: s.Name + "/" + c.Name, Priority: q.Priority},
@@ -128,13 +128,13 @@
 	r := o.runner
 	var avoid []core.EndpointID
 	for try := 1; ; try++ {
-		g, problem := r.Acquire(ctx, o.attemptFor(avoid), o.content)
+		g, problem := r.Acquire(ctx, o.attemptFor(avoid), o.work)
 		if problem != nil {
 			o.release()
 			return Answer{}, problem
 		}
 		if !r.Control.Serving() {
-			r.FinishInconclusive(g, o.content, pool.Inconclusive)
+			r.FinishInconclusive(g, o.work, pool.Inconclusive)
 			o.release()
 			return Answer{}, core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonNoServingLease,
 				"this host has lost its serving lease").WithRetryAfter(core.Second)
@@ -143,7 +143,7 @@
 		if e == nil || e.Outcome != core.NotRun {
 			return o.finish(ctx, g, answer, e)
 		}
-		r.FinishInconclusive(g, o.content, tries.ResultOf(ctx, e))
+		r.FinishInconclusive(g, o.work, tries.ResultOf(ctx, e))
 		avoid = append(avoid, g.Endpoint.ID)
 		if try >= maxDispatches || !r.Broker.TakeRetry() {
 			o.release()
@@ -194,9 +194,9 @@
 	a := ledger.Answer{Outcome: core.Completed, Status: http.StatusOK, Endpoint: g.Endpoint.ID, Body: result.Output}
 	if e != nil {
 		a = ledger.Answer{Outcome: e.Outcome, Reason: e.Reason, Status: http.StatusBadGateway, Endpoint: g.Endpoint.ID}
-		r.FinishFailed(ctx, o.request.ID, o.key.Organisation, g, o.content, e)
+		r.FinishFailed(ctx, o.request.ID, o.key.Organisation, g, o.work, tries.Sent{}, e)
 	} else {
-		r.FinishSucceeded(g, o.content)
+		r.FinishSucceeded(g, o.work)
 	}
 	if a.Outcome == core.Unknown {
 		if body, ran := r.fetchOutput(ctx, g.Endpoint.Target(), o.endpointIdempotencyKey()); ran {
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 
 	"cyclamenford/core"
@@ -90,7 +91,7 @@
 		return Answer{}, problem
 	}
 	for i := range p.Stages {
-		if problem := r.CheckQuarantine(g.content(i)); problem != nil {
+		if problem := r.CheckQuarantine(g.identity(i)); problem != nil {
 			return Answer{}, problem
 		}
 	}
@@ -142,9 +143,14 @@
 	}
 }
 
-// content returns the identity of a stage's work, by which requests that crash endpoints are recognised.
-func (g *progress) content(i int) poison.Content {
-	return poison.NewContent(g.request.TeamSettings.Organisation, g.request.Body, g.target, g.stages[i].Name)
+// identity returns what requests that crash endpoints are recognised by: a stage's work and, for a generation, the start of the
+// prompt.
+func (g *progress) identity(i int) poison.Identity {
+	work := poison.Identity{Content: poison.NewContent(g.request.TeamSettings.Organisation, g.request.Body, g.target, g.stages[i].Name)}
+	if prefix := g.stagePrefix(i); prefix != 0 {
+		work.Parts = []poison.Content{poison.NewPartContent(g.stages[i].Model, strconv.FormatUint(prefix, 16))}
+	}
+	return work
 }
 
 // stagePrefix returns the prompt prefix hash for a generation stage and 0 for other stages.
--- a/io/flow/stream.go
+++ b/io/flow/stream.go
@@ -35,7 +35,9 @@
 	runner   *Runner
 	progress *progress
 	index    int
-	content  poison.Content
+	work     poison.Identity
+	// sent is what was observed of the present attempt.
+	sent tries.Sent
 	// next is the number of the next event to send, and text is the text that was sent so far.
 	next uint64
 	text strings.Builder
@@ -47,7 +49,7 @@
 func (r *Runner) runStreamedStage(ctx context.Context, g *progress, i int) (Answer, *core.Problem) {
 	s := &streamRun{
 		runner: r, progress: g, index: i, next: 1, hash: xxhash.New(),
-		content: g.content(i),
+		work: g.identity(i),
 	}
 	began := r.clock.Now()
 	var avoid []core.EndpointID
@@ -71,7 +73,7 @@
 // attempt runs the stage once at one endpoint. It also returns the last event read.
 func (s *streamRun) attempt(ctx context.Context, avoid []core.EndpointID) (attemptResult, dial.Event) {
 	r := s.runner
-	g, problem := r.Acquire(ctx, r.attemptFor(s.progress, s.index, avoid), s.content)
+	g, problem := r.Acquire(ctx, r.attemptFor(s.progress, s.index, avoid), s.work)
 	if problem != nil {
 		return attemptResult{problem: problem}, dial.Event{}
 	}
@@ -79,19 +81,20 @@
 	defer span.End()
 	run := r.newRun(s.progress, s.index, g)
 	run.Prior, run.From = s.text.String(), s.next
+	s.sent = tries.Sent{At: r.clock.Now()}
 	last, err := s.forwardAttempt(ctx, g, run)
 	if err == nil {
-		r.FinishSucceeded(g, s.content)
+		r.FinishSucceeded(g, s.work)
 		return attemptResult{grant: g}, last
 	}
 	if errors.Is(err, errCallerGone) {
-		r.FinishInconclusive(g, s.content, pool.Inconclusive)
+		r.FinishInconclusive(g, s.work, pool.Inconclusive)
 		return attemptResult{grant: g, problem: core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")}, last
 	}
 	if ctx.Err() == nil {
 		go r.Dial.Cancel(g.Endpoint.Target(), run.AttemptID)
 	}
-	return r.recordFailure(ctx, s.progress, g, s.content, err), last
+	return r.recordFailure(ctx, s.progress, g, s.work, s.sent, err), last
 }
 
 // forwardAttempt forwards the events of one attempt to the caller. If the connection breaks, it resumes the stream at
@@ -135,6 +138,10 @@
 			return e, err
 		}
 		watchdog.Reset(stallTimeout)
+		if !s.sent.Began {
+			s.sent.Began = true
+			s.runner.Begun(s.work)
+		}
 		if e.Done {
 			return e, s.verifyChecksum(e)
 		}
--- a/io/flow/whole.go
+++ b/io/flow/whole.go
@@ -29,7 +29,7 @@
 	runner   *Runner
 	progress *progress
 	index    int
-	content  poison.Content
+	work     poison.Identity
 	done     chan attemptResult
 	// granted receives a value whenever an attempt is granted an endpoint.
 	granted   chan struct{}
@@ -45,9 +45,9 @@
 	w := &unaryRun{
 		runner: r, progress: g, index: i, done: make(chan attemptResult, retry.MaxAttempts),
 		granted: make(chan struct{}, retry.MaxAttempts),
-		content: g.content(i),
+		work:    g.identity(i),
 	}
-	w.suspected = r.Standing(w.content) == poison.Suspected
+	w.suspected = r.Standing(w.work) == poison.Suspected
 	began := r.clock.Now()
 	a := w.run(ctx)
 	if a.problem != nil {
@@ -103,7 +103,7 @@
 	if a.grant.Endpoint.ID != "" {
 		w.avoid = append(w.avoid, a.grant.Endpoint.ID)
 	}
-	w.suspected = w.suspected || w.runner.Standing(w.content) == poison.Suspected
+	w.suspected = w.suspected || w.runner.Standing(w.work) == poison.Suspected
 }
 
 // contextProblem returns the problem for a stage whose context ended: the deadline has passed or the caller has
@@ -130,7 +130,7 @@
 // attempt waits for an endpoint and runs the stage there once.
 func (w *unaryRun) attempt(ctx context.Context, a desk.Attempt) attemptResult {
 	r := w.runner
-	g, problem := r.Acquire(ctx, a, w.content)
+	g, problem := r.Acquire(ctx, a, w.work)
 	if problem != nil {
 		return attemptResult{problem: problem}
 	}
@@ -138,11 +138,12 @@
 	ctx, span := r.trace.StartSpan(ctx, "attempt", "endpoint", string(g.Endpoint.ID))
 	defer span.End()
 	run := r.newRun(w.progress, w.index, g)
+	sent := tries.Sent{At: r.clock.Now()}
 	result, err := r.Dial.Call(ctx, g.Endpoint.Target(), run, true)
 	if err == nil {
 		w.progress.markMayHaveRun()
-		r.FinishSucceeded(g, w.content)
+		r.FinishSucceeded(g, w.work)
 		return attemptResult{result: result, grant: g}
 	}
-	return r.recordFailure(ctx, w.progress, g, w.content, err)
+	return r.recordFailure(ctx, w.progress, g, w.work, sent, err)
 }
--- a/io/guard/blame.go
+++ b/io/guard/blame.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"cyclamenford/core"
@@ -29,7 +30,9 @@
 // crashReport collects the requests that one endpoint incarnation was running when their connections were cut.
 type crashReport struct {
 	suspects []poison.Suspect
-	done     chan struct{}
+	// at is when the first of the connections broke.
+	at   core.Millis
+	done chan struct{}
 }
 
 // ReportCut starts a report of a cut connection in the background. If the endpoint's incarnation has ended, the crash
@@ -44,7 +47,7 @@
 	defer g.mu.Unlock()
 	report, ok := g.reports[target.Life]
 	if !ok {
-		report = &crashReport{done: make(chan struct{})}
+		report = &crashReport{at: g.clock.Now(), done: make(chan struct{})}
 		g.reports[target.Life] = report
 		g.recorder.Go(func(ctx context.Context) { g.settle(ctx, target, report) })
 	}
@@ -66,7 +69,7 @@
 	case <-wait.C:
 	case <-ctx.Done():
 	}
-	return g.Standing(suspects[0].Content)
+	return g.Standing(suspects[0].Identity())
 }
 
 // settle probes whether an endpoint has ended and, if so, commits the crash against all requests of the report.
@@ -85,7 +88,7 @@
 			"ended", ended, "leaving", leaving, "alone", s.Alone, "began", s.Began, "parts", contentNames(s.Parts), "err", err)
 	}
 	if ended && !leaving {
-		g.recordCrash(ctx, target.Life, suspects)
+		g.recordCrash(ctx, target.Life, suspects, report.at)
 		close(report.done)
 		return
 	}
@@ -95,6 +98,10 @@
 		g.EndTrials(target.Life, suspects)
 		return
 	}
+	elapsed := g.clock.Now() - report.at
+	for i := range suspects {
+		suspects[i].Age += elapsed
+	}
 	g.forwardUnclear(ctx, target, suspects)
 }
 
@@ -122,23 +129,24 @@
 	}
 }
 
-// RecordCrash records in the background that an endpoint incarnation crashed while it was running the given requests.
-func (g *Guard) RecordCrash(life core.Life, suspects []poison.Suspect) {
-	g.recorder.Go(func(ctx context.Context) { g.recordCrash(ctx, life, suspects) })
+// RecordCrash records in the background that an endpoint incarnation crashed, at the given time, while it was running the given
+// requests.
+func (g *Guard) RecordCrash(life core.Life, suspects []poison.Suspect, at core.Millis) {
+	g.recorder.Go(func(ctx context.Context) { g.recordCrash(ctx, life, suspects, at) })
 }
 
 // EndTrials ends the trials of requests whose endpoint has not crashed, without clearing the suspects.
 func (g *Guard) EndTrials(life core.Life, suspects []poison.Suspect) {
 	for _, s := range suspects {
 		if s.Alone {
-			g.EndTrial(s.Content, life.Endpoint, false)
+			g.EndTrial(s.Identity(), life.Endpoint, false)
 		}
 	}
 }
 
 // recordCrash commits a crash. Until the commit is done the crash counts in uncommitted, so that this host already treats
 // the requests as suspects.
-func (g *Guard) recordCrash(ctx context.Context, life core.Life, suspects []poison.Suspect) {
+func (g *Guard) recordCrash(ctx context.Context, life core.Life, suspects []poison.Suspect, at core.Millis) {
 	g.meter.Count("endpoints_ended_total", 1)
 	g.mu.Lock()
 	for _, s := range suspects {
@@ -147,9 +155,12 @@
 		}
 	}
 	g.mu.Unlock()
+	var committed sync.WaitGroup
+	committed.Go(func() { g.commitPartCrashes(ctx, life, suspects, at) })
 	for _, alone := range []bool{false, true} {
 		g.commitSuspects(ctx, life, suspects, alone)
 	}
+	committed.Wait()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range suspects {
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -63,13 +63,15 @@
 	reports map[core.Life]*crashReport
 	// uncommitted holds, for each request, the crashes that this host has detected and not yet committed.
 	uncommitted map[poison.Content][]core.Life
+	// begun holds the answers that this host has seen begin.
+	begun *begunParts
 }
 
 // New returns a guard that knows no crashes besides those in the replicated state.
 func New(o Options, c Control, p Probe, r *record.Recorder, clock core.Clock, m *meter.Meter, log *slog.Logger) *Guard {
 	return &Guard{
 		options: o, control: c, probe: p, recorder: r, clock: clock, meter: m, log: log,
-		reports: map[core.Life]*crashReport{}, uncommitted: map[poison.Content][]core.Life{},
+		reports: map[core.Life]*crashReport{}, uncommitted: map[poison.Content][]core.Life{}, begun: newBegunParts(),
 	}
 }
 
@@ -87,18 +89,25 @@
 	return poison.Entry{}
 }
 
-// Standing returns the current standing of a request: poison.Clear while it may run without restrictions.
-func (g *Guard) Standing(c poison.Content) poison.Standing {
-	return g.Entry(c).StandingAt(g.clock.Unix())
+// Standing returns the current standing of a request, the graver one of its content and of the parts of its prompt: poison.Clear
+// while it may run without restrictions.
+func (g *Guard) Standing(i poison.Identity) poison.Standing {
+	request, parts := g.Entry(i.Content).StandingAt(g.clock.Unix()), g.judge(i).Standing
+	if parts == poison.Convicted || request != poison.Convicted && parts == poison.Suspected {
+		return parts
+	}
+	return request
 }
 
-// CheckQuarantine returns a problem if the request is in quarantine, and nil otherwise.
-func (g *Guard) CheckQuarantine(c poison.Content) *core.Problem {
-	e := g.Entry(c)
-	if e.StandingAt(g.clock.Unix()) != poison.Convicted {
-		return nil
+// CheckQuarantine returns a problem if the request or a part of its prompt is in quarantine, and nil otherwise.
+func (g *Guard) CheckQuarantine(i poison.Identity) *core.Problem {
+	if e := g.Entry(i.Content); e.StandingAt(g.clock.Unix()) == poison.Convicted {
+		return g.QuarantineProblem(e, core.NotRun)
+	}
+	if v := g.judge(i); v.Standing == poison.Convicted {
+		return g.partProblem(v.Worst)
 	}
-	return g.QuarantineProblem(e, core.NotRun)
+	return nil
 }
 
 // QuarantineProblem counts a refusal and returns the problem for a client whose request has crashed endpoints.
@@ -109,36 +118,59 @@
 }
 
 // Admit must be called after an endpoint was chosen for a request and before the request is sent there. It refuses a
-// request in quarantine and begins a trial of a suspect, which the caller must end with EndTrial. The trial lasts at most
-// the time left.
-func (g *Guard) Admit(ctx context.Context, id core.RequestID, content poison.Content, endpoint core.EndpointID, remaining core.Millis) (trial bool, p *core.Problem) {
-	e := g.Entry(content)
-	switch e.StandingAt(g.clock.Unix()) {
-	case poison.Convicted:
-		return false, g.QuarantineProblem(e, core.NotRun)
-	case poison.Suspected:
-	default:
-		return false, nil
+// request in quarantine and begins a trial of a suspect, or of suspected parts of its prompt, which the caller must end with
+// EndTrial. The trial lasts at most the time left.
+func (g *Guard) Admit(ctx context.Context, id core.RequestID, i poison.Identity, endpoint core.EndpointID, remaining core.Millis) (trial bool, p *core.Problem) {
+	if p := g.CheckQuarantine(i); p != nil {
+		return false, p
+	}
+	e, v := g.Entry(i.Content), g.judge(i)
+	suspected := e.StandingAt(g.clock.Unix()) == poison.Suspected
+	if suspected {
+		command := state.Command{BeginTrial: &state.BeginTrial{Content: i.Content, Endpoint: endpoint, Most: remaining}}
+		if !g.beginTrial(ctx, command, "request", id, "content", i.Content.String(), "endpoint", endpoint, "crashes", e.Crashes) {
+			return false, inTrialProblem()
+		}
 	}
+	if len(v.Suspects) > 0 {
+		command := state.Command{PartTrial: &state.PartTrial{Parts: v.Suspects, Endpoint: endpoint, Limit: remaining}}
+		if !g.beginTrial(ctx, command, "request", id, "parts", contentNames(v.Suspects), "endpoint", endpoint, "crashes", v.Worst.Crashes) {
+			if suspected {
+				g.EndTrial(poison.Identity{Content: i.Content}, endpoint, false)
+			}
+			return false, inTrialProblem()
+		}
+	}
+	return suspected || len(v.Suspects) > 0, nil
+}
+
+// beginTrial commits the begin of a trial, logs it with the given attributes, and reports whether it has begun.
+func (g *Guard) beginTrial(ctx context.Context, command state.Command, attributes ...any) bool {
 	ctx, cancel := context.WithTimeout(ctx, trialCommitTimeout)
 	defer cancel()
-	reply, err := g.control.Propose(ctx, state.Command{
-		OpID: internalOpID(), BeginTrial: &state.BeginTrial{Content: content, Endpoint: endpoint, Most: remaining},
-	})
+	command.OpID = internalOpID()
+	reply, err := g.control.Propose(ctx, command)
 	begun := err == nil && reply.Result == state.Accepted
-	g.log.Info("trial", "request", id, "content", content.String(), "endpoint", endpoint, "crashes", e.Crashes, "begun", begun, "err", err)
+	g.log.Info("trial", append(attributes, "begun", begun, "err", err)...)
 	if begun {
 		g.meter.Count("trials_total", 1)
-		return true, nil
 	}
-	return false, core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonInTrial,
-		"endpoints that ran this request have crashed, and its trial is under way or cannot be recorded").WithRetryAfter(trialRetryAfter)
+	return begun
+}
+
+func inTrialProblem() *core.Problem {
+	return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonInTrial,
+		"endpoints that ran this request, or others with a part of its prompt, have crashed, and a trial is under way or cannot be recorded").WithRetryAfter(trialRetryAfter)
 }
 
-// EndTrial ends a suspect's trial on an endpoint; the suspect is cleared if the endpoint answered completely.
-func (g *Guard) EndTrial(content poison.Content, endpoint core.EndpointID, completed bool) {
-	g.log.Info("trial ended", "content", content.String(), "endpoint", endpoint, "well", completed)
-	g.recorder.Record(state.Command{EndTrial: &state.EndTrial{Content: content, Endpoint: endpoint, Well: completed}})
+// EndTrial ends the trials of a suspect and of the parts of its prompt on an endpoint. The suspect is cleared if the endpoint
+// answered completely; a part is cleared by Begun.
+func (g *Guard) EndTrial(i poison.Identity, endpoint core.EndpointID, completed bool) {
+	g.log.Info("trial ended", "content", i.Content.String(), "endpoint", endpoint, "well", completed)
+	g.recorder.Record(state.Command{EndTrial: &state.EndTrial{Content: i.Content, Endpoint: endpoint, Well: completed}})
+	if parts := g.inTrialAt(i.Parts, endpoint); len(parts) > 0 {
+		g.recorder.Record(state.Command{PartTrial: &state.PartTrial{Parts: parts, Endpoint: endpoint, End: true}})
+	}
 }
 
 // internalOpID returns a random operation ID for a command that this program proposes by itself.
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -74,7 +74,7 @@
 }
 
 func (f *fixture) admit(c poison.Content, id core.EndpointID) (bool, core.Reason) {
-	trial, p := f.Admit(context.Background(), "r", c, id, core.Second)
+	trial, p := f.Admit(context.Background(), "r", poison.Identity{Content: c}, id, core.Second)
 	if p != nil {
 		return trial, p.Reason
 	}
@@ -140,3 +140,39 @@
 	_, why = f.admit(2, "c")
 	must.Eq(t, "", why)
 }
+
+// blamePart reports that an endpoint was cut while it ran a request with parts, sent 100 ms before.
+func (f *fixture) blamePart(request poison.Content, id core.EndpointID, began bool, parts ...poison.Content) poison.Standing {
+	return f.ReportAndWait(context.Background(), target(id), poison.Suspect{Request: "r", Organisation: "o", Content: request, Parts: parts, Began: began})
+}
+
+// TestPartThatCrashesEndpointsIsQuarantinedForAllRequests guards against requests that are all different and share a part that crashes
+// endpoints. A part on which an answer begins is cleared.
+func TestPartThatCrashesEndpointsIsQuarantinedForAllRequests(t *testing.T) {
+	f := newFixture()
+	f.blamePart(101, "a", false, 1, 2)
+	must.Eq(t, poison.Suspected, f.blamePart(102, "b", false, 1, 2))
+	f.Begun(poison.Identity{Content: 200, Parts: []poison.Content{1}})
+	must.Eq(t, poison.Clear, f.Standing(poison.Identity{Content: 201, Parts: []poison.Content{1, 3}}))
+	tainted := poison.Identity{Content: 103, Parts: []poison.Content{1, 2}}
+	trial, p := f.Admit(context.Background(), "r", tainted, "c", core.Second)
+	must.Nil(t, p)
+	must.True(t, trial)
+	must.Eq(t, poison.Convicted, f.blamePart(103, "c", false, 1, 2))
+	p = f.CheckQuarantine(poison.Identity{Content: 104, Parts: []poison.Content{1, 2, 5}})
+	must.NotNil(t, p)
+	must.Eq(t, core.NotRun, p.Outcome)
+	must.Positive(t, p.RetryAfter)
+	must.Nil(t, f.CheckQuarantine(poison.Identity{Content: 105, Parts: []poison.Content{1, 5}}))
+}
+
+// TestPartsOfAnswersThatHadBegunAreNotBlamed guards against a suspicion of the sound requests that ran at a crashed endpoint.
+func TestPartsOfAnswersThatHadBegunAreNotBlamed(t *testing.T) {
+	f := newFixture()
+	f.Begun(poison.Identity{Content: 200, Parts: []poison.Content{1}})
+	for i, id := range []core.EndpointID{"a", "b", "c"} {
+		f.blamePart(poison.Content(101+i), id, true, 7)
+		f.blamePart(poison.Content(101+i), id, false, 1)
+	}
+	must.MapEmpty(t, f.control.Image().Parts)
+}
--- a/io/tries/grant_test.go
+++ b/io/tries/grant_test.go
@@ -61,17 +61,18 @@
 	tries := New(control, b, nil, nil, now, meter.New(), log)
 	ask := desk.Attempt{Request: "r", Organisation: "o", DeadlineAt: 10_000, Stages: []plan.Key{{Pool: core.PoolID{Kind: core.Encode, Model: "m"}}}}
 
+	work := poison.Identity{Content: 7}
 	control.recordCrash(t, 7, "a", false)
-	g, problem := tries.Acquire(context.Background(), ask, 7)
+	g, problem := tries.Acquire(context.Background(), ask, work)
 	must.Nil(t, problem)
 	must.True(t, g.Alone())
-	tries.FinishSucceeded(g, 7)
+	tries.FinishSucceeded(g, work)
 	must.NoError(t, tries.Finish(context.Background()))
-	must.Eq(t, poison.Clear, tries.Standing(7))
+	must.Eq(t, poison.Clear, tries.Standing(work))
 
 	control.recordCrash(t, 7, "a", false)
 	control.recordCrash(t, 7, "b", true)
-	_, problem = tries.Acquire(context.Background(), ask, 7)
+	_, problem = tries.Acquire(context.Background(), ask, work)
 	must.NotNil(t, problem)
 	must.Eq(t, core.ReasonQuarantined, problem.Reason)
 	must.Eq(t, core.NotRun, problem.Outcome)
--- a/io/tries/tries.go
+++ b/io/tries/tries.go
@@ -33,6 +33,7 @@
 	Permits *permit.Client
 	Meter   *meter.Meter
 	Log     *slog.Logger
+	clock   core.Clock
 	*guard.Guard
 	*record.Recorder
 }
@@ -41,7 +42,7 @@
 func New(control io.Control, b *broker.Broker, client *dial.Client, permits *permit.Client, clock core.Clock, m *meter.Meter, log *slog.Logger) *Attempts {
 	recorder := record.New(control, log)
 	g := guard.New(guard.Options{CrashThreshold: suspectAfter, QuarantineStatus: http.StatusUnprocessableEntity}, control, newProbe(client), recorder, clock, m, log)
-	return &Attempts{Control: control, Broker: b, Dial: client, Permits: permits, Meter: m, Log: log, Guard: g, Recorder: recorder}
+	return &Attempts{Control: control, Broker: b, Dial: client, Permits: permits, Meter: m, Log: log, clock: clock, Guard: g, Recorder: recorder}
 }
 
 // Sleep blocks for the given time or until ctx ends.
@@ -59,17 +60,17 @@
 
 // Acquire waits until a request is granted an endpoint. For a suspected request it also begins a trial at that
 // endpoint. A request in quarantine is refused, even if it was quarantined while it waited.
-func (r *Attempts) Acquire(ctx context.Context, a desk.Attempt, content poison.Content) (broker.Grant, *core.Problem) {
+func (r *Attempts) Acquire(ctx context.Context, a desk.Attempt, work poison.Identity) (broker.Grant, *core.Problem) {
 	for {
-		if problem := r.CheckQuarantine(content); problem != nil {
+		if problem := r.CheckQuarantine(work); problem != nil {
 			return broker.Grant{}, problem
 		}
-		a.Alone = r.Standing(content) == poison.Suspected
+		a.Alone = r.Standing(work) == poison.Suspected
 		g, problem := r.Broker.Acquire(ctx, a)
 		if problem != nil {
 			return g, problem
 		}
-		trial, problem := r.Admit(ctx, a.Request, content, g.Endpoint.ID, 0)
+		trial, problem := r.Admit(ctx, a.Request, work, g.Endpoint.ID, 0)
 		usable := r.Broker.Usable(g)
 		sendable := problem == nil && usable && (a.Alone || !trial)
 		if sendable && r.takePermit(ctx, a, g) {
@@ -78,7 +79,7 @@
 		if trial {
 			// The request became suspected while it waited, so its endpoint may be running other requests of this
 			// host, or the endpoint has since reported that it leaves or pauses, or its limit allows no request now.
-			r.EndTrial(content, g.Endpoint.ID, false)
+			r.EndTrial(work, g.Endpoint.ID, false)
 		}
 		r.Broker.Finish(g, pool.Inconclusive)
 		if problem != nil && (problem.Reason == core.ReasonQuarantined || ctx.Err() != nil) {
@@ -106,33 +107,42 @@
 }
 
 // FinishSucceeded returns the grant of a successful attempt and ends its trial, if any, as passed.
-func (r *Attempts) FinishSucceeded(g broker.Grant, content poison.Content) {
+func (r *Attempts) FinishSucceeded(g broker.Grant, work poison.Identity) {
 	r.Broker.Finish(g, pool.Succeeded)
+	r.Begun(work)
 	if g.Alone() {
-		r.EndTrial(content, g.Endpoint.ID, true)
+		r.EndTrial(work, g.Endpoint.ID, true)
 	}
 }
 
+// Sent is what an attempt's host has observed of it: when it was sent, and whether a part of its answer had arrived.
+type Sent struct {
+	At    core.Millis
+	Began bool
+}
+
 // FinishFailed returns the grant of a failed attempt and ends its trial, if any. If the connection broke, it reports a
 // possible crash against the request. It returns the request's standing after a broken connection, and Clear
 // otherwise.
-func (r *Attempts) FinishFailed(ctx context.Context, id core.RequestID, org core.OrganisationID, g broker.Grant, content poison.Content, e *dial.Error) poison.Standing {
+func (r *Attempts) FinishFailed(ctx context.Context, id core.RequestID, org core.OrganisationID, g broker.Grant, work poison.Identity, sent Sent, e *dial.Error) poison.Standing {
 	r.Broker.Finish(g, ResultOf(ctx, e))
 	if e.ConnectionLost && ctx.Err() == nil {
-		return r.ReportAndWait(ctx, g.Endpoint.Target(), poison.Suspect{Request: id, Organisation: org, Content: content, Alone: g.Alone()})
+		return r.ReportAndWait(ctx, g.Endpoint.Target(), poison.Suspect{
+			Request: id, Organisation: org, Content: work.Content, Parts: work.Parts, Alone: g.Alone(), Began: sent.Began, Age: r.clock.Now() - sent.At,
+		})
 	}
 	if g.Alone() {
-		r.EndTrial(content, g.Endpoint.ID, false)
+		r.EndTrial(work, g.Endpoint.ID, false)
 	}
 	return poison.Clear
 }
 
 // FinishInconclusive returns the grant of an attempt that shows nothing about the request, with the given verdict.
 // It ends the attempt's trial, if any, without clearing the request.
-func (r *Attempts) FinishInconclusive(g broker.Grant, content poison.Content, v pool.Result) {
+func (r *Attempts) FinishInconclusive(g broker.Grant, work poison.Identity, v pool.Result) {
 	r.Broker.Finish(g, v)
 	if g.Alone() {
-		r.EndTrial(content, g.Endpoint.ID, false)
+		r.EndTrial(work, g.Endpoint.ID, false)
 	}
 }
 
