--- a/bench/drill/load.go
+++ b/bench/drill/load.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 )
 
 const (
+	// sharedStarts makes the shared start of prompts longer than what hosts take for the prefix of a prompt.
+	sharedStarts = 30
 	requestLimit = 8 * time.Second
 	// resendLimit is how often a non-repeatable call is sent until its outcome is known.
 	resendLimit = 12
@@ -80,7 +83,10 @@
 	start(l.Wholes, func(_ context.Context, n int) { x.ask(n, false, "Urgent", requestLimit) })
 	start(l.Bulk, func(_ context.Context, n int) { x.ask(n, false, "Bulk", time.Second) })
 	start(l.Urgent, func(_ context.Context, n int) { x.ask(n, false, "Urgent", time.Second) })
-	start(l.Poison, func(_ context.Context, n int) { x.sendPoison(n) })
+	start(l.Poison, func(_ context.Context, n int) { x.sendPoison(n, stand.CrashMarker) })
+	start(l.PoisonPrefix, func(_ context.Context, n int) {
+		x.sendPoison(n, stand.CrashMarker+strings.Repeat("a shared start ", sharedStarts)+fmt.Sprintf("%x", rand.Uint64()))
+	})
 	start(l.Calls, func(_ context.Context, n int) { x.callOnce(n) })
 	start(l.Changes, func(ctx context.Context, n int) { x.changeSettings(ctx, n) })
 }
@@ -100,14 +106,14 @@
 	x.record.Answered(watch.Answer{Body: body, Host: hosts[0], Stream: stream, Reply: r, Err: err})
 }
 
-// sendPoison sends the one request that crashes every generator that runs it.
-func (x *Drill) sendPoison(n int) {
+// sendPoison sends a request whose prompt crashes every generator that runs it.
+func (x *Drill) sendPoison(n int, prompt string) {
 	p := x.plan()
 	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
 	defer cancel()
 	q := caller.Request{
 		Path: "/v1/pipelines/" + p.pipeline, Key: x.deployment.Keys[p.team], DeadlineMs: 3000,
-		Body: []byte(`{"Prompt":"` + stand.CrashMarker + `"}`),
+		Body: []byte(`{"Prompt":"` + prompt + `"}`),
 	}
 	_, _ = x.callers.Do(ctx, x.callerHosts(n), q)
 }
--- a/bench/drill/script.go
+++ b/bench/drill/script.go
@@ -36,4 +36,6 @@
 	Urgent int
 	// Poison is the number of callers that send one crashing request again and again, at changing hosts.
 	Poison int
+	// PoisonPrefix is the number of callers that send crashing requests which are all different and share the start of their prompts.
+	PoisonPrefix int
 }
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -143,12 +143,13 @@
 	}
 }
 
-// identity returns what requests that crash endpoints are recognised by: a stage's work and, for a generation, the start of the
-// prompt.
+// identity returns what requests that crash endpoints are recognised by: a stage's work, and the start of the prompt, which every
+// stage is given.
 func (g *progress) identity(i int) poison.Identity {
 	work := poison.Identity{Content: poison.NewContent(g.request.TeamSettings.Organisation, g.request.Body, g.target, g.stages[i].Name)}
-	if prefix := g.stagePrefix(i); prefix != 0 {
-		work.Parts = []poison.Content{poison.NewPartContent(g.stages[i].Model, strconv.FormatUint(prefix, 16))}
+	if g.prefix != 0 {
+		pool := string(g.stages[i].Kind) + "/" + g.stages[i].Model
+		work.Parts = []poison.Content{poison.NewPartContent(pool, strconv.FormatUint(g.prefix, 16))}
 	}
 	return work
 }
