Take a response that names no request for an answer only where none can be an earlier one's

Report of another operator: a faulty endpoint wrote an earlier refusal once more on a kept connection, and clients were told that a request had not run which had, or it ran twice. Cause: the relay took a response without an id for any request's answer. Now it does so only on a connection on which no answer has named its request; otherwise the response is skipped and the answer awaited. Health checks and probes read no refusal as a promise.

--- a/bench/stand/server.go
+++ b/bench/stand/server.go
@@ -217,6 +217,7 @@
 		writeJSON(w, http.StatusBadRequest, dial.Refusal{Outcome: core.NotRun, Detail: err.Error()})
 		return
 	}
+	w.Header().Set("Attempt-Id", string(run.AttemptID))
 	from, sentAt := s.options.Senders.Origin(r.RemoteAddr)
 	s.recordSendTime(sentAt)
 	s.checkLeaving(from, sentAt)
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -353,8 +353,12 @@
 	case err != nil:
 		return nil, order.Broken, err
 	case verdict.OtherEndpoint:
+		resp.EndConnection()
 		return nil, order.OtherEndpoint, nil
 	case verdict.NotRun:
+		// Answers to stage calls name no request, so that a refusal that is sent once more could not be told from the answer to
+		// the next call on the connection.
+		resp.EndConnection()
 		return nil, order.Rejected, nil
 	case resp.Status/100 != 2:
 		return nil, order.Erred, fmt.Errorf("status %d", resp.Status)
--- a/io/dial/client.go
+++ b/io/dial/client.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// attemptHeader names the attempt that a response answers.
+const attemptHeader = "Attempt-Id"
+
 // Call runs work whose answer is not streamed. Only repeatable work uses a reused connection.
 func (c *Client) Call(ctx context.Context, target core.Target, run Run, repeatable bool) (Result, error) {
 	client := c.unpooled
@@ -142,9 +145,12 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("encode run: %w", err)
 	}
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	traceCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(i.Reused)
+		},
 	})
 	req, err := http.NewRequestWithContext(traceCtx, http.MethodPost, c.url(target.Address, "/v1/run"), bytes.NewReader(body))
 	if err != nil {
@@ -162,6 +168,10 @@
 	}
 	defer resp.Body.Close()
 	c.reportState(target, sentAt, resp)
+	// On a reused connection a refusal that names no attempt may be that of an earlier one, sent once more.
+	if named := resp.Header.Get(attemptHeader); named != string(run.AttemptID) && (named != "" || reused.Load()) {
+		return nil, true, &Error{Outcome: core.Unknown, Reason: core.ReasonBadAnswer, Err: ErrWrongAttempt}
+	}
 	return nil, true, refusalError(resp)
 }
 
--- a/io/dial/stream.go
+++ b/io/dial/stream.go
@@ -70,7 +70,7 @@
 
 // newStream returns a Stream after it has checked that the response belongs to the attempt.
 func (c *Client) newStream(resp *http.Response, target core.Target, attempt core.AttemptID, sentAt time.Time) (*Stream, error) {
-	if got := resp.Header.Get("Attempt-Id"); got != string(attempt) {
+	if got := resp.Header.Get(attemptHeader); got != string(attempt) {
 		return nil, errors.Join(
 			&Error{Outcome: core.Unknown, Reason: core.ReasonBadAnswer, Err: ErrWrongAttempt}, resp.Body.Close())
 	}
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -167,8 +167,10 @@
 	endpointRequest := pipe.Request{
 		Address: g.Address, Method: r.httpRequest.Method, Target: r.httpRequest.RequestURI, Host: r.httpRequest.Host, Header: header, Body: r.body,
 		IsAnswer: func(resp *http.Response) bool {
-			id := e.dialect.ParseResponse(resp.StatusCode, resp.Header).ID
-			return id == "" || id == r.incoming.ID
+			return e.dialect.ParseResponse(resp.StatusCode, resp.Header).ID == r.incoming.ID
+		},
+		NamesNone: func(resp *http.Response) bool {
+			return e.dialect.ParseResponse(resp.StatusCode, resp.Header).ID == ""
 		},
 	}
 	if !r.repeatable() {
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -65,8 +65,11 @@
 	// MaxIdle limits how long a reused connection may have been idle, for requests that must not be repeated; 0 means
 	// no limit.
 	MaxIdle core.Millis
-	// IsAnswer reports whether a response answers this request; nil accepts every response.
+	// IsAnswer reports whether a response names this request; nil accepts every response.
 	IsAnswer func(*http.Response) bool
+	// NamesNone reports whether a response names no request. Such a response counts as the answer only on a connection on which
+	// no answer has named its request: later it may be an earlier answer once more. If it is nil, IsAnswer decides.
+	NamesNone func(*http.Response) bool
 }
 
 // conn is a connection to an endpoint with its read buffer.
@@ -76,6 +79,8 @@
 	reader  *bufio.Reader
 	// limit restricts how many bytes the reader may read from the connection.
 	limit *limitedReader
+	// named means that an answer on the connection has named its request.
+	named bool
 	// idleSince is when the connection was returned to the pool, and idleLimit how long it may stay there.
 	idleSince core.Millis
 	idleLimit core.Millis
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -105,7 +105,7 @@
 			}
 			continue
 		}
-		if r.IsAnswer == nil || r.IsAnswer(resp) {
+		if x.isAnswer(r, resp) {
 			x.limit.remaining = noLimit
 			return resp, nil
 		}
@@ -119,6 +119,21 @@
 	return nil, ErrStrayAnswers
 }
 
+// isAnswer reports whether a response on the connection answers the request that was sent last.
+func (x *conn) isAnswer(r Request, resp *http.Response) bool {
+	if r.IsAnswer == nil {
+		return true
+	}
+	if r.NamesNone != nil && r.NamesNone(resp) {
+		return !x.named
+	}
+	if !r.IsAnswer(resp) {
+		return false
+	}
+	x.named = true
+	return true
+}
+
 // idleLimitFrom returns how long the connection may stay idle according to the endpoint's Keep-Alive header.
 func idleLimitFrom(h http.Header) core.Millis {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
@@ -164,6 +179,9 @@
 	return raw, int64(len(raw)) <= most, nil
 }
 
+// EndConnection makes Close end the connection instead of returning it to the pool.
+func (r *Response) EndConnection() { r.reusable = false }
+
 // Abort closes the connection immediately, so that a read in progress fails.
 func (r *Response) Abort() { r.client.discard(r.conn) }
 
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -95,7 +95,8 @@
 	defer cancel()
 	resp, err := c.Do(ctx, Request{
 		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		IsAnswer: func(r *http.Response) bool { return r.Header.Get("Id") == "" || r.Header.Get("Id") == id },
+		IsAnswer:  func(r *http.Response) bool { return r.Header.Get("Id") == id },
+		NamesNone: func(r *http.Response) bool { return r.Header.Get("Id") == "" },
 	})
 	if err != nil {
 		return "error"
