Refuse announcements that cannot be right, with the field that is wrong

Report of another operator: one odd entry among those of the endpoints ended the hosts that read it.

--- a/core/endpoint.go
+++ b/core/endpoint.go
@@ -1,6 +1,9 @@
 package core
 
-import "slices"
+import (
+	"net/netip"
+	"slices"
+)
 
 // StageKind is the kind of work that an endpoint does for a request.
 type StageKind string
@@ -100,8 +103,12 @@
 		return fieldError("ID", "", "a name")
 	case a.Incarnation == 0:
 		return fieldError("Incarnation", 0, "a number above 0")
-	case a.Address == "":
-		return fieldError("Address", "", "IP:PORT")
+	case a.Incarnation > MaxIncarnation:
+		return fieldError("Incarnation", a.Incarnation, "at most 2^53")
+	case a.Seq > MaxSeq:
+		return fieldError("Seq", a.Seq, "at most 2^32")
+	case !IsAddress(a.Address):
+		return fieldError("Address", a.Address, "IP:PORT with a port from 1 to 65535")
 	case !slices.Contains(StageKinds, a.Kind):
 		return fieldError("Kind", a.Kind, StageKinds)
 	case len(a.Models) == 0:
@@ -112,5 +119,17 @@
 	return nil
 }
 
-// MaxSlots is the largest number of concurrent requests that an endpoint may announce.
-const MaxSlots = 4096
+const (
+	// MaxSlots is the largest number of concurrent requests that an endpoint may announce.
+	MaxSlots = 4096
+	// MaxSeq is more announcements than an endpoint sends in years. A higher number would make all later ones look old.
+	MaxSeq = 1 << 32
+	// MaxIncarnation is above every start time in milliseconds. A higher number would make all later incarnations look old.
+	MaxIncarnation = 1 << 53
+)
+
+// IsAddress reports whether a text is an IP address and a port from 1 to 65535.
+func IsAddress(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() > 0
+}
