--- a/io/guard/blame.go
+++ b/io/guard/blame.go
@@ -21,8 +21,9 @@
 	// reportWait is the longest that a request waits for its crash report before it may be retried: time for the probe and
 	// a commit.
 	reportWait = 150 * time.Millisecond
-	// forwardTimeout limits the call that forwards a cut connection whose cause this host cannot determine.
-	forwardTimeout = 2 * time.Second
+	// forwardTimeout limits how long this host tries to forward a cut connection whose cause it cannot determine. It covers several
+	// elections; an endpoint that has ended announces itself again within seconds.
+	forwardTimeout = 10 * time.Second
 	// applyTimeout limits the wait until this host has applied its own report.
 	applyTimeout = time.Second
 )
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -176,3 +177,17 @@
 	}
 	must.MapEmpty(t, f.control.Image().Parts)
 }
+
+// TestCutConnectionIsForwardedToTheNextLeader guards against crashes that are not counted because no keeper leads when they happen.
+func TestCutConnectionIsForwardedToTheNextLeader(t *testing.T) {
+	f := newFixture()
+	f.alive["a"] = true
+	left := make(chan time.Duration, 1)
+	f.options.ForwardCut = func(ctx context.Context, _ core.Target, _ []poison.Suspect) error {
+		deadline, _ := ctx.Deadline()
+		left <- time.Until(deadline)
+		return nil
+	}
+	f.blame(1, "a", false)
+	must.Greater(t, 9*time.Second, <-left)
+}
