--- a/core/quorum/losses_test.go
+++ b/core/quorum/losses_test.go
@@ -19,8 +19,8 @@
 	return left
 }
 
-// lose loses a keeper: for good, with a successor on another host, or with its disk, or only its process. Half of the losses
-// hit the leader. Now and then the processes of all keepers end at the same moment.
+// lose loses a keeper: for good, with a successor on another host, or for so long that the successor has replaced it when it comes
+// back with its old log, or with its disk, or only its process. Half of the losses hit the leader. Now and then the processes of all keepers end at the same moment.
 func (w *world) lose() {
 	if w.rng.IntN(8) == 0 {
 		for _, h := range w.hosts {
@@ -35,11 +35,12 @@
 	}
 	w.crash(h)
 	start := w.now + core.Millis(100+w.rng.IntN(2000))
-	switch w.rng.IntN(3) {
-	case 0:
-		h.gone = true
+	switch w.rng.IntN(4) {
+	case 0, 1:
+		h.gone = w.rng.IntN(2) == 0
+		h.downUntil = start + 2*catchUp + core.Millis(w.rng.IntN(8000))
 		w.hosts = append(w.hosts, &keeperHost{host: hostName(len(w.hosts)), incarnation: 1, downUntil: start})
-	case 1:
+	case 2:
 		w.wipe(h)
 		h.downUntil = start
 	default:
