--- a/cmds/opers/views.go
+++ b/cmds/opers/views.go
@@ -169,8 +169,8 @@
 
 func quarantineCommand() *cli.Command {
 	return &cli.Command{
-		Name: "quarantine", Usage: "list the requests that crash endpoints, or release one with --Release",
-		Flags: operatorFlags(&cli.StringFlag{Name: "Release", Usage: "release the request with this `CONTENT`"}),
+		Name: "quarantine", Usage: "list the requests and parts of prompts that crash endpoints, or release one with --Release",
+		Flags: operatorFlags(&cli.StringFlag{Name: "Release", Usage: "release the request or part with this `CONTENT`"}),
 		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
 			if content := c.String("Release"); content != "" {
 				return o.ReleaseFromQuarantine(ctx, content)
@@ -185,9 +185,13 @@
 				if s.Convicted {
 					standing = "quarantined"
 				}
-				rows = append(rows, []string{s.Content, string(s.Organisation), standing, strconv.Itoa(s.Crashes), string(s.Trial)})
+				kind := "request"
+				if s.Part {
+					kind = "part of prompts"
+				}
+				rows = append(rows, []string{s.Content, kind, string(s.Organisation), standing, strconv.Itoa(s.Crashes), string(s.Trial)})
 			}
-			return term.Show(c, list, []string{"CONTENT", "ORGANISATION", "STANDING", "CRASHES", "TRIAL"}, rows)
+			return term.Show(c, list, []string{"CONTENT", "KIND", "ORGANISATION", "STANDING", "CRASHES", "TRIAL"}, rows)
 		}),
 	}
 }
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -351,6 +351,9 @@
 }
 
 func (m *Machine) pardon(c poison.Content) Reply {
+	if m.parts.Clear([]poison.Content{c}) {
+		return m.publishParts(Reply{Result: Accepted})
+	}
 	if !m.quarantine.Release(c) {
 		return Reply{Result: Refused, Detail: "the request is not in quarantine"}
 	}
--- a/io/admin/views.go
+++ b/io/admin/views.go
@@ -38,6 +38,8 @@
 	Convicted    bool
 	Crashes      int
 	Trial        core.EndpointID `json:",omitempty"`
+	// Part means that Content identifies a part of prompts, which may be held by the requests of any organisation.
+	Part bool `json:",omitempty"`
 }
 
 // Pool reports the load of a pool at the host that handles the request.
@@ -106,7 +108,15 @@
 
 func (a *Admin) listSuspects(string, *http.Request) (any, error) {
 	list := []Suspect{}
-	entries := a.control.Image().Poison
+	image := a.control.Image()
+	for _, part := range slices.Sorted(maps.Keys(image.Parts)) {
+		if e := image.Parts[part]; e.Standing != poison.Noted {
+			list = append(list, Suspect{
+				Content: fmt.Sprintf("%016x", uint64(part)), Part: true, Convicted: e.Standing == poison.Convicted, Crashes: e.Crashes, Trial: e.Trial,
+			})
+		}
+	}
+	entries := image.Poison
 	for _, content := range slices.Sorted(maps.Keys(entries)) {
 		e := entries[content]
 		list = append(list, Suspect{
