--- a/core/endpoint.go
+++ b/core/endpoint.go
@@ -106,7 +106,7 @@
 	case a.Incarnation > MaxIncarnation:
 		return fieldError("Incarnation", a.Incarnation, "at most 2^53")
 	case a.Seq > MaxSeq:
-		return fieldError("Seq", a.Seq, "at most 2^32")
+		return fieldError("Seq", a.Seq, "at most 2^62")
 	case !IsAddress(a.Address):
 		return fieldError("Address", a.Address, "IP:PORT with a port from 1 to 65535")
 	case !slices.Contains(StageKinds, a.Kind):
@@ -122,8 +122,9 @@
 const (
 	// MaxSlots is the largest number of concurrent requests that an endpoint may announce.
 	MaxSlots = 4096
-	// MaxSeq is more announcements than an endpoint sends in years. A higher number would make all later ones look old.
-	MaxSeq = 1 << 32
+	// MaxSeq leaves room for sequence numbers that are times in nanoseconds. Near the end of their range a number would leave
+	// none for later announcements.
+	MaxSeq = 1 << 62
 	// MaxIncarnation is above every start time in milliseconds. A higher number would make all later incarnations look old.
 	MaxIncarnation = 1 << 53
 )
