Log the scheduler's delay and backlog each second, and sample the lines of stage calls

An operator could not tell whether requests were refused for a scheduler that is behind, for room or for repeats: no line and no gauge told how long an event waits for its decision, and the lines of stage calls used up the log's budget at 300 hosts (1,200 to 1,600 lines dropped a second, none on a request left). A stage call's line is kept if one of its requests is kept. The test fails without that. No decision changes.

--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -129,14 +129,21 @@
 
 // completePiece stores the result of a piece, or handles its failure. A result that is not needed any more is freed.
 func (s *Scheduler) completePiece(c *call, i order.Item, result order.ItemResult) {
+	if result.Handle != "" {
+		s.totals.ResultsMade++
+	}
 	r, ok := s.requests[i.Key]
 	wanted := ok && r.stages[i.Stage].handles[i.Piece] == ""
 	switch {
 	case result.Handle == "":
+		if result.Reason == order.ItemNoRoom {
+			s.totals.NoRoom++
+		}
 		c.endpoint.FreeResults(i.Bytes)
 		s.failPiece(i, result.Reason)
 		return
 	case !wanted:
+		s.totals.ResultsUnused++
 		s.freeResults(order.Free{Handles: []string{result.Handle}}, c.endpoint, i.Bytes)
 		return
 	}
--- a/core/sched/handles.go
+++ b/core/sched/handles.go
@@ -39,6 +39,9 @@
 
 // freeAllResults frees all results that were made for a request.
 func (s *Scheduler) freeAllResults(r *request) {
+	if r.attempts == 0 {
+		s.totals.ResultsUnused += uint64(len(r.results))
+	}
 	for i := range r.stages {
 		s.freeStageResults(r, i)
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -61,6 +61,7 @@
 	limitsInUse bool
 	// limitedFrees holds the releases for endpoints that name a limit, one for each endpoint.
 	limitedFrees []limitedFree
+	totals       Totals
 	actions      []order.Action
 }
 
@@ -128,6 +129,16 @@
 func (s *Scheduler) TakeActions() []order.Action {
 	actions := s.actions
 	s.actions = nil
+	for _, a := range actions {
+		switch {
+		case a.Grant != nil:
+			s.totals.Granted++
+		case a.Refuse != nil:
+			s.totals.Refused++
+		case a.Free != nil:
+			s.totals.Releases++
+		}
+	}
 	return actions
 }
 
@@ -396,6 +407,7 @@
 
 // dispatch starts every call and grants every request that can start now.
 func (s *Scheduler) dispatch() {
+	s.totals.Dispatches++
 	for _, name := range s.serviceNames() {
 		svc := s.services[name]
 		if svc.Pieces != nil {
--- a/core/sched/status.go
+++ b/core/sched/status.go
@@ -44,3 +44,33 @@
 	}
 	return list
 }
+
+// Totals counts what a scheduler has done since its start.
+type Totals struct {
+	// Granted and Refused count decisions on requests.
+	Granted, Refused uint64
+	// ResultsMade counts the results of stages, and ResultsUnused those whose request had got no endpoint when they were freed.
+	ResultsMade, ResultsUnused uint64
+	// NoRoom counts the pieces that found no room at their endpoint, and Releases the orders to free results.
+	NoRoom, Releases uint64
+	// Dispatches counts the passes over the queues.
+	Dispatches uint64
+}
+
+// Totals returns the counts since the start of the scheduler.
+func (s *Scheduler) Totals() Totals { return s.totals }
+
+// Backlog returns the number of requests without an endpoint, and of pieces that are in no call.
+func (s *Scheduler) Backlog() (requests, pieces int) {
+	for _, r := range s.requests {
+		if r.endpoint == nil {
+			requests++
+		}
+	}
+	for _, svc := range s.services {
+		for _, g := range svc.groups {
+			pieces += len(g.pieces)
+		}
+	}
+	return requests, pieces
+}
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -100,6 +100,7 @@
 	heldEvents eventLog
 	// publisher publishes the roll to entry hosts.
 	publisher publisher
+	activity  activity
 }
 
 // New returns an assigner that is not running yet.
@@ -122,6 +123,7 @@
 // reset replaces the scheduler and everything known about endpoints by empty ones, and ends the waiting placement calls.
 func (a *Assigner) reset() {
 	a.sched = sched.New(a.options.Retries)
+	a.activity = activity{}
 	a.sched.SetLimits(a.permits)
 	a.roster = newRoster(MaxSilence(a.options.AnnounceEvery))
 	for _, waiter := range a.waiters {
@@ -210,6 +212,7 @@
 		return
 	}
 	now := a.clock.Now()
+	a.activity.recordTick(now)
 	for _, id := range a.roster.removeSilent(now) {
 		a.log.Warn("endpoint forgotten: silent for too long", "endpoint", id, "silence_ms", a.roster.maxSilence)
 		a.sched.RemoveEndpoint(now, id)
@@ -222,6 +225,7 @@
 	a.publishLimits()
 	a.sched.Tick(now)
 	a.executeActions()
+	a.logActivity(now)
 }
 
 // executeActions carries out the decisions that the scheduler has queued. The caller holds mu.
--- a/io/logs/sample.go
+++ b/io/logs/sample.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cyclamenford/core"
 )
 
-// requestAttr is the log attribute that holds the request ID.
-const requestAttr = "request"
+// requestAttr is the log attribute that holds the request ID, and requestsAttr the one that holds the IDs of several.
+const (
+	requestAttr  = "request"
+	requestsAttr = "requests"
+)
 
 // shareScale is the denominator of the share of requests whose lines are kept.
 const shareScale = 1024
@@ -26,15 +32,21 @@
 	return sampler{Handler: next, writer: w}
 }
 
-// Handle passes a record on, or drops and counts it if it belongs to a request that is not kept at present.
+// Handle passes a record on, or drops and counts it if it belongs to requests none of which is kept at present.
 func (s sampler) Handle(ctx context.Context, r slog.Record) error {
 	kept := true
 	r.Attrs(func(a slog.Attr) bool {
-		if a.Key != requestAttr {
-			return true
+		switch a.Key {
+		case requestAttr:
+			kept = isKept(a.Value.String(), s.writer.keptShare())
+			return false
+		case requestsAttr:
+			ids, ok := a.Value.Any().([]core.RequestID)
+			share := s.writer.keptShare()
+			kept = !ok || slices.ContainsFunc(ids, func(id core.RequestID) bool { return isKept(string(id), share) })
+			return false
 		}
-		kept = xxhash.Sum64String(a.Value.String())%shareScale < s.writer.keptShare()
-		return false
+		return true
 	})
 	if !kept {
 		s.writer.dropped.Add(1)
@@ -43,6 +55,9 @@
 	return s.Handler.Handle(ctx, r)
 }
 
+// isKept reports whether the lines of a request are kept at a share.
+func isKept(id string, share uint64) bool { return xxhash.Sum64String(id)%shareScale < share }
+
 // WithAttrs returns a handler that adds attributes to each record.
 func (s sampler) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return sampler{Handler: s.Handler.WithAttrs(attrs), writer: s.writer}
--- a/io/logs/writer_test.go
+++ b/io/logs/writer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"cyclamenford/core"
 	"cyclamenford/core/clock"
 )
 
@@ -79,3 +80,18 @@
 	must.Between(t, 20, kept, 300)
 	must.Eq(t, kept, strings.Count(b.String(), "decision"))
 }
+
+// TestLinesOnSeveralRequestsLeaveRoomForOthers checks that lines that name many requests are dropped with these requests, so that
+// they do not use up the budget of all other lines.
+func TestLinesOnSeveralRequestsLeaveRoomForOthers(t *testing.T) {
+	var out bytes.Buffer
+	w := New(&out, 40_000, clock.New(1))
+	must.NoError(t, w.Start(context.Background()))
+	log := slog.New(NewHandler(w, slog.NewJSONHandler(w, nil)))
+	for i := range 4000 {
+		log.Info("call ended", requestsAttr, []core.RequestID{core.RequestID(fmt.Sprint("request-", i))})
+	}
+	log.Warn("disk is full")
+	must.NoError(t, w.Stop(context.Background()))
+	must.StrContains(t, out.String(), "disk is full")
+}
