--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -142,6 +142,61 @@
 	must.Eq(t, []string{"result-of-new"}, reply.Grant.Inputs)
 }
 
+// TestABriefLapseOfTheLeaseKeepsRequestsAndResults guards against a scheduler that discards all work when its keeper's lease is renewed late.
+func TestABriefLapseOfTheLeaseKeepsRequestsAndResults(t *testing.T) {
+	answer := make(chan struct{})
+	var sent atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sent.Add(1)
+		<-answer
+		_, _ = w.Write([]byte("result"))
+	}))
+	defer server.Close()
+	answerOnce := sync.OnceFunc(func() { close(answer) })
+	defer answerOnce()
+	leader := &fakeLeader{}
+	leader.leads.Store(true)
+	a := newAssigner(leader, nil, meter.New(), &fakeControl{})
+	must.NoError(t, a.Start(t.Context()))
+	defer func() { must.NoError(t, a.Stop(t.Context())) }()
+	locked := func(f func()) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		f()
+	}
+	locked(func() {
+		must.True(t, a.checkLeadership())
+		a.sched.SetEndpoint(a.clock.Now(), order.Endpoint{ID: "e1", Incarnation: 1, Address: "127.0.0.1:1", Service: "engine", Slots: 4}, false)
+		a.sched.SetEndpoint(a.clock.Now(), order.Endpoint{ID: "f1", Incarnation: 1, Address: strings.TrimPrefix(server.URL, "http://"), Service: "first", Slots: 1}, false)
+	})
+	place := func(seq uint64) <-chan PlaceReply {
+		done := make(chan PlaceReply, 1)
+		go func() {
+			var reply PlaceReply
+			_ = (&calls{assigner: a}).Place(PlaceArgs{Ask: order.PlacementRequest{
+				Key: order.Key{Host: "h", Life: 1, Seq: seq}, ID: core.RequestID(rune('a' + seq)), Service: "engine", Aim: 20 * core.Second, Left: 20 * core.Second,
+				MaxAttempts: 1, Stages: []order.StageRequest{{Service: "first", Pieces: 1, Bytes: 1}},
+			}}, &reply)
+			done <- reply
+		}()
+		return done
+	}
+	before := place(1)
+	awaitWaiter(t, a)
+	leader.leads.Store(false)
+	locked(func() { must.False(t, a.checkLeadership()) })
+	during := place(2)
+	answerOnce()
+	// The result arrives while the lease has lapsed.
+	time.Sleep(100 * time.Millisecond)
+	leader.leads.Store(true)
+	for _, reply := range []PlaceReply{<-before, <-during} {
+		must.NotNil(t, reply.Grant)
+		must.Eq(t, []string{"result"}, reply.Grant.Inputs)
+	}
+	must.Eq(t, 2, sent.Load())
+}
+
 // awaitWaiter waits until a placement call is waiting for the current scheduler.
 func awaitWaiter(t *testing.T, a *Assigner) {
 	for range 1000 {
