Keep the scheduler while the leader's lease is renewed late

Cause: the leader's lease lasts 225 ms; when its renewal came 3 to 16 ms late, the assigner discarded its scheduler and started a new one without the results and calls of the old one. Results that nobody knew of filled the stages' room until they expired, and all waiting requests were placed anew at once, which made the next peak. A lease that is renewed in the same term proves that no other keeper has led meanwhile, so the scheduler decides nothing for up to 300 ms and then goes on; calls that arrive wait for that.

--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -27,6 +27,9 @@
 
 const (
 	tickInterval = 20 * time.Millisecond
+	// maxSuspension is how long the scheduler of a leader whose lease has lapsed waits for the renewal: about as long as an
+	// election takes. Hosts look for another leader by then.
+	maxSuspension = 300 * core.Millis(1)
 	// announceTimeout bounds the handling of an announcement. It is below the second for which the endpoint waits for
 	// the answer.
 	announceTimeout = 800 * time.Millisecond
@@ -76,9 +79,12 @@
 
 	mu sync.Mutex
 	// term is the term in which this keeper leads, 0 if it does not lead.
-	term   uint64
-	sched  *sched.Scheduler
-	roster *roster
+	term uint64
+	// suspendedAt is when the lease of this keeper was found lapsed, 0 while it holds. resumed is closed when that ends.
+	suspendedAt core.Millis
+	resumed     chan struct{}
+	sched       *sched.Scheduler
+	roster      *roster
 	// waiters holds a channel for each placement call that waits for a grant or a refusal. A closed channel means
 	// that none will come.
 	waiters map[order.Key]chan order.Action
@@ -142,18 +148,11 @@
 func (a *Assigner) checkLeadership() bool {
 	term, ok := a.leader.Leading()
 	if !ok {
-		if a.term != 0 {
-			a.log.Info("assigner stopped: this keeper no longer leads", "term", a.term)
-			a.term = 0
-			// A leadership lease that lapsed briefly may be regained in the same term. The assigner then continues
-			// from the endpoints that it knew itself.
-			now := a.clock.Now()
-			a.standby.endpoints, a.standby.copiedAt = a.roster.list(now), now
-			a.reset()
-		}
+		a.suspendOrStop(term)
 		return false
 	}
 	if term != a.term {
+		a.endSuspension()
 		a.term = term
 		a.reset()
 		a.log.Info("assigner started: this keeper leads", "term", term)
@@ -162,11 +161,61 @@
 		a.takeOver(a.clock.Now())
 		return true
 	}
+	if a.suspendedAt > 0 {
+		a.log.Warn("assigner resumed: the lease was renewed late", "term", term, "lapsed_ms", a.clock.Now()-a.suspendedAt)
+		a.endSuspension()
+	}
 	a.applyConfig()
 	a.updateHosts()
 	return true
 }
 
+// suspendOrStop handles that this keeper does not lead now. A lease that is renewed in the same term proves that nobody else has led
+// meanwhile, so the scheduler stays for a short time and goes on from there. It takes no decision before the renewal.
+func (a *Assigner) suspendOrStop(term uint64) {
+	now := a.clock.Now()
+	switch {
+	case a.term == 0:
+		return
+	case term == a.term && a.suspendedAt == 0:
+		a.suspendedAt, a.resumed = now, make(chan struct{})
+		a.meter.Count("assign_lapses_total", 1)
+		return
+	case term == a.term && now-a.suspendedAt < maxSuspension:
+		return
+	}
+	a.log.Info("assigner stopped: this keeper no longer leads", "term", a.term)
+	a.term = 0
+	// The lease may still be renewed in the same term. The assigner then continues from the endpoints that it knew itself.
+	a.standby.endpoints, a.standby.copiedAt = a.roster.list(now), now
+	a.endSuspension()
+	a.reset()
+}
+
+// endSuspension wakes the calls that wait for the renewal of the lease.
+func (a *Assigner) endSuspension() {
+	if a.suspendedAt > 0 {
+		close(a.resumed)
+		a.suspendedAt = 0
+	}
+}
+
+// awaitLeadership locks mu and reports whether this keeper leads. It waits first while the lease has just lapsed.
+func (a *Assigner) awaitLeadership() bool {
+	for {
+		a.mu.Lock()
+		if a.checkLeadership() {
+			return true
+		}
+		if a.suspendedAt == 0 {
+			return false
+		}
+		resumed := a.resumed
+		a.mu.Unlock()
+		<-resumed
+	}
+}
+
 // updateHosts reports to the scheduler the hosts' current incarnations and the hosts whose serving lease has expired.
 func (a *Assigner) updateHosts() {
 	image := a.leader.Image()
@@ -207,8 +256,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.checkLeadership() {
-		a.copyEndpoints(ctx)
-		a.copyHeldResults(ctx)
+		if a.suspendedAt == 0 {
+			a.copyEndpoints(ctx)
+			a.copyHeldResults(ctx)
+		}
 		return
 	}
 	now := a.clock.Now()
@@ -228,8 +279,11 @@
 	a.logActivity(now)
 }
 
-// executeActions carries out the decisions that the scheduler has queued. The caller holds mu.
+// executeActions carries out the decisions that the scheduler has queued, unless the lease has lapsed. The caller holds mu.
 func (a *Assigner) executeActions() {
+	if a.suspendedAt > 0 {
+		return
+	}
 	for _, action := range a.sched.TakeActions() {
 		a.heldEvents.addAction(action)
 		switch {
@@ -256,7 +310,8 @@
 				a.freeResults(free)
 				a.mu.Lock()
 				defer a.mu.Unlock()
-				if a.checkLeadership() && a.sched == s {
+				a.checkLeadership()
+				if a.sched == s {
 					s.ResultsFreed(a.clock.Now(), free.Number)
 					a.executeActions()
 				}
@@ -274,9 +329,8 @@
 }
 
 // callStage runs one stage call and reports its results to the scheduler s that ordered it. If s has been replaced
-// meanwhile, the results are freed instead: each scheduler numbers its calls from the start, even when this keeper
-// loses its lease briefly and leads again in the same term, so a result could be attributed to another call with the
-// same number.
+// meanwhile, the results are freed instead: each scheduler numbers its calls from the start, so a result could be attributed
+// to another call with the same number.
 func (a *Assigner) callStage(s *sched.Scheduler, c order.Call) {
 	var results []order.ItemResult
 	var err error
@@ -303,7 +357,8 @@
 	a.meter.Count("stage_calls_total", 1, "service", c.Service, "how", string(outcome))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.checkLeadership() || a.sched != s {
+	a.checkLeadership()
+	if a.sched != s {
 		a.freeUnclaimed(c, results)
 		return
 	}
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -29,11 +29,11 @@
 
 // Again reports the end of a request's attempt and waits until the request is granted another endpoint or refused.
 func (c *calls) Again(args AgainArgs, reply *PlaceReply) error {
-	c.assigner.mu.Lock()
-	if args.Notice != nil && c.assigner.checkLeadership() {
+	leading := c.assigner.awaitLeadership()
+	if args.Notice != nil && leading {
 		c.assigner.applyNotice(c.assigner.clock.Now(), *args.Notice)
 	}
-	reply.Unknown = c.assigner.checkLeadership() && !c.assigner.sched.HasRequest(args.Key)
+	reply.Unknown = leading && !c.assigner.sched.HasRequest(args.Key)
 	c.assigner.mu.Unlock()
 	if reply.Unknown {
 		reply.Leading = true
@@ -48,7 +48,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	*reply = a.leader.Located()
-	if !a.checkLeadership() {
+	// Events are facts, which the scheduler must not miss while the lease has lapsed.
+	if !a.checkLeadership() && a.suspendedAt == 0 {
 		return nil
 	}
 	now := a.clock.Now()
@@ -77,9 +78,9 @@
 // awaitPlacement submits an event to the scheduler and waits for the grant or refusal of the request with the given
 // key. If the request ends or the scheduler is discarded first, the reply says that this keeper does not lead.
 func (a *Assigner) awaitPlacement(key order.Key, reply *PlaceReply, submit func(now core.Millis)) error {
-	a.mu.Lock()
+	leading := a.awaitLeadership()
 	reply.Located = a.leader.Located()
-	if !a.checkLeadership() {
+	if !leading {
 		a.mu.Unlock()
 		reply.Leading = false
 		return nil
@@ -103,23 +104,22 @@
 // the replicated state before the announcement is acknowledged.
 func (c *calls) Announce(args Announcement, reply *AnnounceReply) error {
 	a := c.assigner
-	a.mu.Lock()
+	leading := a.awaitLeadership()
 	reply.Located = a.leader.Located()
-	if !a.checkLeadership() {
-		a.mu.Unlock()
+	a.mu.Unlock()
+	if !leading {
 		reply.Leading = false
 		return nil
 	}
-	a.mu.Unlock()
 	if args.Gone || args.Leaving {
 		if err := a.commitRetirement(args); err != nil {
 			reply.Detail = err.Error()
 			return nil
 		}
 	}
-	a.mu.Lock()
+	leading = a.awaitLeadership()
 	defer a.mu.Unlock()
-	if !a.checkLeadership() {
+	if !leading {
 		reply.Located = keeper.Located{}
 		return nil
 	}
--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -69,7 +69,7 @@
 }
 
 // TestACallOfAFormerLeadershipIsNotTakenForANewOne guards against results that are attributed to the wrong call. The
-// keeper loses its lease briefly while a call runs and leads again in the same term. The next call gets the same
+// keeper loses its lease for longer than maxSuspension while a call runs and leads again in the same term. The next call gets the same
 // number and must not receive the results of the earlier one.
 func TestACallOfAFormerLeadershipIsNotTakenForANewOne(t *testing.T) {
 	answer := map[string]chan struct{}{`"old"`: make(chan struct{}), `"new"`: make(chan struct{})}
@@ -123,6 +123,8 @@
 	awaitWaiter(t, a)
 	leader.leads.Store(false)
 	locked(func() { must.False(t, a.checkLeadership()) })
+	time.Sleep(maxSuspension.Duration())
+	locked(func() { must.False(t, a.checkLeadership()) })
 	must.Nil(t, (<-old).Grant)
 	leader.leads.Store(true)
 	locked(func() { must.True(t, a.checkLeadership()); join() })
--- a/io/assign/notice.go
+++ b/io/assign/notice.go
@@ -48,7 +48,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.checkLeadership() {
+	if !a.checkLeadership() && a.suspendedAt == 0 {
 		return
 	}
 	now := a.clock.Now()
