--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -79,6 +79,10 @@
 		At  float64
 		Gap core.Millis
 	}
+	// Core is the processor time in microseconds that the scheduler's process takes for each event that reaches it, for each pass
+	// over the queues, for each entry of a queue in a pass, and for each action. Events wait while the processor is busy. Without it
+	// everything is decided at once.
+	Core struct{ Event, Dispatch, Entry, Action float64 }
 	// Crash is one request of a class that is sent again and again and one of whose pieces crashes the endpoints of a
 	// service. A crashed endpoint recovers after BackMs. At most Most endpoints may crash.
 	Crash struct {
@@ -188,7 +192,14 @@
 	held          map[order.Key][]order.HeldResults
 	running       map[uint64]order.RunningCall
 	busyUntil     map[core.EndpointID]core.Millis
-	cachedParts   map[core.EndpointID]map[string]bool
+	// inbox holds the events that wait for the scheduler's processor, tickWaits means that a tick is among them, and coreBusy is
+	// set while it works. coreTime is the
+	// processor time in microseconds that is not accounted for yet, and coreUsed its total.
+	inbox              []func()
+	coreBusy           bool
+	tickWaits          bool
+	coreTime, coreUsed float64
+	cachedParts        map[core.EndpointID]map[string]bool
 }
 
 // clientRequest is a simulated request. A client may send it a second time after a refusal.
@@ -287,13 +298,17 @@
 		}
 	}
 	for _, x := range l.Takeovers {
-		sim.scheduleAt(core.Millis(x.At*1000), func() { sim.schedulerDown = true })
+		sim.scheduleAt(core.Millis(x.At*1000), func() { sim.schedulerDown, sim.inbox = true, nil })
 		sim.scheduleAt(core.Millis(x.At*1000)+x.Gap, sim.takeOver)
 	}
 	var tick func()
 	tick = func() {
-		if !sim.schedulerDown {
-			sim.scheduler.Tick(sim.now)
+		if !sim.schedulerDown && !sim.tickWaits {
+			sim.tickWaits = sim.load.Core.Event > 0
+			sim.notify(func() {
+				sim.tickWaits = false
+				sim.scheduler.Tick(sim.now)
+			})
 		}
 		if sim.now < core.Millis(l.Seconds*1000)+30000 {
 			sim.scheduleAt(sim.now+20, tick)
@@ -309,6 +324,49 @@
 	return sim
 }
 
+// notify passes an event to the scheduler, at once or when its processor is free.
+func (sim *simulation) notify(event func()) {
+	if sim.load.Core.Event == 0 {
+		event()
+		return
+	}
+	if sim.schedulerDown {
+		return
+	}
+	sim.inbox = append(sim.inbox, event)
+	if !sim.coreBusy {
+		sim.coreBusy = true
+		sim.scheduleAt(sim.now, sim.runCore)
+	}
+}
+
+// runCore passes the waiting events to the scheduler, and carries out its actions after the processor time that this takes.
+func (sim *simulation) runCore() {
+	events, scheduler := sim.inbox, sim.scheduler
+	sim.inbox = nil
+	before := scheduler.Totals()
+	for _, event := range events {
+		event()
+	}
+	actions := scheduler.TakeActions()
+	after, cost := scheduler.Totals(), sim.load.Core
+	used := float64(len(events))*cost.Event + float64(after.Dispatches-before.Dispatches)*cost.Dispatch +
+		float64(after.Examined-before.Examined)*cost.Entry + float64(len(actions))*cost.Action
+	sim.coreTime += used
+	sim.coreUsed += used
+	passed := core.Millis(sim.coreTime / 1000)
+	sim.coreTime -= float64(passed) * 1000
+	sim.scheduleAt(sim.now+passed, func() {
+		if sim.scheduler == scheduler && !sim.schedulerDown {
+			sim.applyList(actions)
+		}
+		sim.coreBusy = len(sim.inbox) > 0
+		if sim.coreBusy {
+			sim.runCore()
+		}
+	})
+}
+
 // startScheduler creates a scheduler and adds the services and endpoints to it.
 func (sim *simulation) startScheduler() {
 	sim.scheduler = New(fleet.RetryLimits{Ratio: 0.2, Slack: 56, Window: 10 * core.Second})
@@ -343,7 +401,7 @@
 // again.
 func (sim *simulation) takeOver() {
 	sim.startScheduler()
-	sim.schedulerDown = false
+	sim.schedulerDown, sim.tickWaits = false, false
 	var list []order.HeldResults
 	for _, key := range slices.SortedFunc(maps.Keys(sim.held), compareKeys) {
 		list = append(list, sim.held[key]...)
@@ -498,36 +556,42 @@
 	x.ask.Aim = x.firstSentAt + c.Aim - sim.now
 	x.ask.Left = x.firstSentAt + c.Left - sim.now
 	sim.requests[x.ask.Key], sim.waiting[x.ask.Key] = x, x
-	sim.scheduler.AddRequest(sim.now, x.ask)
+	ask := x.ask
+	sim.notify(func() { sim.scheduler.AddRequest(sim.now, ask) })
 }
 
 // applyActions carries out the actions of the scheduler until there are none left.
 func (sim *simulation) applyActions() {
-	for !sim.schedulerDown {
+	for !sim.schedulerDown && sim.load.Core.Event == 0 {
 		list := sim.scheduler.TakeActions()
 		if len(list) == 0 {
 			return
 		}
-		for _, a := range list {
-			switch {
-			case a.CallBegan != nil:
-				sim.running[a.CallBegan.Number] = *a.CallBegan
-			case a.CallEnded > 0:
-				delete(sim.running, a.CallEnded)
-			case a.ResultsMade != nil:
-				sim.held[a.ResultsMade.Key] = append(sim.held[a.ResultsMade.Key], *a.ResultsMade)
-			case a.Grant != nil:
-				delete(sim.waiting, a.Grant.Key)
-				sim.handleGrant(*a.Grant)
-			case a.Refuse != nil:
-				delete(sim.waiting, a.Refuse.Key)
-				sim.handleRefusal(*a.Refuse)
-			case a.Call != nil:
-				sim.handleCall(*a.Call)
-			case a.Free != nil:
-				sim.held[a.Free.Key] = slices.DeleteFunc(sim.held[a.Free.Key], func(h order.HeldResults) bool { return h.Stage == a.Free.Stage })
-				sim.handleFree(*a.Free)
-			}
+		sim.applyList(list)
+	}
+}
+
+// applyList carries out actions of the scheduler.
+func (sim *simulation) applyList(list []order.Action) {
+	for _, a := range list {
+		switch {
+		case a.CallBegan != nil:
+			sim.running[a.CallBegan.Number] = *a.CallBegan
+		case a.CallEnded > 0:
+			delete(sim.running, a.CallEnded)
+		case a.ResultsMade != nil:
+			sim.held[a.ResultsMade.Key] = append(sim.held[a.ResultsMade.Key], *a.ResultsMade)
+		case a.Grant != nil:
+			delete(sim.waiting, a.Grant.Key)
+			sim.handleGrant(*a.Grant)
+		case a.Refuse != nil:
+			delete(sim.waiting, a.Refuse.Key)
+			sim.handleRefusal(*a.Refuse)
+		case a.Call != nil:
+			sim.handleCall(*a.Call)
+		case a.Free != nil:
+			sim.held[a.Free.Key] = slices.DeleteFunc(sim.held[a.Free.Key], func(h order.HeldResults) bool { return h.Stage == a.Free.Stage })
+			sim.handleFree(*a.Free)
 		}
 	}
 }
@@ -628,7 +692,7 @@
 		sim.waiting[key] = x
 	case sim.scheduler.HasRequest(key):
 		sim.waiting[key] = x
-		sim.scheduler.AttemptEnded(sim.now, key, ending, true)
+		sim.notify(func() { sim.scheduler.AttemptEnded(sim.now, key, ending, true) })
 	default:
 		x.ask.Attempts, x.ask.Former = 1, key
 		sim.submitToScheduler(x)
@@ -641,7 +705,7 @@
 		return
 	}
 	x.finished = true
-	sim.scheduler.FirstByteReceived(sim.now, key)
+	sim.notify(func() { sim.scheduler.FirstByteReceived(sim.now, key) })
 	c := sim.load.Classes[x.class]
 	t := sim.tally[c.Name]
 	if x.poisoned {
@@ -656,7 +720,7 @@
 	}
 	sim.scheduleAt(sim.now+core.Millis(c.Output)*5, func() {
 		if !sim.hostGone(key) {
-			sim.scheduler.AttemptEnded(sim.now, key, order.Served, false)
+			sim.notify(func() { sim.scheduler.AttemptEnded(sim.now, key, order.Served, false) })
 		}
 	})
 }
@@ -703,7 +767,7 @@
 		for _, h := range f.Handles {
 			sim.removeResult(h)
 		}
-		sim.scheduleAt(sim.now+1, func() { sched.ResultsFreed(sim.now, f.Number) })
+		sim.scheduleAt(sim.now+1, func() { sim.notify(func() { sched.ResultsFreed(sim.now, f.Number) }) })
 	})
 }
 
@@ -749,7 +813,7 @@
 	sim.calls++
 	sim.pieces += len(c.Items)
 	if sim.isLost(c.Service, c.Endpoint) {
-		sim.scheduleAt(sim.now+400, func() { sched.CallDone(sim.now, c.Number, nil, order.Unreachable) })
+		sim.scheduleAt(sim.now+400, func() { sim.notify(func() { sched.CallDone(sim.now, c.Number, nil, order.Unreachable) }) })
 		return
 	}
 	sim.recordSent(c.Service, core.Life{Endpoint: c.Endpoint, Incarnation: c.Life})
@@ -757,7 +821,7 @@
 		sim.sentWhilePaused++
 		sim.scheduleAt(sim.now+2, func() {
 			sched.PauseEndpoint(sim.now, core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}, until)
-			sched.CallDone(sim.now, c.Number, nil, order.Rejected)
+			sim.notify(func() { sched.CallDone(sim.now, c.Number, nil, order.Rejected) })
 		})
 		return
 	}
@@ -808,7 +872,7 @@
 			sim.quarantine.EndTrial(c.Owners[0].Content, c.Endpoint, true)
 			sim.publishSuspects(sched)
 		}
-		sched.CallDone(sim.now, c.Number, results, order.Served)
+		sim.notify(func() { sched.CallDone(sim.now, c.Number, results, order.Served) })
 	})
 }
 
@@ -906,6 +970,7 @@
 					test.LessEq(t, int(limitFactor*x.Rate*limitWindow.Duration().Seconds())+limitSlack, sim.mostAtLimited(), test.Sprint("messages in one window to an endpoint that names a limit"))
 					t.Logf("at most %d messages in %d ms to an endpoint with a limit of %v a second", sim.mostAtLimited(), limitWindow, x.Rate)
 				}
+				t.Logf("processor time of the scheduler %.0f ms", sim.coreUsed/1000)
 				t.Logf("crashes %d, sent to paused endpoints %d; calls %d, %.1f pieces each, lost inputs %d, no room %d, %.2f of the fetched bytes from other domains",
 					sim.crashes, sim.sentWhilePaused, sim.calls, float64(sim.pieces)/float64(sim.calls), sim.goneInputs, sim.noRoom, float64(sim.foreign)/float64(max(1, sim.fetched)))
 			}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -410,6 +410,7 @@
 	s.totals.Dispatches++
 	for _, name := range s.serviceNames() {
 		svc := s.services[name]
+		s.totals.Examined += uint64(len(svc.groups) + len(svc.waiting))
 		if svc.Pieces != nil {
 			s.startCalls(svc)
 		}
--- a/core/sched/status.go
+++ b/core/sched/status.go
@@ -53,8 +53,8 @@
 	ResultsMade, ResultsUnused uint64
 	// NoRoom counts the pieces that found no room at their endpoint, and Releases the orders to free results.
 	NoRoom, Releases uint64
-	// Dispatches counts the passes over the queues.
-	Dispatches uint64
+	// Dispatches counts the passes over the queues, and Examined the entries of the queues in them.
+	Dispatches, Examined uint64
 }
 
 // Totals returns the counts since the start of the scheduler.
