--- a/core/order/order.go
+++ b/core/order/order.go
@@ -71,7 +71,9 @@
 	Address       string
 	FailureDomain core.FailureDomain
 	Service       string
-	Slots         int
+	// Version is the version of the endpoint's software, empty if it announces none.
+	Version string
+	Slots   int
 	// Cold is how much longer the endpoint is slow after its start.
 	Cold core.Millis
 }
@@ -189,7 +191,9 @@
 	ID       core.RequestID
 	Endpoint core.EndpointID
 	// Life is the incarnation of the endpoint.
-	Life    core.Incarnation
+	Life core.Incarnation
+	// Version is the version of the endpoint's software.
+	Version string
 	Address string
 	Inputs  []string
 	// Attempt is the number of endpoints that the request was granted so far, this one included.
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -316,7 +316,7 @@
 		a.heldEvents.addAction(action)
 		switch {
 		case action.Grant != nil:
-			a.log.Info("granted", "request", action.Grant.ID, "endpoint", action.Grant.Endpoint, "attempt", action.Grant.Attempt,
+			a.log.Info("granted", "request", action.Grant.ID, "endpoint", action.Grant.Endpoint, "version", action.Grant.Version, "attempt", action.Grant.Attempt,
 				"waited_ms", action.Grant.Waited, "expected_ms", action.Grant.Expected, "cached_tokens", action.Grant.Cached, "config", a.configVersion)
 			a.meter.Observe("assign_wait_ms", int64(action.Grant.Waited))
 			a.deliver(action.Grant.Key, action)
--- a/io/relay.go
+++ b/io/relay.go
@@ -43,6 +43,8 @@
 	PieceKey string
 	// LastEvent is the number of the last event that the client received before it resumes a stream, -1 for a new stream.
 	LastEvent int64
+	// Resumes is the ID of the attempt that brought the first event of the stream that the client resumes.
+	Resumes core.RequestID
 }
 
 // EndpointRequest holds the values that the relay adds to the headers of a request to an endpoint.
