Let streams go on only at the software version that began them

Callers saw (ORDER): answers joined from two versions of an engine's software. While a service has one version, that is the version of all its streams, and nothing is recorded. A second version is committed to the replicated log before any endpoint of it is used; from then on each stream that may be taken up is recorded there, in batches, before its grant leaves the leader, so that any host knows its version after any loss of power. A request that takes up a stream, or that has passed on an event, is granted endpoints of that version only, and the entry host checks that last before each send. If no endpoint has the version, or it is not known, the request is refused at once and has not run. Once a service has had one version for two minutes its streams need no record again. Stored and wire formats gain fields; the data folder of the former release is kept and read by a test.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -3,6 +3,7 @@
 import (
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
+	"cyclamenford/core/origin"
 	"cyclamenford/core/poison"
 )
 
@@ -62,6 +63,20 @@
 	Former Key
 	// Content identifies the request when it is sent again.
 	Content poison.Content
+	Continuation
+}
+
+// Continuation tells which stream a request begins or continues. A stream may hold events from one software version only.
+type Continuation struct {
+	// Stream is the stream that the request may begin, 0 if it cannot be continued later.
+	Stream origin.Stream
+	// TakesUp means that the client continues a stream that it received from an earlier attempt, and Resumes is that stream, 0 if
+	// the client has not named it.
+	TakesUp bool
+	Resumes origin.Stream
+	// Bound means that only endpoints of Version may get the request.
+	Bound   bool
+	Version string
 }
 
 // Endpoint describes an endpoint as of its last announcement.
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -49,6 +49,10 @@
 	// ReasonEndpointsLimited means that all endpoints of the service name a limit, and that it does not allow another
 	// request in time.
 	ReasonEndpointsLimited Reason = "EndpointsLimited"
+	// ReasonVersionGone means that no endpoint has the software version at which the stream began.
+	ReasonVersionGone Reason = "VersionGone"
+	// ReasonVersionUnknown means that it is not known at which software version the stream began.
+	ReasonVersionUnknown Reason = "VersionUnknown"
 	// ReasonInTrial means that the same request runs elsewhere as a trial, isolated from others, since endpoints that
 	// ran it have crashed.
 	ReasonInTrial       Reason = "InTrial"
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -23,10 +23,14 @@
 	slices.SortStableFunc(svc.waiting, func(a, b *request) int {
 		return cmp.Compare(s.schedulingKey(a, remaining), s.schedulingKey(b, remaining))
 	})
-	var unplaced, paused, limited []*request
+	var unplaced, paused, limited, gone []*request
 	for _, r := range svc.waiting {
 		e, cost := s.chooseEndpoint(svc, r)
 		if e == nil {
+			if s.versionGone(r) {
+				gone = append(gone, r)
+				continue
+			}
 			// Refuses the request if it cannot be served even when the first pause ends.
 			if pauseEnd := s.firstPauseEnd(svc, r); pauseEnd > 0 && pauseEnd+remaining > r.deadlineAt {
 				paused = append(paused, r)
@@ -42,6 +46,10 @@
 		s.grant(r, e, cost)
 	}
 	svc.waiting = unplaced
+	for _, r := range gone {
+		s.refuseVersion(r)
+		s.drop(r)
+	}
 	for _, r := range limited {
 		s.refuseLimited(svc, r)
 		s.drop(r)
@@ -88,7 +96,8 @@
 
 // canTake reports whether an endpoint can be granted to a request now.
 func (s *Scheduler) canTake(e *fleet.Endpoint, r *request) bool {
-	return e.Usable(s.now) && s.pausedUntil(e, r) == 0 && !slices.Contains(r.tried, e.ID) && e.Fits(r.Prompt) && s.permitFree(e)
+	return e.Usable(s.now) && s.pausedUntil(e, r) == 0 && !slices.Contains(r.tried, e.ID) && e.Fits(r.Prompt) && s.permitFree(e) &&
+		(!r.Bound || e.Version == r.Version)
 }
 
 // crossDomainCost returns the penalty in milliseconds for the results that the endpoint would fetch from another
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -196,6 +196,11 @@
 		s.freeAllResults(r)
 		return
 	}
+	if s.versionGone(r) {
+		s.refuseVersion(r)
+		s.freeAllResults(r)
+		return
+	}
 	r.pathTimes, r.chain = s.pathTimes(r), fleet.NewPrefixChain(a.Prompt.Parts)
 	r.due = r.dueAt()
 	r.cacheDomain = s.findCacheDomain(r)
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -39,6 +39,10 @@
 
 	ReplaceConfig  *ReplaceConfig  `cbor:",omitempty"`
 	RetireEndpoint *RetireEndpoint `cbor:",omitempty"`
+
+	AddVersion    *AddVersion    `cbor:",omitempty"`
+	SettleVersion *SettleVersion `cbor:",omitempty"`
+	BeginStreams  *BeginStreams  `cbor:",omitempty"`
 }
 
 // ReplaceConfig replaces the whole configuration, unless the present version is the same or higher.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -9,6 +9,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/ledger"
+	"cyclamenford/core/origin"
 	"cyclamenford/core/poison"
 )
 
@@ -37,6 +38,7 @@
 	callLedger *ledger.Ledger
 	quarantine *poison.Quarantine
 	parts      *poison.Parts
+	origins    *origin.Book
 	orders     map[uint64]Order
 }
 
@@ -44,7 +46,7 @@
 func New() *Machine {
 	return &Machine{
 		image: EmptyImage(), history: map[string][]Subtree{}, opReplies: map[string]Reply{},
-		callLedger: ledger.New(), quarantine: poison.New(), parts: poison.NewParts(), orders: map[uint64]Order{},
+		callLedger: ledger.New(), quarantine: poison.New(), parts: poison.NewParts(), origins: origin.New(), orders: map[uint64]Order{},
 	}
 }
 
@@ -149,6 +151,13 @@
 		return m.finishOrder(*c.FinishOrder)
 	case c.ReplaceConfig != nil:
 		return m.replaceConfig(*c.ReplaceConfig)
+	case c.AddVersion != nil:
+		m.origins.AddVersion(m.unix, c.AddVersion.Service, c.AddVersion.Version)
+		return Reply{Result: Accepted}
+	case c.SettleVersion != nil:
+		return m.settleVersion(*c.SettleVersion)
+	case c.BeginStreams != nil:
+		return m.beginStreams(*c.BeginStreams)
 	case c.RetireEndpoint != nil:
 		return m.retireEndpoint(*c.RetireEndpoint)
 	case c.PurgeExpired != nil:
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -7,6 +7,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/ledger"
+	"cyclamenford/core/origin"
 	"cyclamenford/core/poison"
 )
 
@@ -39,6 +40,8 @@
 	Suspects []poison.Entry
 	Parts    []poison.PartEntry
 	Orders   []Order
+	Versions []origin.Service `cbor:",omitempty"`
+	Streams  []origin.Record  `cbor:",omitempty"`
 }
 
 // Snapshot returns the whole state as CBOR. Equal states have equal encodings.
@@ -47,6 +50,7 @@
 		Format: formatVersion, Applied: m.applied, Unix: m.unix, Revision: m.image.Revision,
 		Image: m.image.Deltas(), Deltas: m.deltas, Calls: m.callLedger.Records(),
 		Suspects: m.quarantine.Entries(), Parts: m.parts.Entries(), Orders: m.Orders(),
+		Versions: m.origins.Services(), Streams: m.origins.Records(),
 	}
 	for _, path := range sortedKeys(m.history) {
 		s.History = append(s.History, pathHistory{Path: path, Versions: m.history[path]})
@@ -87,6 +91,7 @@
 	m.callLedger = ledger.Restore(s.Calls)
 	m.quarantine = poison.Restore(s.Suspects)
 	m.parts = poison.RestoreParts(s.Parts)
+	m.origins = origin.Restore(s.Versions, s.Streams)
 	for _, o := range s.Orders {
 		m.orders[o.Fence] = o
 	}
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -12,6 +12,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/fleet"
 	"cyclamenford/core/order"
+	"cyclamenford/core/origin"
 	"cyclamenford/core/poison"
 	"cyclamenford/core/sched"
 	"cyclamenford/core/state"
@@ -57,6 +58,10 @@
 	Commit(ctx context.Context, c state.Command) (state.Reply, error)
 	// InForce reports whether every host that holds a serving lease has applied a revision.
 	InForce(revision uint64) bool
+	// Versions returns the software versions of a service whose streams may still be continued.
+	Versions(service string) []string
+	// StreamVersion returns the software version at which a stream of a service began, or false if that is not known.
+	StreamVersion(service string, s origin.Stream) (string, bool)
 }
 
 // Options are the settings of an assigner.
@@ -89,9 +94,15 @@
 	resumed     chan struct{}
 	sched       *sched.Scheduler
 	roster      *roster
-	// waiters holds a channel for each placement call that waits for a grant or a refusal. A closed channel means
-	// that none will come.
-	waiters map[order.Key]chan order.Action
+	// waiters holds the placement calls that wait for a grant or a refusal.
+	waiters map[order.Key]waiter
+	// beginnings holds the grants that wait until it is recorded at which version their streams begin, and recording is set while
+	// such records are committed.
+	beginnings []beginning
+	recording  bool
+	versions   versionWatch
+	// versionMu is held while a version is added. It is taken before mu.
+	versionMu sync.Mutex
 	// configVersion is the version of the configuration that the scheduler uses.
 	configVersion uint64
 	// revision is the revision of the replicated state whose hosts the scheduler was last given.
@@ -139,10 +150,10 @@
 	a.activity = activity{}
 	a.sched.SetLimits(a.permits)
 	a.roster = newRoster(MaxSilence(a.options.AnnounceEvery))
-	for _, waiter := range a.waiters {
-		close(waiter)
+	for _, w := range a.waiters {
+		close(w.decision)
 	}
-	a.waiters = map[order.Key]chan order.Action{}
+	a.waiters, a.beginnings, a.versions = map[order.Key]waiter{}, nil, versionWatch{}
 	a.configVersion, a.revision = 0, 0
 	a.pendingCuts = poison.NewCuts(a.options.AnnounceEvery)
 	// Event numbers continue, so that a keeper that copies events within one term misses none.
@@ -281,6 +292,7 @@
 		a.dropExpiredCuts(now)
 	}
 	a.publishLimits()
+	a.settleVersions(now)
 	a.sched.Tick(now)
 	a.executeActions()
 	a.logActivity(now)
@@ -319,7 +331,9 @@
 			a.log.Info("granted", "request", action.Grant.ID, "endpoint", action.Grant.Endpoint, "version", action.Grant.Version, "attempt", action.Grant.Attempt,
 				"waited_ms", action.Grant.Waited, "expected_ms", action.Grant.Expected, "cached_tokens", action.Grant.Cached, "config", a.configVersion)
 			a.meter.Observe("assign_wait_ms", int64(action.Grant.Waited))
-			a.deliver(action.Grant.Key, action)
+			if !a.recordBeginning(action) {
+				a.deliver(action.Grant.Key, action)
+			}
 		case action.Refuse != nil:
 			a.log.Info("refused", "request", action.Refuse.ID, "reason", action.Refuse.Reason, "expected_ms", action.Refuse.Expected,
 				"left_ms", action.Refuse.Left, "retry_after_ms", action.Refuse.RetryAfter, "config", a.configVersion,
@@ -348,11 +362,26 @@
 	}
 }
 
+// waiter is a placement call that waits for a decision. Its channel is closed if none will come.
+type waiter struct {
+	decision chan order.Action
+	service  string
+	order.Continuation
+}
+
 // deliver passes a grant or refusal to the placement call that waits for it, if there is one.
 func (a *Assigner) deliver(key order.Key, action order.Action) {
-	if waiter, ok := a.waiters[key]; ok {
+	if w, ok := a.waiters[key]; ok {
+		delete(a.waiters, key)
+		w.decision <- action
+	}
+}
+
+// endWait ends a placement call without a decision.
+func (a *Assigner) endWait(key order.Key) {
+	if w, ok := a.waiters[key]; ok {
 		delete(a.waiters, key)
-		waiter <- action
+		close(w.decision)
 	}
 }
 
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -26,7 +26,17 @@
 
 // Place submits a request to the scheduler and waits until it is granted an endpoint or refused.
 func (c *calls) Place(args PlaceArgs, reply *PlaceReply) error {
-	return c.assigner.awaitPlacement(args.Ask.Key, reply, func(now core.Millis) { c.assigner.sched.AddRequest(now, args.Ask) })
+	ask := args.Ask
+	w := waiter{service: ask.Service, Continuation: ask.Continuation}
+	// A stream that goes on has its record.
+	w.Bound = w.Bound || w.TakesUp
+	return c.assigner.awaitPlacement(ask.Key, w, reply, func(now core.Millis) {
+		if refusal := c.assigner.resolveVersion(&ask); refusal != nil {
+			c.assigner.deliver(ask.Key, order.Action{Refuse: refusal})
+			return
+		}
+		c.assigner.sched.AddRequest(now, ask)
+	})
 }
 
 // Again reports the end of a request's attempt and waits until the request is granted another endpoint or refused.
@@ -41,7 +51,13 @@
 		reply.Leading = true
 		return nil
 	}
-	return c.assigner.awaitPlacement(args.Key, reply, func(now core.Millis) { c.assigner.sched.AttemptEnded(now, args.Key, args.How, true) })
+	w := waiter{service: args.Service, Continuation: args.Continuation}
+	return c.assigner.awaitPlacement(args.Key, w, reply, func(now core.Millis) {
+		if args.Bound {
+			c.assigner.sched.Bind(args.Key, args.Version)
+		}
+		c.assigner.sched.AttemptEnded(now, args.Key, args.How, true)
+	})
 }
 
 // Tell applies events that entry hosts report about their requests.
@@ -67,10 +83,7 @@
 			a.sched.FirstByteReceived(now, e.Key)
 			continue
 		}
-		if waiter, ok := a.waiters[e.Key]; ok {
-			close(waiter)
-			delete(a.waiters, e.Key)
-		}
+		a.endWait(e.Key)
 		a.sched.AttemptEnded(now, e.Key, e.How, false)
 	}
 	a.executeActions()
@@ -79,7 +92,7 @@
 
 // awaitPlacement submits an event to the scheduler and waits for the grant or refusal of the request with the given
 // key. If the request ends or the scheduler is discarded first, the reply says that this keeper does not lead.
-func (a *Assigner) awaitPlacement(key order.Key, reply *PlaceReply, submit func(now core.Millis)) error {
+func (a *Assigner) awaitPlacement(key order.Key, w waiter, reply *PlaceReply, submit func(now core.Millis)) error {
 	leading := a.awaitLeadership()
 	reply.Located = a.leader.Located()
 	if !leading {
@@ -87,12 +100,12 @@
 		reply.Leading = false
 		return nil
 	}
-	waiter := make(chan order.Action, 1)
-	a.waiters[key] = waiter
+	w.decision = make(chan order.Action, 1)
+	a.waiters[key] = w
 	submit(a.clock.Now())
 	a.executeActions()
 	a.mu.Unlock()
-	action, ok := <-waiter
+	action, ok := <-w.decision
 	if !ok {
 		reply.Located = keeper.Located{}
 		return nil
@@ -119,6 +132,12 @@
 			return nil
 		}
 	}
+	if !args.Gone {
+		if err := a.commitVersion(args.Endpoint); err != nil {
+			reply.Detail = err.Error()
+			return nil
+		}
+	}
 	leading = a.awaitLeadership()
 	defer a.mu.Unlock()
 	if !leading {
--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -17,6 +17,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
 	"cyclamenford/core/order"
+	"cyclamenford/core/origin"
 	"cyclamenford/core/state"
 	cio "cyclamenford/io"
 	"cyclamenford/io/keeper"
@@ -38,6 +39,10 @@
 
 func (l *fakeLeader) InForce(uint64) bool { return true }
 
+func (l *fakeLeader) Versions(string) []string { return []string{""} }
+
+func (l *fakeLeader) StreamVersion(string, origin.Stream) (string, bool) { return "", true }
+
 // fakeDialect sends a call's request ID as JSON and takes the whole answer as the handle of its only result.
 type fakeDialect struct{ cio.Dialect }
 
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -23,6 +23,9 @@
 	How order.AttemptOutcome
 	// Notice is set if the host made no attempt because of a notice of the granted endpoint, and carries that notice.
 	Notice *RequestEvent
+	// Service and Continuation are those of the request.
+	Service string
+	order.Continuation
 }
 
 // PlaceReply answers Place and Again with a grant or a refusal.
--- a/io/disk/format_test.go
+++ b/io/disk/format_test.go
@@ -13,6 +13,7 @@
 	"cyclamenford/bench/golden"
 	"cyclamenford/core"
 	"cyclamenford/core/ledger"
+	"cyclamenford/core/origin"
 	"cyclamenford/core/poison"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
@@ -47,6 +48,9 @@
 	History   []state.Subtree
 	Orders    []state.Order
 	Calls     []ledger.Entry
+	Versions  []string
+	// Streams are the versions of the streams that began in the two rounds.
+	Streams []string
 }
 
 // round returns commands of every kind for the log positions from first on; each round follows from the one before.
@@ -103,6 +107,10 @@
 		}},
 		{PartTrial: &state.PartTrial{Parts: []poison.Content{content + 3}, Endpoint: "e", End: true, Limit: 7}},
 		{ClearParts: &state.ClearParts{Parts: []poison.Content{content + 4}}},
+		{AddVersion: &state.AddVersion{Service: name, Version: "v1"}},
+		{AddVersion: &state.AddVersion{Service: name, Version: "v2"}},
+		{BeginStreams: &state.BeginStreams{Began: []state.StreamsBegan{{Version: "v2", Streams: []origin.Stream{origin.Stream(number)}}}}},
+		{SettleVersion: &state.SettleVersion{Service: name, Version: "v2", Former: []string{"v1", "v2"}}},
 		{PurgeExpired: &state.PurgeExpired{}},
 	}
 	for i := range list {
@@ -172,32 +180,42 @@
 		must.True(t, ok, must.Sprint(k))
 		h.Calls = append(h.Calls, call)
 	}
+	h.Versions = m.Versions("r1")
+	for n := range 2 {
+		version, ok := m.StreamVersion("r1", origin.Stream(n+1))
+		must.True(t, ok)
+		h.Streams = append(h.Streams, version)
+	}
 	checkWhole(t, h.Commands)
 	golden.Same(t, "data", h)
 }
 
-// TestDataFolderOfAFormerReleaseIsRead opens a folder of the release before the records of parts of prompts were kept.
-func TestDataFolderOfAFormerReleaseIsRead(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "data")
-	must.NoError(t, os.CopyFS(path, os.DirFS(filepath.Join(golden.Folder, "former"))))
-	folder, err := OpenFolder(path)
-	must.NoError(t, err)
-	_, c, err := Open(folder, "h", 8)
-	must.NoError(t, err)
-	m, err := state.Restore(c.Snapshot.Data)
-	must.NoError(t, err)
-	for _, e := range c.Entries {
-		if e.Kind != quorum.CommandEntry {
-			continue
-		}
-		command, err := state.DecodeCommand(e.Data)
+// TestDataFoldersOfFormerReleasesAreRead opens folders of the releases before the records of parts of prompts, and before those of software
+// versions.
+func TestDataFoldersOfFormerReleasesAreRead(t *testing.T) {
+	for name, parts := range map[string]int{"former": 0, "former-parts": 2} {
+		path := filepath.Join(t.TempDir(), "data")
+		must.NoError(t, os.CopyFS(path, os.DirFS(filepath.Join(golden.Folder, name))))
+		folder, err := OpenFolder(path)
+		must.NoError(t, err)
+		_, c, err := Open(folder, "h", 8)
 		must.NoError(t, err)
-		m.Apply(e.Index, command)
+		m, err := state.Restore(c.Snapshot.Data)
+		must.NoError(t, err)
+		for _, e := range c.Entries {
+			if e.Kind != quorum.CommandEntry {
+				continue
+			}
+			command, err := state.DecodeCommand(e.Data)
+			must.NoError(t, err)
+			m.Apply(e.Index, command)
+		}
+		must.Eq(t, 2, m.Image().Config.Version)
+		must.MapLen(t, 2, m.Image().Hosts)
+		must.MapNotEmpty(t, m.Image().Poison)
+		must.MapLen(t, parts, m.Image().Parts)
+		must.SliceEmpty(t, m.Versions("r1"))
 	}
-	must.Eq(t, 2, m.Image().Config.Version)
-	must.MapLen(t, 2, m.Image().Hosts)
-	must.MapNotEmpty(t, m.Image().Poison)
-	must.MapEmpty(t, m.Image().Parts)
 }
 
 // checkWhole holds that the commands are of all kinds, each with no field left at zero.
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -52,7 +52,7 @@
 func (r *request) replacementArgs(g *order.Grant) assign.AgainArgs {
 	life := core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}
 	return assign.AgainArgs{
-		Key: r.key, How: order.NotSent,
+		Key: r.key, How: order.NotSent, Service: r.service, Continuation: r.continuation(),
 		Notice: &assign.RequestEvent{Key: r.key, Life: life, Notice: r.entry.chooser.activeNotice(life)},
 	}
 }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -74,6 +74,9 @@
 	// errorAnswer is an error answer of an endpoint, which the client gets if no later attempt succeeds.
 	errorAnswer *answer
 	sending     sending
+	// bound means that the client has received events of the stream, which may go on only at the software version version.
+	bound   bool
+	version string
 }
 
 // serve handles a client's request.
@@ -120,10 +123,16 @@
 			return core.NewProblem(http.StatusUnauthorized, core.NotRun, core.ReasonUnauthenticated, "unknown key")
 		}
 	}
-	r.service = route.PickService(r.incoming.ID)
+	first := r.incoming.ID
+	if r.takesUp() && r.incoming.Resumes != "" {
+		// The stream goes on at the service that began it.
+		first = r.incoming.Resumes
+	}
+	r.service = route.PickService(first)
 	service, _ := table.Service(r.service)
 	r.generatesTokens = service.Engine != nil
-	r.plain = service.Plain() && !slices.ContainsFunc(r.incoming.Pieces, func(n int) bool { return n > 0 })
+	// Only the scheduler knows at which software version a stream may go on.
+	r.plain = service.Plain() && !r.resumable() && !slices.ContainsFunc(r.incoming.Pieces, func(n int) bool { return n > 0 })
 	left := r.incoming.Left
 	if left <= 0 {
 		left = max(defaultTimeout, route.Timeout)
@@ -160,6 +169,7 @@
 		Aim: r.arrived + r.route.Aim - now, Left: r.deadline - now,
 		Prompt: r.incoming.Prompt, PieceKey: r.incoming.PieceKey, MaxAttempts: max(1, r.route.MaxAttempts),
 		Attempts: r.attempts, Former: r.former, Organisation: r.organisation.Name, Content: r.content,
+		Continuation: r.continuation(),
 	}
 	for i, s := range r.route.Stages {
 		pieces := 0
@@ -225,7 +235,7 @@
 		if ending == order.NotSent {
 			return r.replacementArgs(former)
 		}
-		return assign.AgainArgs{Key: r.key, How: ending}
+		return assign.AgainArgs{Key: r.key, How: ending, Service: r.service, Continuation: r.continuation()}
 	})
 	if problem != nil && problem.Reason == core.ReasonNoQuorum && ctx.Err() == nil {
 		r.entry.log.Info("attempt placed anew", "request", r.incoming.ID, "why", problem.Detail)
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -51,6 +51,9 @@
 		if problem == nil {
 			problem = r.recheck()
 		}
+		if problem == nil {
+			problem = r.checkVersion(grant)
+		}
 		if problem == nil && r.isUnusable(grant) {
 			r.recordAttempt(grant, order.NotSent, 0)
 			grant, problem = r.placeAgain(ctx, grant, order.NotSent)
@@ -200,7 +203,7 @@
 	}
 	r.reportBegan()
 	if r.route.Class == conf.Stream && resp.Status == http.StatusOK && isEventStream(resp.Header) {
-		ending := r.stream(ctx, resp, out)
+		ending := r.stream(ctx, g, resp, out)
 		return ending, ending == order.Served
 	}
 	return r.forward(ctx, resp, out)
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -109,7 +109,7 @@
 
 // stream forwards events as they arrive, each one once it is complete, and returns how the stream ended. It skips events
 // that the client has already received from an earlier attempt.
-func (r *request) stream(ctx context.Context, resp *pipe.Response, out *answerWriter) order.AttemptOutcome {
+func (r *request) stream(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) order.AttemptOutcome {
 	if !out.started {
 		out.writeHeader(resp.Status, resp.Header)
 	}
@@ -148,6 +148,7 @@
 			r.markBegun()
 		}
 		if !numbered || id > out.lastEvent {
+			r.bind(g)
 			if _, err := out.w.Write(event); err != nil {
 				return order.Abandoned
 			}
--- a/io/keeper/serve.go
+++ b/io/keeper/serve.go
@@ -7,6 +7,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/lease"
+	"cyclamenford/core/origin"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
@@ -279,3 +280,17 @@
 
 // Located reports whether this keeper leads, and otherwise the leader's peer address if it is known.
 func (k *Keeper) Located() Located { return k.locateLeader() }
+
+// Versions returns the software versions of a service whose streams may still be continued.
+func (k *Keeper) Versions(service string) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Versions(service)
+}
+
+// StreamVersion returns the software version at which a stream of a service began, or false if that is not known.
+func (k *Keeper) StreamVersion(service string, s origin.Stream) (string, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.StreamVersion(service, s)
+}
