Answer requests that come late in a host's shutdown before its grace ends

Reported by other operators: requests that a stopping host takes late are passed on and cut at the end of its grace, also those that may not be repeated. It can happen here: a request 1.5 s after SIGTERM with 3 s to run was closed without an answer at the end of a grace of 4 s (the test failed with status 0, EOF). Its deadline, which the endpoint and the scheduler get too, now ends 0.7 s before the host does, so that it gets a final answer; without time left it is refused as not run.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -88,9 +88,11 @@
 	leaderWatcher *loop.Loop
 	table         atomic.Pointer[conf.Table]
 	stopping      atomic.Bool
-	seq           atomic.Uint64
-	cancel        context.CancelFunc
-	wg            sync.WaitGroup
+	// stopBy is when a stopping host ends the connections that are left.
+	stopBy atomic.Int64
+	seq    atomic.Uint64
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // New returns an entry that does not listen yet.
@@ -120,6 +122,7 @@
 // accepting requests, lets those in flight finish within the grace period, and ends the background work.
 func (e *Entry) Stop(ctx context.Context) error {
 	began := e.clock.Now()
+	e.stopBy.Store(int64(began + e.options.ShutdownGrace))
 	e.stopping.Store(true)
 	e.clientServer.CloseIdle()
 	select {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -32,6 +32,11 @@
 	// placeCallGrace is how long a call to the scheduler may outlast the request's deadline, so that its answer can still
 	// arrive.
 	placeCallGrace = 300 * core.Millis(1)
+	// shutdownAnswerTime is the part of the grace period that is kept for final answers. net/http looks for finished connections every
+	// half second.
+	shutdownAnswerTime = 700 * core.Millis(1)
+	// stoppingRetryAfter is the retry delay at a stopping host: the load balancer connects the client to another one.
+	stoppingRetryAfter = 100 * core.Millis(1)
 	// defaultTimeout is the timeout of a request without a deadline of its own, unless its route has a longer one.
 	defaultTimeout = 30 * core.Second
 )
@@ -138,7 +143,22 @@
 		left = max(defaultTimeout, route.Timeout)
 	}
 	r.deadline = r.arrived + min(left, route.Timeout)
-	return nil
+	return r.limitToShutdown()
+}
+
+// limitToShutdown moves the deadline of a request that arrives at a stopping host before the end of its grace period, so that the client
+// gets a final answer. A request that has no time left there is refused, and another host can take it.
+func (r *request) limitToShutdown() *core.Problem {
+	e := r.entry
+	if !e.stopping.Load() {
+		return nil
+	}
+	r.deadline = min(r.deadline, core.Millis(e.stopBy.Load())-shutdownAnswerTime)
+	if r.deadline > r.arrived {
+		return nil
+	}
+	return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonHostStopping,
+		"this host is stopping").WithRetryAfter(stoppingRetryAfter)
 }
 
 // readBody reads the body within the configured limit and refuses a request that is in quarantine.
