Hold that an answer whose head breaks off anywhere is none

Reported by other operators: 200 with an empty or short body, framed as whole, after an endpoint stopped in the middle of its answer's head. It does not happen here: the head of an answer was cut at each of its bytes, and each is an error of the client that requests, streams and stage calls of the relay use.

--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -111,6 +111,17 @@
 	return string(body)
 }
 
+// TestAHeadThatBreaksOffIsNoAnswer guards against passing on an empty or short answer as a whole one. The endpoint closes the connection at each
+// byte of its answer's head.
+func TestAHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n"
+	client := New(Options{Clock: wall.New()})
+	defer func() { must.NoError(t, client.Stop(context.Background())) }()
+	for n := range head {
+		must.Eq(t, "error", ask(client, endpoint(t, []string{head[:n] + "<close>"}), "a"), must.Sprintf("after %d bytes: %q", n, head[:n]))
+	}
+}
+
 // TestOnlyAFailedDialProvesThatNothingWasSent guards against repeating a request that the endpoint may have run: a refused
 // connection proves that nothing was sent, a connection reset after the request does not.
 func TestOnlyAFailedDialProvesThatNothingWasSent(t *testing.T) {
