--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -203,9 +203,11 @@
 		return
 	}
 	a.log.Info("assigner stopped: this keeper no longer leads", "term", a.term)
-	a.term = 0
-	// The lease may still be renewed in the same term. The assigner then continues from the endpoints that it knew itself.
+	// The lease may still be renewed in the same term. The assigner then continues from the endpoints and results that it knew itself.
 	a.standby.endpoints, a.standby.copiedAt = a.roster.list(now), now
+	a.standby.results = resultsCopy{}
+	a.standby.results.apply(now, HeldReply{Term: a.term, Next: a.heldEvents.nextNumber, Events: a.heldEvents.events, Now: now})
+	a.term = 0
 	a.endSuspension()
 	a.reset()
 }
--- a/io/assign/takeover_test.go
+++ b/io/assign/takeover_test.go
@@ -79,7 +79,6 @@
 	first, second := stage(&firstCalls, "first-of-", unblocked), stage(&secondCalls, "second-of-", blocked)
 	defer first.Close()
 	defer second.Close()
-	defer close(blocked)
 	endpoints := []order.Endpoint{
 		{ID: "e1", Incarnation: 1, Address: "127.0.0.1:1", Service: "engine", Slots: 4},
 		{ID: "f1", Incarnation: 1, Address: strings.TrimPrefix(first.URL, "http://"), Service: "first", Slots: 1},
@@ -100,6 +99,7 @@
 	old := &fakeLeader{}
 	old.leads.Store(true)
 	a := start(old, nil)
+	defer close(blocked)
 	for _, e := range endpoints {
 		must.NoError(t, (&calls{a}).Announce(Announcement{Endpoint: e, Seq: 1}, &AnnounceReply{}))
 	}
@@ -127,6 +127,17 @@
 		return len(freed) == 1
 	})
 	must.Eq(t, "first-of-goes", <-freed)
+
+	// The former leader itself goes on in the same way after a lapse of its lease that ended its scheduler.
+	old.leads.Store(false)
+	a.tick(context.Background())
+	time.Sleep(maxSuspension.Duration())
+	a.tick(context.Background())
+	old.leads.Store(true)
+	a.tick(context.Background())
+	place(a, "stays", key(5), key(1))
+	eventually(t, "another call of the second stage", func() bool { return secondCalls.Load() == 3 })
+	must.Eq(t, int64(2), firstCalls.Load())
 }
 
 // countHeldResults returns the number of results in the assigner's event log.
