Take over no endpoint whose software version is not committed

ORDER, found by reading: a leader that takes over from one of a former release, which committed no versions, would begin streams at versions that the replicated state does not have, and which therefore nobody could tell later. Such an endpoint is used from its next announcement on. The test fails without this.

--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cyclamenford/core"
@@ -104,6 +105,11 @@
 	}
 	restored := a.roster.restore(now, list, a.leader.Image().Retired)
 	for _, announcement := range restored {
+		if !slices.Contains(a.leader.Versions(announcement.Endpoint.Service), announcement.Endpoint.Version) {
+			// The former leader was of a release that committed no versions. The endpoint is used from its next announcement on.
+			delete(a.roster.entries, announcement.Endpoint.ID)
+			continue
+		}
 		a.sched.SetEndpoint(now, announcement.Endpoint, announcement.Leaving)
 		a.publisher.put(announcement)
 	}
--- a/io/assign/takeover_test.go
+++ b/io/assign/takeover_test.go
@@ -163,3 +163,30 @@
 	}
 	t.Fatalf("timed out waiting for: %s", what)
 }
+
+// TestAnEndpointWhoseVersionIsNotCommittedIsNotTakenOver guards against streams that begin at a software version which the replicated state
+// does not have.
+func TestAnEndpointWhoseVersionIsNotCommittedIsNotTakenOver(t *testing.T) {
+	old, next := &fakeLeader{}, &fakeFollower{}
+	old.leads.Store(true)
+	a := newAssigner(old, nil, meter.New(), &fakeControl{})
+	for _, e := range []order.Endpoint{
+		{ID: "known", Incarnation: 1, Address: "127.0.0.1:1", Service: "engine", Slots: 4},
+		{ID: "new", Incarnation: 1, Address: "127.0.0.1:2", Service: "engine", Slots: 4, Version: "v2"},
+	} {
+		must.NoError(t, (&calls{a}).Announce(Announcement{Endpoint: e, Seq: 1}, &AnnounceReply{}))
+	}
+	b := newAssigner(next, leaderCaller{&calls{a}}, meter.New(), &fakeControl{})
+	eventually(t, "the copy of the endpoints", func() bool {
+		b.tick(context.Background())
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.standby.endpoints) == 2
+	})
+	next.leads.Store(true)
+	b.tick(context.Background())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	must.MapLen(t, 1, b.roster.entries)
+	must.MapContainsKey(t, b.roster.entries, "known")
+}
