--- a/core/sched/freed.go
+++ b/core/sched/freed.go
@@ -20,8 +20,8 @@
 	expiresAt core.Millis
 }
 
-// freeResults orders an endpoint to free results, which were made for the given stages. A call that is sent at the same time may reach the endpoint first on
-// another connection, so the room counts as taken until the endpoint acknowledges the release.
+// freeResults orders an endpoint to free results, which were made for the given stages. A call that is sent at the same time may
+// reach the endpoint first on another connection, so the room counts as taken until the endpoint acknowledges the release.
 func (s *Scheduler) freeResults(handles []string, endpoint *fleet.Endpoint, bytes int64, made ...order.StageKey) {
 	expiresAt := s.now
 	if svc := s.services[endpoint.Service]; svc != nil && svc.Pieces != nil {
