--- a/core/sched/version.go
+++ b/core/sched/version.go
@@ -19,11 +19,12 @@
 	}
 }
 
-// versionGone reports whether a request may only be sent to endpoints of a version that no endpoint has.
+// versionGone reports whether a request may only be sent to endpoints of a version that no endpoint has which it has not tried. Its
+// client can come back at once to those that it has.
 func (s *Scheduler) versionGone(r *request) bool {
 	svc, ok := s.services[r.Service]
 	return r.Bound && ok && !slices.ContainsFunc(svc.Endpoints(), func(e *fleet.Endpoint) bool {
-		return e.Version == r.Version && !e.Leaving()
+		return e.Version == r.Version && !e.Leaving() && !slices.Contains(r.tried, e.ID)
 	})
 }
 
