--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -65,7 +65,9 @@
 	}
 	h.Set(d.names.Request, id)
 	h.Set(d.names.Remaining, fmt.Sprint(left.Milliseconds()))
-	h.Set("Authorization", "Bearer key-of-one")
+	if h.Get("Authorization") == "" {
+		h.Set("Authorization", "Bearer key-of-one")
+	}
 	// Writing to a buffer cannot fail.
 	_ = h.Write(&b)
 	if len(body) > 0 || method != http.MethodGet {
--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"cyclamenford/bench/proxy"
 )
 
 const (
@@ -35,10 +37,12 @@
 type host struct {
 	name, zone, ip string
 	keeper         bool
-	settings       string
-	command        *exec.Cmd
-	exited         chan struct{}
-	log            *os.File
+	// proxied means that the other hosts reach this one at shownIP.
+	proxied  bool
+	settings string
+	command  *exec.Cmd
+	exited   chan struct{}
+	log      *os.File
 }
 
 // deployment is a set of keepers and entry hosts with the ports that they share.
@@ -50,10 +54,12 @@
 	front, ready, control, peers, metrics string
 
 	hosts []*host
+	// network is the proxy between the hosts, nil without one.
+	network *proxy.Network
 }
 
 // newDeployment starts the hosts of a deployment and waits until all are ready.
-func newDeployment(n names, r *record, entries int) (*deployment, error) {
+func newDeployment(n names, r *record, entries int, proxied bool) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, fmt.Errorf("create folder: %w", err)
@@ -69,6 +75,11 @@
 		d.hosts = append(d.hosts, h)
 	}
 	d.choosePorts()
+	if proxied {
+		if err := d.addProxies(); err != nil {
+			return d, err
+		}
+	}
 	for _, h := range d.hosts {
 		if err := d.writeSettings(h, true); err != nil {
 			return d, err
@@ -87,6 +98,42 @@
 	return d, nil
 }
 
+// shownIP returns the address at which the other hosts reach this one.
+func (h *host) shownIP() string {
+	if h.proxied {
+		return strings.Replace(h.ip, "127.0.7.", "127.0.8.", 1)
+	}
+	return h.ip
+}
+
+// addProxies puts a proxy in front of the peer listener of each host.
+func (d *deployment) addProxies() error {
+	byIP := map[string]string{}
+	for _, h := range d.hosts {
+		byIP[h.ip] = h.name
+	}
+	d.network = proxy.New(func(ip string) string { return byIP[ip] })
+	for _, h := range d.hosts {
+		h.proxied = true
+		if _, err := d.network.ListenAt(h.shownIP()+":"+d.peers, h.name, h.ip+":"+d.peers); err != nil {
+			return fmt.Errorf("listen for %s: %w", h.name, err)
+		}
+	}
+	return nil
+}
+
+// cut holds everything between a host and the others, or lets it pass again.
+func (d *deployment) cut(h *host, on bool) {
+	d.record.note("cut of %s: %v", h.name, on)
+	for _, l := range []proxy.Link{{From: h.name}, {To: h.name}} {
+		if on {
+			d.network.SetRule(l, proxy.Rule{Hold: true})
+			continue
+		}
+		d.network.RemoveRule(l)
+	}
+}
+
 // choosePorts picks ports that are free on all hosts, below the range from which outgoing connections take theirs.
 func (d *deployment) choosePorts() {
 	taken := map[string]bool{}
@@ -95,8 +142,10 @@
 			p := strconv.Itoa(11000 + rand.IntN(18000))
 			free := !taken[p]
 			for _, h := range d.hosts {
-				l, err := net.Listen("tcp", h.ip+":"+p)
-				free = free && err == nil && l.Close() == nil
+				for _, ip := range []string{h.ip, strings.Replace(h.ip, "127.0.7.", "127.0.8.", 1)} {
+					l, err := net.Listen("tcp", ip+":"+p)
+					free = free && err == nil && l.Close() == nil
+				}
 			}
 			if free {
 				taken[p], *port = true, p
@@ -113,7 +162,7 @@
 	}
 	var seeds []string
 	for _, k := range d.hosts[:3] {
-		seeds = append(seeds, strconv.Quote(k.ip+":"+d.control))
+		seeds = append(seeds, strconv.Quote(k.shownIP()+":"+d.control))
 	}
 	text := seedsPart.ReplaceAllString(string(raw), strings.Join(seeds, ","))
 	data := ""
@@ -135,6 +184,9 @@
 	}
 	values["{{data-dir}}"] = data
 	text = placeholder.ReplaceAllStringFunc(text, func(p string) string { return values[p] })
+	if h.proxied {
+		text = strings.Replace(text, `"Peers":`, fmt.Sprintf(`"PeersAdvertised": %q, "Peers":`, h.shownIP()+":"+d.peers), 1)
+	}
 	// The metrics port of the deploy file may be in use on this machine.
 	text = strings.ReplaceAll(text, ":9464", ":"+d.metrics)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
@@ -214,6 +266,9 @@
 
 // close ends all processes that were started and removes the folder, which is kept if the environment names another place.
 func (d *deployment) close() {
+	if d.network != nil {
+		d.network.RemoveAllRules()
+	}
 	for _, h := range d.hosts {
 		if h.command != nil && h.command.Process != nil && h.running() {
 			_ = h.command.Process.Signal(syscall.SIGCONT)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,11 +27,14 @@
 // plays holds the cases by name, with the number of entry hosts that each needs.
 var plays = map[string]struct {
 	entries int
+	// proxied means that the hosts reach each other through a proxy that can cut one of them off.
+	proxied bool
 	run     play
 }{
-	"stopping": {2, playStopping},
-	"copies":   {2, playCopies},
-	"queued":   {2, playQueued},
+	"stopping": {2, false, playStopping},
+	"copies":   {2, false, playCopies},
+	"queued":   {2, false, playQueued},
+	"revoked":  {2, true, playRevoked},
 }
 
 func main() {
@@ -60,7 +63,7 @@
 		return exitNotRun
 	}
 	r.note("case %s, trouble %v", name, trouble)
-	d, err := newDeployment(n, r, p.entries)
+	d, err := newDeployment(n, r, p.entries, p.proxied)
 	if d != nil {
 		defer d.close()
 	}
