Show that streams go on at another software version after an engine's crash (review case 5)

Tried: one of four engines crashes for 2 s, starts again under its id and address with another version, and announces itself 3.5 s later; meanwhile one entry host is killed and clients take their streams up. Two arrangements with free slots or without the kill did not show it.

--- a/review/stand/control.go
+++ b/review/stand/control.go
@@ -74,6 +74,8 @@
 			body[field] = e.address
 		case "ZONE":
 			body[field] = e.zone
+		case "VERSION":
+			body[field] = e.version
 		case "STATE":
 			body[field] = state
 		}
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -24,6 +24,9 @@
 	mu       sync.Mutex
 	seq      int
 	draining bool
+	// version is the version of the endpoint's software.
+	version string
+	open    map[net.Conn]bool
 }
 
 // connection is a connection to an endpoint.
@@ -44,23 +47,61 @@
 	}
 	e := &endpoint{
 		id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, born: time.Now().UnixMilli(), listener: l, handle: handle,
+		version: "v1", open: map[net.Conn]bool{},
 	}
-	go e.accept()
+	go e.accept(l)
 	return e, nil
 }
 
-func (e *endpoint) accept() {
+// crash closes the listener and all connections.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener.Close()
+	for c := range e.open {
+		c.Close()
+	}
+}
+
+// restart starts the endpoint again at its address, under its id, with another version.
+func (e *endpoint) restart(version string) error {
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return fmt.Errorf("listen for %s again: %w", e.id, err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener, e.version, e.born, e.seq = l, version, time.Now().UnixMilli(), 0
+	go e.accept(l)
+	return nil
+}
+
+func (e *endpoint) currentVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+func (e *endpoint) accept(l net.Listener) {
 	for {
-		raw, err := e.listener.Accept()
+		raw, err := l.Accept()
 		if err != nil {
 			return
 		}
+		e.mu.Lock()
+		e.open[raw] = true
+		e.mu.Unlock()
 		go e.serve(&connection{Conn: raw, reader: bufio.NewReader(raw)})
 	}
 }
 
 func (e *endpoint) serve(c *connection) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.open, c.Conn)
+	}()
 	for {
 		r, err := http.ReadRequest(c.reader)
 		if err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -34,6 +34,7 @@
 	"stopping": {2, false, playStopping},
 	"copies":   {2, false, playCopies},
 	"queued":   {2, false, playQueued},
+	"upgraded": {2, false, playUpgraded},
 	"revoked":  {2, true, playRevoked},
 }
 
--- a/review/stand/wire.go
+++ b/review/stand/wire.go
@@ -11,7 +11,7 @@
 
 // names holds the platform's names for headers, paths and fields, and its messages.
 type names struct {
-	Request, Remaining, Expected, Inputs, Pieces, PieceKey, Tokens, Prefix, Stamp, Load, NotRun, LastEvent string
+	Request, Remaining, Expected, Inputs, Pieces, PieceKey, Tokens, Prefix, Stamp, Load, NotRun, LastEvent, Resumes string
 
 	ConfigPath, InstancesPath, ReadyPath, StageRunPath, StageFreePath string
 
