--- a/review/stand/copies.go
+++ b/review/stand/copies.go
@@ -36,11 +36,11 @@
 // the answer to the next request on the connection is expected.
 func playCopies(d *deployment, trouble bool) error {
 	p := &copies{deployment: d, trouble: trouble, owner: map[string]string{}}
-	intake, err := newEndpoint("i-intake", "intake", "zone-0", "127.0.7.101", 1, p.stage)
+	intake, err := newEndpoint("intake1", "intake", "zone-0", "127.0.7.101", 1, p.stage)
 	if err != nil {
 		return err
 	}
-	engine, err := newEndpoint("i-engine", "engine", "zone-0", "127.0.7.102", 64, p.generate)
+	engine, err := newEndpoint("engine1", "engine", "zone-0", "127.0.7.102", 64, p.generate)
 	if err != nil {
 		return err
 	}
--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -35,8 +35,6 @@
 	reader *bufio.Reader
 	// last is the answer to the last request on the connection, as it was sent.
 	last []byte
-	// served counts the answers on the connection.
-	served int
 }
 
 // newEndpoint starts an endpoint at an address of its own.
--- a/review/stand/queued.go
+++ b/review/stand/queued.go
@@ -23,7 +23,7 @@
 
 // playQueued checks that an entry host that gets SIGTERM gives a final answer to the requests that wait for an endpoint.
 func playQueued(d *deployment, trouble bool) error {
-	engine, err := newEndpoint("i-engine", "engine", "zone-0", "127.0.7.102", engineSlots, d.generateSlowly)
+	engine, err := newEndpoint("engine1", "engine", "zone-0", "127.0.7.102", engineSlots, d.generateSlowly)
 	if err != nil {
 		return err
 	}
--- a/review/stand/revoked.go
+++ b/review/stand/revoked.go
@@ -55,7 +55,7 @@
 // cut off meanwhile.
 func playRevoked(d *deployment, trouble bool) error {
 	p := &revoked{deployment: d, ackedAt: map[string]time.Time{}, sent: map[string]sentRequest{}, statuses: map[int]int{}}
-	booking, err := newEndpoint("i-booking", "booking", "zone-0", "127.0.7.103", 6, p.look)
+	booking, err := newEndpoint("booking1", "booking", "zone-0", "127.0.7.103", 6, p.look)
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	tenant["api-keys"], p.key = keys, keys[0]
+	tenant[d.names.KeysField], p.key = keys, keys[0]
 	if err := d.configure(config); err != nil {
 		return err
 	}
@@ -91,7 +91,7 @@
 		began := time.Now()
 		time.Sleep(revokeAfter)
 		config["version"] = i + 2
-		tenant["api-keys"] = keys[i+1:]
+		tenant[d.names.KeysField] = keys[i+1:]
 		if err = d.configure(config); err != nil {
 			break
 		}
--- a/review/stand/stopping.go
+++ b/review/stand/stopping.go
@@ -27,7 +27,7 @@
 // playStopping checks that an entry host that gets SIGTERM answers the requests that it still takes completely, if their
 // endpoints end before the last sixth of the grace period.
 func playStopping(d *deployment, trouble bool) error {
-	engine, err := newEndpoint("i-engine", "engine", "zone-0", "127.0.7.102", 64, d.generateSlowly)
+	engine, err := newEndpoint("engine1", "engine", "zone-0", "127.0.7.102", 64, d.generateSlowly)
 	if err != nil {
 		return err
 	}
--- a/review/stand/upgraded.go
+++ b/review/stand/upgraded.go
@@ -35,7 +35,7 @@
 	for i := range upgradedEngines {
 		var e *endpoint
 		var err error
-		e, err = newEndpoint(fmt.Sprint("i-engine-", i), "engine", fmt.Sprint("zone-", i%3), fmt.Sprintf("127.0.7.%d", 110+i), upgradedSlots,
+		e, err = newEndpoint(fmt.Sprint("engine", i), "engine", fmt.Sprint("zone-", i%3), fmt.Sprintf("127.0.7.%d", 110+i), upgradedSlots,
 			func(c *connection, r *http.Request, _ []byte) error { return d.generateVersion(e, c, r) })
 		if err != nil {
 			return err
--- a/review/stand/wire.go
+++ b/review/stand/wire.go
@@ -17,6 +17,7 @@
 
 	Beat      map[string]any
 	BeatSeq   string
+	KeysField string
 	Config    map[string]any
 	StageItem map[string]any
 }
