--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -88,8 +88,10 @@
 	leaderWatcher *loop.Loop
 	table         atomic.Pointer[conf.Table]
 	stopping      atomic.Bool
-	// stopBy is when a stopping host ends the connections that are left.
-	stopBy atomic.Int64
+	// stoppedAt is when the stop began, and stopBy is when a stopping host ends the connections that are left.
+	stoppedAt, stopBy atomic.Int64
+	// active is the number of client requests in progress.
+	active atomic.Int64
 	seq    atomic.Uint64
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -122,8 +124,10 @@
 // accepting requests, lets those in flight finish within the grace period, and ends the background work.
 func (e *Entry) Stop(ctx context.Context) error {
 	began := e.clock.Now()
+	e.stoppedAt.Store(int64(began))
 	e.stopBy.Store(int64(began + e.options.ShutdownGrace))
 	e.stopping.Store(true)
+	e.log.Info("entry stops", "grace_ms", e.options.ShutdownGrace, "requests", e.active.Load())
 	e.clientServer.CloseIdle()
 	select {
 	case <-time.After(min(e.options.RotationDelay, e.options.ShutdownGrace).Duration()):
@@ -133,6 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
 	err := e.clientServer.Stop(ctx)
+	e.log.Info("client listener has stopped", "took_ms", e.clock.Now()-began, "requests", e.active.Load(), "err", err)
 	e.cancel()
 	e.wg.Wait()
 	// Events that are still queued after the grace period are discarded: they are of no use to the scheduler any more.
@@ -187,6 +192,14 @@
 	return !e.stopping.Load() && e.table.Load() != nil && e.chooser.hasRoll() && e.control.Serving()
 }
 
+// sinceStop returns the time since the stop of this host began, or -1 if it has not begun.
+func (e *Entry) sinceStop() core.Millis {
+	if !e.stopping.Load() {
+		return -1
+	}
+	return e.clock.Now() - core.Millis(e.stoppedAt.Load())
+}
+
 // serveReadiness answers a readiness probe with 200 or 503.
 func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !e.Ready() {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -87,6 +87,8 @@
 // serve handles a client's request.
 func (e *Entry) serve(w http.ResponseWriter, httpRequest *http.Request) {
 	arrived := e.clock.Now()
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	if e.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
