Answer or refuse all requests of a stopping host before its process ends

Cause: the end of the process limited a request only if it arrived after SIGTERM, and that limit left too long a reserve.

Why this works: every wait and every attempt now ends with the work of the stopping host, in the last sixth of its grace period. core/drain estimates from the latest requests of a route how long the next one takes. What would not end in time is refused before it is sent, as not run and with a Retry-After, so that the client goes on elsewhere.

--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,55 @@
+package drain
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/bench/strict"
+	"cyclamenford/core"
+)
+
+// TestLastStart plays the latest requests of a route and checks until when a stopping host sends the next one.
+func TestLastStart(t *testing.T) {
+	raw, err := os.ReadFile("testdata/stops.json")
+	must.NoError(t, err)
+	var rows []struct {
+		Name        string
+		Began, Ends core.Millis
+		Took        []struct {
+			Size, Times int
+			Ms          core.Millis
+		}
+		Asks []struct {
+			Size      int
+			LastStart core.Millis
+		}
+	}
+	must.NoError(t, strict.Decode(raw, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			l := NewLengths()
+			for _, x := range row.Took {
+				for range max(1, x.Times) {
+					l.Add("r", x.Size, x.Ms)
+				}
+			}
+			w := Window{Began: row.Began, Ends: row.Ends}
+			for _, ask := range row.Asks {
+				must.Eq(t, ask.LastStart, w.LastStart(l.Estimate("r", ask.Size)))
+			}
+		})
+	}
+}
+
+// TestLengthsForgetRoutes guards against growth with each new route of many configurations.
+func TestLengthsForgetRoutes(t *testing.T) {
+	l := NewLengths()
+	for i := range 1000 {
+		l.Add(strconv.Itoa(i), 1, 100)
+		l.Retain(func(route string) bool { return route == strconv.Itoa(i) })
+	}
+	must.MapLen(t, 1, l.routes)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -62,8 +62,9 @@
 	// RotationDelay is how long the load balancer may still open new connections after the host has reported that it
 	// is not ready.
 	RotationDelay core.Millis
-	// ShutdownGrace limits the duration of a whole shutdown, including the wait for the load balancer.
-	ShutdownGrace core.Millis
+	// ShutdownWork is the time after which a shutdown ends the requests that are left, and ShutdownGrace the time after which it
+	// closes the connections that are left.
+	ShutdownWork, ShutdownGrace core.Millis
 	// EndpointChoice configures the choice of endpoints for plain requests, which this host makes without the scheduler.
 	EndpointChoice door.Settings
 }
@@ -87,9 +88,7 @@
 	chooser       *endpointChooser
 	leaderWatcher *loop.Loop
 	table         atomic.Pointer[conf.Table]
-	stopping      atomic.Bool
-	// stoppedAt is when the stop began, and stopBy is when a stopping host ends the connections that are left.
-	stoppedAt, stopBy atomic.Int64
+	shutdown      *shutdown
 	// active is the number of client requests in progress.
 	active atomic.Int64
 	seq    atomic.Uint64
@@ -102,6 +101,7 @@
 	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, guard: g, clock: clock, meter: m, log: log}
 	e.events = newEventQueue(o.Host, c, peers, clock, log)
 	e.calls = newPendingCalls()
+	e.shutdown = newShutdown(clock)
 	e.chooser = newEndpointChooser(o.EndpointChoice, c, peers, e.calls, e.events, clock, log)
 	e.leaderWatcher = loop.New(leaderCheckInterval, e.cancelFormerLeaderCalls)
 	e.clientServer = listen.New(listen.Options{
@@ -121,13 +121,12 @@
 }
 
 // Stop reports the host as not ready and waits until the load balancer has taken it out of rotation. Then it stops
-// accepting requests, lets those in flight finish within the grace period, and ends the background work.
+// accepting connections, lets the requests in flight finish within the grace period, and ends the background work. Requests that
+// would not finish are refused before they are sent.
 func (e *Entry) Stop(ctx context.Context) error {
 	began := e.clock.Now()
-	e.stoppedAt.Store(int64(began))
-	e.stopBy.Store(int64(began + e.options.ShutdownGrace))
-	e.stopping.Store(true)
-	e.log.Info("entry stops", "grace_ms", e.options.ShutdownGrace, "requests", e.active.Load())
+	e.shutdown.start(e.options.ShutdownWork)
+	e.log.Info("entry stops", "work_ms", e.options.ShutdownWork, "grace_ms", e.options.ShutdownGrace, "requests", e.active.Load())
 	e.clientServer.CloseIdle()
 	select {
 	case <-time.After(min(e.options.RotationDelay, e.options.ShutdownGrace).Duration()):
@@ -183,21 +182,18 @@
 		return
 	}
 	e.table.Store(conf.NewTable(config))
+	routes := map[string]bool{}
+	for _, r := range config.Routes {
+		routes[r.Name] = true
+	}
+	e.shutdown.retainRoutes(routes)
 	e.log.Info("configuration in force", "version", c.Version, "routes", len(config.Routes))
 }
 
 // Ready reports whether the host accepts new clients: it is not stopping, has a configuration and a roll, and holds a
 // serving lease.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.table.Load() != nil && e.chooser.hasRoll() && e.control.Serving()
-}
-
-// sinceStop returns the time since the stop of this host began, or -1 if it has not begun.
-func (e *Entry) sinceStop() core.Millis {
-	if !e.stopping.Load() {
-		return -1
-	}
-	return e.clock.Now() - core.Millis(e.stoppedAt.Load())
+	return e.shutdown.elapsed() < 0 && e.table.Load() != nil && e.chooser.hasRoll() && e.control.Serving()
 }
 
 // serveReadiness answers a readiness probe with 200 or 503.
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -88,7 +88,7 @@
 		answerTime := e.chooser.callTime(r.service)
 		args := permit.TakeArgs{
 			Report: e.chooser.limitReport(life), Host: e.options.Host, Request: r.incoming.ID, Priority: r.priority(),
-			Aim: r.arrived + r.route.Aim - now - answerTime, Left: r.deadline - now - answerTime, Others: r.sending.others, Wait: r.sending.onlyLimited,
+			Aim: r.arrived + r.route.Aim - now - answerTime, Left: r.end() - now - answerTime, Others: r.sending.others, Wait: r.sending.onlyLimited,
 		}
 		leader := e.control.LeaderAddress()
 		callCtx, cancel := context.WithCancel(ctx)
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -33,7 +33,7 @@
 
 // admit asks the guard, just before sending, whether the request may be sent to its endpoint, and whether that is a trial.
 func (r *request) admit(ctx context.Context, g *order.Grant) (trial bool, p *core.Problem) {
-	return r.entry.guard.Admit(ctx, r.incoming.ID, r.identity(), g.Endpoint, r.deadline-r.entry.clock.Now())
+	return r.entry.guard.Admit(ctx, r.incoming.ID, r.identity(), g.Endpoint, r.end()-r.entry.clock.Now())
 }
 
 // reportOutcome reports to the guard how an attempt ended: it ends a trial, or reports a broken connection as a possible
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -32,11 +32,6 @@
 	// placeCallGrace is how long a call to the scheduler may outlast the request's deadline, so that its answer can still
 	// arrive.
 	placeCallGrace = 300 * core.Millis(1)
-	// shutdownAnswerTime is the part of the grace period that is kept for final answers. net/http looks for finished connections every
-	// half second.
-	shutdownAnswerTime = 700 * core.Millis(1)
-	// stoppingRetryAfter is the retry delay at a stopping host: the load balancer connects the client to another one.
-	stoppingRetryAfter = 100 * core.Millis(1)
 	// defaultTimeout is the timeout of a request without a deadline of its own, unless its route has a longer one.
 	defaultTimeout = 30 * core.Second
 )
@@ -89,7 +84,7 @@
 	arrived := e.clock.Now()
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	if e.stopping.Load() {
+	if e.shutdown.elapsed() >= 0 {
 		w.Header().Set("Connection", "close")
 	}
 	incoming, err := e.dialect.ParseRequest(httpRequest)
@@ -106,7 +101,7 @@
 		e.refuse(w, incoming.ID, p)
 		return
 	}
-	ctx, cancel := context.WithTimeout(httpRequest.Context(), (r.deadline - e.clock.Now()).Duration())
+	ctx, cancel := r.untilEnd()
 	defer cancel()
 	r.run(ctx, w)
 }
@@ -145,22 +140,7 @@
 		left = max(defaultTimeout, route.Timeout)
 	}
 	r.deadline = r.arrived + min(left, route.Timeout)
-	return r.limitToShutdown()
-}
-
-// limitToShutdown moves the deadline of a request that arrives at a stopping host before the end of its grace period, so that the client
-// gets a final answer. A request that has no time left there is refused, and another host can take it.
-func (r *request) limitToShutdown() *core.Problem {
-	e := r.entry
-	if !e.stopping.Load() {
-		return nil
-	}
-	r.deadline = min(r.deadline, core.Millis(e.stopBy.Load())-shutdownAnswerTime)
-	if r.deadline > r.arrived {
-		return nil
-	}
-	return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonHostStopping,
-		"this host is stopping").WithRetryAfter(stoppingRetryAfter)
+	return r.checkShutdown()
 }
 
 // readBody reads the body within the configured limit and refuses a request that is in quarantine.
@@ -188,7 +168,7 @@
 	a := order.PlacementRequest{
 		Key: r.key, ID: r.incoming.ID, Route: r.route.Name, Service: r.service, Class: r.route.Class,
 		Priority: r.priority(), FailureDomain: r.entry.options.FailureDomain,
-		Aim: r.arrived + r.route.Aim - now, Left: r.deadline - now,
+		Aim: r.arrived + r.route.Aim - now, Left: r.end() - now,
 		Prompt: r.incoming.Prompt, PieceKey: r.incoming.PieceKey, MaxAttempts: max(1, r.route.MaxAttempts),
 		Attempts: r.attempts, Former: r.former, Organisation: r.organisation.Name, Content: r.content,
 		Continuation: r.continuation(),
@@ -272,7 +252,7 @@
 	e := r.entry
 	address := e.control.LeaderAddress()
 	for range 2 {
-		left := r.deadline - e.clock.Now() + placeCallGrace
+		left := r.end() - e.clock.Now() + placeCallGrace
 		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left.Duration())
 		stop := context.AfterFunc(ctx, func() {
 			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -347,7 +327,7 @@
 
 // mayRetry reports whether another attempt may follow one with the given ending.
 func (r *request) mayRetry(ending order.AttemptOutcome) bool {
-	if r.attempts >= max(1, r.route.MaxAttempts) || r.entry.clock.Now() >= r.deadline {
+	if r.attempts >= max(1, r.route.MaxAttempts) || r.entry.clock.Now() >= r.end() {
 		return false
 	}
 	return notRun(ending) || r.repeatable() && ending != order.Abandoned && ending != order.Late
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"mime"
 	"net/http"
 
@@ -36,11 +35,13 @@
 // run sends the request to endpoints, one after another, until one has answered or no further attempt is allowed.
 func (r *request) run(ctx context.Context, w http.ResponseWriter) {
 	e := r.entry
-	grant, problem := r.place(ctx)
+	placing, stopPlacing := r.untilLastStart(ctx)
+	defer stopPlacing()
+	grant, problem := r.place(placing)
 	r.sending.grantedAt = e.clock.Now()
 	out := newAnswerWriter(w, e.clock)
 	for {
-		if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if r.clientGone() {
 			if grant != nil {
 				r.recordAttempt(grant, order.Abandoned, 0)
 			}
@@ -48,6 +49,13 @@
 			return
 		}
 		trial := false
+		// The wait for an endpoint may have been canceled for this reason.
+		if stopped := r.checkShutdown(); stopped != nil {
+			problem = stopped
+		}
+		if problem == nil && ctx.Err() != nil {
+			problem = r.failureProblem(order.Unreachable)
+		}
 		if problem == nil {
 			problem = r.recheck()
 		}
@@ -56,20 +64,20 @@
 		}
 		if problem == nil && r.isUnusable(grant) {
 			r.recordAttempt(grant, order.NotSent, 0)
-			grant, problem = r.placeAgain(ctx, grant, order.NotSent)
+			grant, problem = r.placeAgain(placing, grant, order.NotSent)
 			continue
 		}
 		if problem == nil {
-			trial, problem = r.admit(ctx, grant)
+			trial, problem = r.admit(placing, grant)
 		}
 		if problem == nil {
 			var permitted bool
-			if permitted, problem = r.takePermit(ctx, grant, trial); !permitted {
+			if permitted, problem = r.takePermit(placing, grant, trial); !permitted {
 				r.reportOutcome(ctx, grant, order.NotSent, trial)
 			}
 			if !permitted && problem == nil {
 				r.recordAttempt(grant, order.NotSent, 0)
-				grant, problem = r.placeAgain(ctx, grant, order.NotSent)
+				grant, problem = r.placeAgain(placing, grant, order.NotSent)
 				continue
 			}
 		}
@@ -86,11 +94,16 @@
 		r.attempts++
 		began := e.clock.Now()
 		ending, done := r.attempt(ctx, grant, out)
-		r.recordAttempt(grant, ending, e.clock.Now()-began)
+		took := e.clock.Now() - began
+		r.recordAttempt(grant, ending, took)
+		if ending == order.Served {
+			e.shutdown.addLength(r.route.Name, r.size(), took)
+		}
 		e.meter.Count("attempts_total", 1, "how", string(ending))
 		standing := r.reportOutcome(ctx, grant, ending, trial)
 		if !notRun(ending) {
 			r.mayHaveRun = ending
+			placing = ctx
 		}
 		if done {
 			r.finish(out, ending, nil)
@@ -101,7 +114,7 @@
 			return
 		}
 		e.log.Info("attempt ended", "request", r.incoming.ID, "endpoint", grant.Endpoint, "attempt", r.attempts, "how", ending, "next", "again")
-		grant, problem = r.placeAgain(ctx, grant, ending)
+		grant, problem = r.placeAgain(placing, grant, ending)
 	}
 }
 
@@ -116,7 +129,11 @@
 		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonEndpointRefused,
 			"no endpoint took the request").WithRetryAfter(r.notRunRetryAfter())
 	case order.Late:
-		return core.NewProblem(http.StatusGatewayTimeout, core.Unknown, core.ReasonDeadlineExceeded, "no answer in time")
+		reason := core.ReasonDeadlineExceeded
+		if r.end() < r.deadline {
+			reason = core.ReasonHostStopping
+		}
+		return core.NewProblem(http.StatusGatewayTimeout, core.Unknown, reason, "no answer in time")
 	}
 	return core.NewProblem(http.StatusBadGateway, core.Unknown, core.ReasonConnectionLost, "the endpoint broke off")
 }
@@ -136,7 +153,7 @@
 	}
 	e.log.Info("request ended", "request", r.incoming.ID, "route", r.route.Name, "organisation", r.organisation.Name, "content", r.content.String(),
 		"status", status, "how", ending, "reason", reason, "attempts", r.attempts, "resumes", r.incoming.Resumes, "last_event", r.incoming.LastEvent,
-		"took_ms", e.clock.Now()-r.arrived, "first_ms", out.headerDelay(r.arrived), "stopping_ms", e.sinceStop(), "config", e.table.Load().Config().Version)
+		"took_ms", e.clock.Now()-r.arrived, "first_ms", out.headerDelay(r.arrived), "stopping_ms", e.shutdown.elapsed(), "config", e.table.Load().Config().Version)
 	e.meter.Count("requests_total", 1, "status", statusClass(status), "reason", string(reason))
 	e.meter.Observe("request_ms", int64(e.clock.Now()-r.arrived))
 	switch {
@@ -165,7 +182,7 @@
 		urgency = r.urgency()
 	}
 	header := e.dialect.RequestHeader(r.httpRequest.Header, relay.EndpointRequest{
-		Endpoint: g.Endpoint, Organisation: r.organisation.Name, Left: r.deadline - e.clock.Now(),
+		Endpoint: g.Endpoint, Organisation: r.organisation.Name, Left: r.end() - e.clock.Now(),
 		Urgency: urgency, Inputs: g.Inputs, LastEvent: out.lastEvent,
 	})
 	endpointRequest := pipe.Request{
@@ -253,10 +270,10 @@
 	switch {
 	case pipe.NotSent(err):
 		return order.Unreachable
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return order.Late
-	case ctx.Err() != nil:
+	case r.clientGone():
 		return order.Abandoned
+	case ctx.Err() != nil:
+		return order.Late
 	}
 	return order.Broken
 }
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -37,8 +37,11 @@
 	// controlHeaderTimeout is the time limit for reading the header of an announcement or an operator's call.
 	controlHeaderTimeout = 5 * core.Second
 	controlIdleTimeout   = 60 * core.Second
-	// exitReserve is the part of the grace period that is kept for the exit of the process itself.
-	exitReserve = 500 * core.Millis(1)
+	// A host that stops ends the requests that are left when a workReserve of its grace period is left, closes the connections
+	// that are left with a closeReserve, and waits for its other services until an exitReserve is left. Load balancers and process
+	// managers excuse what is cut in the last sixth of the period. maxWorkReserve bounds the reserves of long periods.
+	workReserve, closeReserve, exitReserve = 1.0 / 8, 1.0 / 16, 1.0 / 32
+	maxWorkReserve                         = core.Second
 	// votersPerFault gives the number of voters: 2f+1 voters keep a majority after the loss of f.
 	votersPerFault = 2
 )
@@ -93,7 +96,7 @@
 
 // Stop shuts the host down gracefully within its grace period, less the time kept for the exit of the process.
 func (r *Relay) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, (r.settings.gracePeriod() - exitReserve).Duration())
+	ctx, cancel := context.WithTimeout(ctx, r.settings.timeUntil(exitReserve).Duration())
 	defer cancel()
 	r.log.Info("host is stopping", "grace_ms", r.settings.gracePeriod())
 	err := r.kernel.Stop(ctx)
@@ -267,7 +270,8 @@
 	o := entry.Options{
 		Host: r.settings.Host.ID, FailureDomain: r.settings.Host.FailureDomain,
 		ClientAddress: r.settings.Listeners.Clients, ReadyAddress: r.settings.Listeners.Ready,
-		RotationDelay: r.settings.RotationMs, ShutdownGrace: r.settings.gracePeriod() - 2*exitReserve,
+		RotationDelay: r.settings.RotationMs,
+		ShutdownWork:  r.settings.timeUntil(workReserve), ShutdownGrace: r.settings.timeUntil(closeReserve),
 		EndpointChoice: door.Settings{Retries: r.settings.retryLimit(), UnlistedGrace: assign.MaxSilence(r.settings.AnnounceEveryMs)},
 	}
 	e := entry.New(o, f, r.adapter.Dialect, p, client, r.guard, r.clock, r.meter, r.log)
--- a/setup/relay_settings.go
+++ b/setup/relay_settings.go
@@ -142,6 +142,13 @@
 	return core.Millis(s.GraceSeconds * float64(core.Second))
 }
 
+// timeUntil returns the time from SIGTERM until a reserve, a share of the grace period, is left of it.
+func (s RelaySettings) timeUntil(reserve float64) core.Millis {
+	grace := s.gracePeriod()
+	period := min(grace, core.Millis(float64(maxWorkReserve)/workReserve))
+	return grace - core.Millis(reserve*float64(period))
+}
+
 // retryLimit returns the limit of the retries that a service receives from all hosts together.
 func (s RelaySettings) retryLimit() fleet.RetryLimits {
 	return fleet.RetryLimits{
