Forward only events of the run to clients of a stream

Cause: the relay split a stream at empty lines and forwarded whatever stood between them; only the id was read. Class: what cannot be read is passed on in place of being refused.

Why this works: core/event holds the grammar and the order of events. The first bytes that are not the next event end the attempt as Garbled before anything of them is forwarded; the stream goes on at another endpoint or is cut.

--- a/core/order/format_test.go
+++ b/core/order/format_test.go
@@ -11,8 +11,8 @@
 // TestSentValuesKeepTheirNames guards against values that hosts of the release would not understand.
 func TestSentValuesKeepTheirNames(t *testing.T) {
 	must.Eq(t, []AttemptOutcome{
-		"Served", "Erred", "Rejected", "Unreachable", "Broken", "Late", "Abandoned", "GoneInput", "NotSent", "OtherEndpoint",
-	}, []AttemptOutcome{Served, Erred, Rejected, Unreachable, Broken, Late, Abandoned, GoneInput, NotSent, OtherEndpoint})
+		"Served", "Erred", "Rejected", "Unreachable", "Broken", "Late", "Abandoned", "GoneInput", "NotSent", "OtherEndpoint", "Garbled",
+	}, []AttemptOutcome{Served, Erred, Rejected, Unreachable, Broken, Late, Abandoned, GoneInput, NotSent, OtherEndpoint, Garbled})
 	must.Eq(t, []core.Priority{0, 1, 2}, []core.Priority{core.Urgent, core.Normal, core.Bulk})
 	must.Eq(t, []core.Outcome{"NotRun", "Failed", "Unknown", "Completed"},
 		[]core.Outcome{core.NotRun, core.Failed, core.Unknown, core.Completed})
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -108,6 +108,8 @@
 	Unreachable AttemptOutcome = "Unreachable"
 	// Broken means that the attempt ended without a whole answer after it was sent.
 	Broken AttemptOutcome = "Broken"
+	// Garbled means that the endpoint sent bytes that are no part of an answer.
+	Garbled AttemptOutcome = "Garbled"
 	// Late means that there was no answer before the deadline.
 	Late AttemptOutcome = "Late"
 	// Abandoned means that the attempt was cancelled because the client disconnected.
--- a/io/dial/stream_test.go
+++ b/io/dial/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 
@@ -39,3 +40,23 @@
 		})
 	}
 }
+
+// TestBytesThatAreNoEventAreNoText guards against garbage of an engine that becomes a part of a stream's text. Whoever reads the
+// stream drops events without a number.
+func TestBytesThatAreNoEventAreNoText(t *testing.T) {
+	first, second := "id: 1\ndata: {\"Text\":\"a\"}\n\n", "id: 2\ndata: {\"Text\":\"b\"}\n\n"
+	for _, garbage := range []string{"\x01garbage\n\n", "garbage", "garbage\n", "HTTP/1.1 200 OK\r\n\r\n", "data: garbage\n\n", "id: x\n\n", "id: 9\n\n"} {
+		s := &Stream{scanner: bufio.NewScanner(strings.NewReader(first + garbage + second))}
+		text, ids := "", []uint64{}
+		for {
+			e, err := s.Next()
+			if err != nil {
+				break
+			}
+			text += e.Text
+			ids = append(ids, e.Seq)
+		}
+		must.True(t, strings.HasPrefix("ab", text), must.Sprintf("%q gives %q", garbage, text))
+		must.SliceEmpty(t, slices.DeleteFunc(ids, func(id uint64) bool { return id == 0 || id == 1 || id == 2 }), must.Sprintf("%q", garbage))
+	}
+}
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -39,7 +39,7 @@
 	defer stopPlacing()
 	grant, problem := r.place(placing)
 	r.sending.grantedAt = e.clock.Now()
-	out := newAnswerWriter(w, e.clock)
+	out := newAnswerWriter(w, e.clock, r.incoming.LastEvent)
 	for {
 		if r.clientGone() {
 			if grant != nil {
@@ -134,6 +134,8 @@
 			reason = core.ReasonHostStopping
 		}
 		return core.NewProblem(http.StatusGatewayTimeout, core.Unknown, reason, "no answer in time")
+	case order.Garbled:
+		return core.NewProblem(http.StatusBadGateway, core.Unknown, core.ReasonBadAnswer, "the endpoint sent bytes that are no answer")
 	}
 	return core.NewProblem(http.StatusBadGateway, core.Unknown, core.ReasonConnectionLost, "the endpoint broke off")
 }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/event"
 	"cyclamenford/core/order"
 	"cyclamenford/io/pipe"
 )
@@ -27,6 +28,8 @@
 	stallGapFactor  = 8
 	// maxEventBytes limits one event, which is buffered until it is complete.
 	maxEventBytes = 256 << 10
+	// loggedGarbageBytes limits what is logged of bytes that are not an event.
+	loggedGarbageBytes = 64
 )
 
 // answerWriter writes an answer to the client and records how much of it has been written.
@@ -39,12 +42,13 @@
 	clock    core.Clock
 	// headerAt is when the header of the answer was written, 0 before that.
 	headerAt core.Millis
-	// lastEvent is the identifier of the last event written, -1 before the first.
+	// lastEvent is the id of the last event that the client has, event.None before the first.
 	lastEvent int64
 }
 
-func newAnswerWriter(w http.ResponseWriter, c core.Clock) *answerWriter {
-	return &answerWriter{w: w, clock: c, lastEvent: -1}
+// newAnswerWriter returns a writer for a client that has the events of the stream up to lastEvent.
+func newAnswerWriter(w http.ResponseWriter, c core.Clock, lastEvent int64) *answerWriter {
+	return &answerWriter{w: w, clock: c, lastEvent: max(event.None, lastEvent)}
 }
 
 // hopByHop lists the hop-by-hop headers, which concern one connection only and are not forwarded.
@@ -108,9 +112,11 @@
 }
 
 // stream forwards events as they arrive, each one once it is complete, and returns how the stream ended. It skips events
-// that the client has already received from an earlier attempt.
+// that the client already has. Bytes that are not the next event end the attempt, and nothing of them is forwarded.
 func (r *request) stream(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) order.AttemptOutcome {
 	if !out.started {
+		// A later attempt may go on in the same answer, so that its length is not known.
+		resp.Header.Del("Content-Length")
 		out.writeHeader(resp.Status, resp.Header)
 	}
 	timeout := r.stallTimeout()
@@ -121,18 +127,18 @@
 	defer stall.Stop()
 	flush := http.NewResponseController(out.w)
 	reader := bufio.NewReaderSize(resp, eventBufferSize)
-	var event []byte
+	grammar, ids := r.entry.dialect.EventGrammar(), event.NewOrder(out.lastEvent)
+	var raw []byte
 	for {
 		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			r.entry.log.Warn("event too long", "request", r.incoming.ID, "bytes", len(event))
-			return order.Broken
+		raw = append(raw, line...)
+		if len(raw) > maxEventBytes {
+			return r.recordGarbage(g, out, raw, pipe.ErrAnswerTooLarge)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0 {
+		if errors.Is(err, io.EOF) && len(raw) == 0 {
 			out.finished = true
 			return order.Served
 		}
@@ -142,14 +148,20 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
-		stall.Reset(timeout.Duration())
-		id, numbered := eventID(event)
-		if numbered {
-			r.markBegun()
+		id, err := grammar.Parse(raw)
+		if err != nil {
+			return r.recordGarbage(g, out, raw, err)
+		}
+		next, isNew, err := ids.Next(id)
+		if err != nil {
+			return r.recordGarbage(g, out, raw, err)
 		}
-		if !numbered || id > out.lastEvent {
+		ids = next
+		stall.Reset(timeout.Duration())
+		r.markBegun()
+		if isNew {
 			r.bind(g)
-			if _, err := out.w.Write(event); err != nil {
+			if _, err := out.w.Write(raw); err != nil {
 				return order.Abandoned
 			}
 			if reader.Buffered() == 0 {
@@ -157,29 +169,22 @@
 					return order.Abandoned
 				}
 			}
-			if numbered {
-				out.lastEvent = id
-			}
+			out.lastEvent = id
 		}
-		event = event[:0]
+		raw = raw[:0]
 	}
 }
 
+// recordGarbage logs and counts bytes of a stream that are not its next event, and returns the outcome of the attempt.
+func (r *request) recordGarbage(g *order.Grant, out *answerWriter, raw []byte, why error) order.AttemptOutcome {
+	r.entry.log.Warn("endpoint sent garbage", "request", r.incoming.ID, "service", r.service, "endpoint", g.Endpoint, "attempt", r.attempts,
+		"after", out.lastEvent, "bytes", len(raw), "begins", strconv.Quote(string(raw[:min(len(raw), loggedGarbageBytes)])), "err", why)
+	r.entry.meter.Count("endpoint_garbage_total", 1, "service", r.service)
+	return order.Garbled
+}
+
 // stallTimeout returns the longest time that may pass without a complete event of a stream. Bytes that do not complete an
 // event do not extend it.
 func (r *request) stallTimeout() core.Millis {
 	return max(minStallTimeout, stallAimFactor*r.route.Aim, stallGapFactor*r.route.GapAim)
 }
-
-// eventID returns the numeric identifier of an event, if it has one.
-func eventID(event []byte) (int64, bool) {
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
--- a/io/relay.go
+++ b/io/relay.go
@@ -5,6 +5,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
+	"cyclamenford/core/event"
 	"cyclamenford/core/limit"
 	"cyclamenford/core/notice"
 	"cyclamenford/core/order"
@@ -21,6 +22,8 @@
 	ParseResponse(status int, h http.Header) EndpointResponse
 	// SetProblemHeader sets the headers of an error response that the relay itself produces.
 	SetProblemHeader(h http.Header, id core.RequestID, p *core.Problem)
+	// EventGrammar returns the grammar of the events of a stream.
+	EventGrammar() event.Grammar
 	// StageCall builds the call that runs pieces at an endpoint of a stage.
 	StageCall(to core.EndpointID, items []order.Item) (EndpointCall, error)
 	// ParseStageResults parses the response to a stage call. The results are in the order of the call's items.
