Let a stopping keeper hand its leadership over while stages have work

Cause: the assigner waited for the stage calls in progress before the keeper could transfer its leadership, and requests went on starting new ones. Class: a stop that does not bound what is in progress.

--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -125,6 +125,10 @@
 	// nextPass is when the scheduler may pass over its queues again, and passPending is set while events wait for that.
 	nextPass    time.Time
 	passPending bool
+	// stopping means that no further decisions are taken, and stopped that the scheduler is discarded. stageCalls counts the stage
+	// calls in progress.
+	stopping, stopped bool
+	stageCalls        loop.WorkCounter
 }
 
 // New returns an assigner that is not running yet.
@@ -164,6 +168,9 @@
 // checkLeadership reports whether this keeper leads. It starts a new scheduler at the start of each term, discards it when
 // leadership is lost, and otherwise applies changes of the replicated state. The caller holds mu.
 func (a *Assigner) checkLeadership() bool {
+	if a.stopped {
+		return false
+	}
 	term, ok := a.leader.Leading()
 	if !ok {
 		a.suspendOrStop(term)
@@ -303,7 +310,7 @@
 // executeActions lets the scheduler decide and carries out its decisions, now or once the former pass has had its time, unless the
 // lease has lapsed. The caller holds mu.
 func (a *Assigner) executeActions() {
-	if a.suspendedAt > 0 || a.passPending {
+	if a.suspendedAt > 0 || a.passPending || a.stopping {
 		return
 	}
 	if wait := time.Until(a.nextPass); wait > 0 {
@@ -346,7 +353,11 @@
 			a.meter.Observe("stage_call_items", int64(len(action.Call.Items)), "service", action.Call.Service)
 			call := *action.Call
 			s := a.sched
-			a.Go(func() { a.callStage(s, call) })
+			a.stageCalls.Add(1)
+			a.Go(func() {
+				defer a.stageCalls.Add(-1)
+				a.callStage(s, call)
+			})
 		case action.Free != nil:
 			free := *action.Free
 			s := a.sched
--- a/io/loop/tally.go
+++ b/io/loop/tally.go
@@ -18,6 +18,9 @@
 	t.count.Add(int64(n))
 }
 
+// Count returns the amount of work in progress.
+func (t *WorkCounter) Count() int64 { return t.count.Load() }
+
 // Go runs f in the background and counts it as work in progress until it returns.
 func (t *WorkCounter) Go(f func()) {
 	t.Add(1)
