--- a/io/keeper/disk_test.go
+++ b/io/keeper/disk_test.go
@@ -22,6 +22,9 @@
 	"cyclamenford/io/wall"
 )
 
+// changeBound is the time within which operators want the answer to a change.
+const changeBound = 4 * time.Second
+
 // fullFolder fails Sync and Replace while full is set, and only Replace while noImages is set.
 type fullFolder struct {
 	disk.Folder
@@ -47,6 +50,15 @@
 	return f.Folder.Replace(name, data)
 }
 
+// Write writes a part of the data before a full disk fails.
+func (f fullFile) Write(p []byte) (int, error) {
+	if !f.full.Load() {
+		return f.File.Write(p)
+	}
+	n, err := f.File.Write(p[:len(p)/2])
+	return n, errors.Join(errFull, err)
+}
+
 func (f fullFile) Sync() error {
 	if f.full.Load() {
 		return errFull
@@ -197,3 +209,49 @@
 	must.GreaterEq(t, accepted, image.Config.Version)
 	must.True(t, image.Drained["after"])
 }
+
+// TestDisksThatAreFullOneAfterAnotherRefuseNothingForLong guards against keepers that stay out after their disks have space again, so that
+// changes are refused or unanswered although all run. Every disk is full twice, never two at once, the leader's first.
+func TestDisksThatAreFullOneAfterAnotherRefuseNothingForLong(t *testing.T) {
+	x := startCluster(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	// change commits a change within the time in which operators want their answer.
+	change := func(name string) {
+		began := time.Now()
+		for {
+			if _, err := x.keepers[x.leader(t, -1)].commit(ctx, drainCommand(t, name)); err == nil {
+				break
+			}
+			must.NoError(t, ctx.Err())
+			time.Sleep(10 * time.Millisecond)
+		}
+		must.Less(t, changeBound, time.Since(began), must.Sprint(name))
+	}
+	first := x.leader(t, -1)
+	var names []string
+	for round := range 2 {
+		for i := range x.keepers {
+			k := (first + i) % len(x.keepers)
+			x.full[k].Store(true)
+			for n := range 3 {
+				name := fmt.Sprint("full-", round, "-", k, "-", n)
+				change(name)
+				names = append(names, name)
+			}
+			x.full[k].Store(false)
+			name := fmt.Sprint("free-", round, "-", k)
+			change(name)
+			names = append(names, name)
+		}
+	}
+	for _, k := range x.keepers {
+		must.NoError(t, k.Err())
+		for _, name := range names {
+			for !k.Image().Drained[core.EndpointID(name)] {
+				must.NoError(t, ctx.Err(), must.Sprint(name))
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	}
+}
