Answer the requests that serve has left at the end of its shutdown

Why this works: the front end ends the requests in progress an eighth of the shutdown, one second at most, before its end; each gets a problem that names HostStopping, not run if it only waited. Listeners look for ended requests each few milliseconds while they stop, not each half second.

--- a/io/flow/once.go
+++ b/io/flow/once.go
@@ -40,7 +40,7 @@
 	}
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	ctx, cancel := context.WithTimeout(ctx, (q.DeadlineAt - r.clock.Now()).Duration())
+	ctx, cancel := r.untilEnd(ctx, q)
 	defer cancel()
 	o, problem := r.newNonRepeatableCall(q, s, c, key)
 	if problem != nil {
@@ -49,7 +49,8 @@
 	if problem := r.Broker.CheckDeadline(o.attemptFor(nil)); problem != nil {
 		return Answer{}, problem
 	}
-	return o.run(ctx)
+	answer, problem := o.run(ctx)
+	return answer, r.stopProblem(problem)
 }
 
 // nonRepeatableCall is one request for a non-repeatable call. The ledger ensures that the call runs at most once per key.
--- a/io/flow/runner.go
+++ b/io/flow/runner.go
@@ -40,11 +40,47 @@
 	clock    core.Clock
 	trace    *trace.Tracer
 	inFlight loop.WorkCounter
+	// ended is done once the requests in progress end, because the host stops.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // New returns a Runner.
 func New(o Options, control io.Control, b *broker.Broker, client *dial.Client, permits *permit.Client, clock core.Clock, m *meter.Meter, t *trace.Tracer, log *slog.Logger) *Runner {
-	return &Runner{Attempts: tries.New(control, b, client, permits, clock, m, log), options: o, clock: clock, trace: t}
+	r := &Runner{Attempts: tries.New(control, b, client, permits, clock, m, log), options: o, clock: clock, trace: t}
+	r.ended, r.end = context.WithCancel(context.Background())
+	return r
+}
+
+// EndRequests ends the requests in progress, which get a final answer, and returns their number.
+func (r *Runner) EndRequests() int64 {
+	n := r.inFlight.Count()
+	r.end()
+	return n
+}
+
+// untilEnd returns a context that ends at the deadline of a request, or when the requests of a stopping host end.
+func (r *Runner) untilEnd(ctx context.Context, q Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, (q.DeadlineAt - r.clock.Now()).Duration())
+	unregister := context.AfterFunc(r.ended, cancel)
+	return ctx, func() {
+		unregister()
+		cancel()
+	}
+}
+
+// stopProblem names the stop of the host as the reason of a problem whose context it has ended.
+func (r *Runner) stopProblem(p *core.Problem) *core.Problem {
+	if p == nil || r.ended.Err() == nil || p.Reason != core.ReasonCallerGone {
+		return p
+	}
+	c := *p
+	c.Reason, c.Detail = core.ReasonHostStopping, "this host stops"
+	if c.Outcome == core.NotRun {
+		c.Status = http.StatusServiceUnavailable
+		return c.WithRetryAfter(core.Second)
+	}
+	return &c
 }
 
 // Start does nothing: the HTTP front end calls the runner for each request.
@@ -81,7 +117,7 @@
 func (r *Runner) RunPipeline(ctx context.Context, q Request, p tree.Pipeline) (Answer, *core.Problem) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	ctx, cancel := context.WithTimeout(ctx, (q.DeadlineAt - r.clock.Now()).Duration())
+	ctx, cancel := r.untilEnd(ctx, q)
 	defer cancel()
 	g := &progress{
 		request: q, target: p.Name, keys: stageKeys(p, q.Priority), stages: p.Stages, outputs: map[string]json.RawMessage{},
@@ -99,7 +135,7 @@
 	for i, s := range p.Stages {
 		a, problem := r.runStage(ctx, g, i)
 		if problem != nil {
-			return Answer{}, g.finalProblem(r.clock.Now(), problem)
+			return Answer{}, r.stopProblem(g.finalProblem(r.clock.Now(), problem))
 		}
 		g.outputs[s.Name] = a.Output
 		answer = a
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -21,6 +21,12 @@
 	"cyclamenford/io/trace"
 )
 
+// Requests that are left at a shutdown are ended when the answerReserveDivisor-th part of its time is left, maxAnswerReserve at most.
+const (
+	answerReserveDivisor = 8
+	maxAnswerReserve     = core.Second
+)
+
 // Options configure the HTTP server for callers.
 type Options struct {
 	Address        string
@@ -74,9 +80,16 @@
 }
 
 // Stop reports not ready, waits for DrainTime so that load balancers remove the host, closes the listener, and waits
-// for the requests in flight.
+// for the requests in flight. Those that are left shortly before ctx ends get a final answer.
 func (f *Front) Stop(ctx context.Context) error {
 	f.shuttingDown.Store(true)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		end := time.AfterFunc(left-min(maxAnswerReserve.Duration(), left/answerReserveDivisor), func() {
+			f.log.Warn("requests ended: the shutdown time is over", "requests", f.runner.EndRequests())
+		})
+		defer end.Stop()
+	}
 	t := time.NewTimer(f.options.DrainTime.Duration())
 	defer t.Stop()
 	select {
--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -8,10 +8,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"time"
 
 	"cyclamenford/core"
 )
 
+// lookTime is how long one look of Stop at the open connections lasts.
+const lookTime = 50 * time.Millisecond
+
 // Options configure a Server.
 type Options struct {
 	// Name identifies the listener in errors and logs by those who use it, such as "callers".
@@ -75,8 +79,16 @@
 // Stop closes the listener and waits for the requests in flight. When ctx ends, it closes the connections of the
 // remaining ones.
 func (s *Server) Stop(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down the listener for %s: %w", s.options.Name, errors.Join(err, s.http.Close()))
+	for {
+		// Each call begins with short pauses between its looks at the connections, which grow to half a second.
+		look, cancel := context.WithTimeout(ctx, lookTime)
+		err := s.http.Shutdown(look)
+		cancel()
+		switch {
+		case err == nil:
+			return nil
+		case ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded):
+			return fmt.Errorf("shut down the listener for %s: %w", s.options.Name, errors.Join(err, s.http.Close()))
+		}
 	}
-	return nil
 }
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -124,7 +124,7 @@
 	ResumeGraceMs core.Millis
 	// DrainMs is how long the host reports not ready before it closes its listener.
 	DrainMs core.Millis
-	// ShutdownMs is the time limit of the whole shutdown; requests that still run then are aborted.
+	// ShutdownMs is the time limit of the whole shutdown; requests that still run shortly before its end are ended with an answer.
 	ShutdownMs core.Millis
 }
 
