Count a renewed lease only once the configuration that came with it is in force

Cause: the follower publishes the state and extends the lease in one step; the entry host parses the configuration afterwards, and served by the old one until then. Class: a promise that counts before what it covers is done.

Why this works: while the newest configuration that a host has received is not in force, only the lease from before it counts. A host that holds its lease when a change arrives goes on serving.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,8 +43,9 @@
 	Image() state.Image
 	// Changed returns a channel that is closed at the next change of the image.
 	Changed() <-chan struct{}
-	// Serving reports whether the host has a valid serving lease.
-	Serving() bool
+	// ServingUntil returns until when the host holds its serving lease, 0 if it has none. The image that the lease was granted for
+	// was published before.
+	ServingUntil() core.Millis
 	// Holder returns the identity of this host's current incarnation.
 	Holder() ledger.Holder
 	// LeaderAddress returns the address of the keeper that this host takes for the leader, or an empty string.
@@ -88,6 +89,7 @@
 	chooser       *endpointChooser
 	leaderWatcher *loop.Loop
 	table         atomic.Pointer[conf.Table]
+	serving       servingLease
 	shutdown      *shutdown
 	// active is the number of client requests in progress.
 	active atomic.Int64
@@ -103,7 +105,7 @@
 	e.calls = newPendingCalls()
 	e.shutdown = newShutdown(clock)
 	e.chooser = newEndpointChooser(o.EndpointChoice, c, peers, e.calls, e.events, clock, log)
-	e.leaderWatcher = loop.New(leaderCheckInterval, e.cancelFormerLeaderCalls)
+	e.leaderWatcher = loop.New(leaderCheckInterval, e.watchLeader)
 	e.clientServer = listen.New(listen.Options{
 		Name: "clients", Address: o.ClientAddress, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}, http.HandlerFunc(e.serve), log)
@@ -158,8 +160,9 @@
 	}
 }
 
-// cancelFormerLeaderCalls cancels the calls that wait at a former leader.
-func (e *Entry) cancelFormerLeaderCalls(context.Context) {
+// watchLeader cancels the calls that wait at a former leader, and notes the serving lease also while no requests come.
+func (e *Entry) watchLeader(context.Context) {
+	e.servingTable()
 	leader := e.control.LeaderAddress()
 	if leader == "" {
 		return
@@ -172,10 +175,10 @@
 // applyConfig puts a configuration in force if it is newer than the present one. A document that cannot be parsed is logged
 // and ignored.
 func (e *Entry) applyConfig(c state.Config) {
-	current := e.table.Load()
-	if c.Version == 0 || current != nil && current.Config().Version >= c.Version {
+	if c.Version <= e.serving.applied.Load() {
 		return
 	}
+	defer e.serving.applied.Store(c.Version)
 	config, err := e.dialect.ParseConfig(c.Doc)
 	if err != nil {
 		e.log.Error("configuration cannot be parsed", "version", c.Version, "err", err)
@@ -193,7 +196,8 @@
 // Ready reports whether the host accepts new clients: it is not stopping, has a configuration and a roll, and holds a
 // serving lease.
 func (e *Entry) Ready() bool {
-	return e.shutdown.elapsed() < 0 && e.table.Load() != nil && e.chooser.hasRoll() && e.control.Serving()
+	_, serves := e.servingTable()
+	return serves && e.shutdown.elapsed() < 0 && e.chooser.hasRoll()
 }
 
 // serveReadiness answers a readiness probe with 200 or 503.
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -109,8 +109,8 @@
 // refusal.
 func (r *request) prepare() *core.Problem {
 	e := r.entry
-	table := e.table.Load()
-	if table == nil || !e.control.Serving() {
+	table, serves := e.servingTable()
+	if !serves {
 		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonNoServingLease,
 			"this host cannot be sure of the newest configuration").WithRetryAfter(noLeaderRetryAfter)
 	}
@@ -297,8 +297,8 @@
 // valid.
 func (r *request) recheck() *core.Problem {
 	e := r.entry
-	table := e.table.Load()
-	if !e.control.Serving() {
+	table, serves := e.servingTable()
+	if !serves {
 		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonNoServingLease,
 			"the serving lease has run out").WithRetryAfter(noLeaderRetryAfter)
 	}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -107,6 +107,17 @@
 	return f.joined && f.clock.Now() < f.leaseUntil
 }
 
+// ServingUntil returns until when this host holds its serving lease, 0 if it has not joined the deployment. The image that it was granted
+// for was published before.
+func (f *Follower) ServingUntil() core.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.joined {
+		return 0
+	}
+	return f.leaseUntil
+}
+
 // UpdateGauges sets the gauges of the followed revision, the serving lease and the last contact with a leader.
 func (f *Follower) UpdateGauges(m *meter.Meter) {
 	f.mu.Lock()
