Tell the answers to stage calls apart

Cause: stage calls carried no id, and the first response on the connection was taken. Class: an answer that is recognised by its place.

Why this works: each call of the relay has an id; an answer that names another one is skipped. An answer that names none is compared with the latest ones of its endpoint, and one that came before for other pieces ends its connection and call. Calls that free results have connections of their own.

--- /dev/null
+++ b/core/copies/doc.go
@@ -0,0 +1,2 @@
+// Package copies recognises answers that an endpoint sends once more.
+package copies
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/copies"
 	"cyclamenford/core/fleet"
 	"cyclamenford/core/order"
 	"cyclamenford/core/origin"
@@ -26,6 +30,9 @@
 	"cyclamenford/io/pipe"
 )
 
+// freeGroup separates the connections for calls that free results from those for stage calls, whose answers have content.
+const freeGroup = "free"
+
 const (
 	tickInterval = 20 * time.Millisecond
 	// entryTime is the time after a pass over the scheduler's queues, for each entry of them, in which events are collected for the
@@ -129,11 +136,13 @@
 	// calls in progress.
 	stopping, stopped bool
 	stageCalls        loop.WorkCounter
+	// answers knows the latest answers to stage calls, since not all name their call.
+	answers *copies.Filter
 }
 
 // New returns an assigner that is not running yet.
 func New(o Options, l Leader, c Caller, d io.Dialect, p *pipe.Client, g *guard.Guard, permits *permit.Issuer, clock core.Clock, m *meter.Meter, log *slog.Logger) *Assigner {
-	a := &Assigner{options: o, leader: l, caller: c, dialect: d, pipe: p, guard: g, clock: clock, meter: m, log: log, permits: permits}
+	a := &Assigner{options: o, leader: l, caller: c, dialect: d, pipe: p, guard: g, clock: clock, meter: m, log: log, permits: permits, answers: copies.New()}
 	a.Loop = loop.New(tickInterval, a.tick)
 	a.reset()
 	return a
@@ -456,7 +465,7 @@
 // sendStageCall sends a stage call, which was decided at the given time, to its endpoint and returns the results and how
 // the call ended.
 func (a *Assigner) sendStageCall(c order.Call, decidedAt core.Millis) ([]order.ItemResult, order.AttemptOutcome, error) {
-	call, err := a.dialect.StageCall(c.Endpoint, c.Items)
+	call, err := a.dialect.StageCall(c.Endpoint, newCallID(), c.Items)
 	if err != nil {
 		return nil, order.Broken, err
 	}
@@ -469,28 +478,57 @@
 	if !a.mayCall(life, permitted, "stage call") {
 		return nil, order.Rejected, nil
 	}
-	resp, err := a.pipe.Do(ctx, newPipeRequest(c.Address, call))
+	resp, err := a.pipe.Do(ctx, a.newPipeRequest(c.Address, "", call))
 	if err != nil {
 		return nil, outcomeOfSendError(err), err
 	}
 	defer resp.Close()
 	verdict := a.dialect.ParseResponse(resp.Status, resp.Header)
+	named := verdict.ID == call.ID
 	a.applyStageNotice(life, verdict)
 	a.recordStageLimit(life, verdict.Limit, sentAt)
 	body, err := resp.ReadAll(maxStageResponse)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, order.Broken, err
-	case verdict.OtherEndpoint:
+	}
+	results, outcome, err := a.parseStageAnswer(verdict, resp.Status, body)
+	switch {
+	case outcome == order.OtherEndpoint || err != nil:
 		resp.EndConnection()
+	case named:
+	case !slices.ContainsFunc(results, func(r order.ItemResult) bool { return r.Handle != "" }):
+		// Such answers are alike, so that one that comes once more could be taken for that to the next call on the connection.
+		resp.EndConnection()
+	case a.isCopy(life, c.Items, body):
+		resp.EndConnection()
+		return nil, order.Garbled, errCopiedAnswer
+	}
+	return results, outcome, err
+}
+
+// errCopiedAnswer means that an endpoint has sent the answer to an earlier call once more in the place of another one.
+var errCopiedAnswer = errors.New("the endpoint sent an earlier answer once more")
+
+// isCopy reports whether an endpoint has sent the answer to a call for other pieces before. The results of different pieces differ.
+func (a *Assigner) isCopy(life core.Life, items []order.Item, body []byte) bool {
+	var pieces []byte
+	for _, i := range items {
+		pieces = fmt.Appendf(pieces, "%s %d %d\n", i.ID, i.Stage, i.Piece)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.answers.IsCopy(life, pieces, body)
+}
+
+// parseStageAnswer returns the results of a stage call and how it ended.
+func (a *Assigner) parseStageAnswer(verdict io.EndpointResponse, status int, body []byte) ([]order.ItemResult, order.AttemptOutcome, error) {
+	switch {
+	case verdict.OtherEndpoint:
 		return nil, order.OtherEndpoint, nil
 	case verdict.NotRun:
-		// Answers to stage calls name no request, so that a refusal that is sent once more could not be told from the answer to
-		// the next call on the connection.
-		resp.EndConnection()
 		return nil, order.Rejected, nil
-	case resp.Status/100 != 2:
-		return nil, order.Erred, fmt.Errorf("status %d", resp.Status)
+	case status/100 != 2:
+		return nil, order.Erred, fmt.Errorf("status %d", status)
 	}
 	results, err := a.dialect.ParseStageResults(body)
 	if err != nil {
@@ -501,7 +539,7 @@
 
 // freeResults asks an endpoint to free results. Failures are only logged.
 func (a *Assigner) freeResults(f order.Free) {
-	call, err := a.dialect.FreeResults(f.Handles)
+	call, err := a.dialect.FreeResults(newCallID(), f.Handles)
 	if err != nil {
 		a.log.Error("cannot encode the call that frees results", "err", err)
 		return
@@ -513,7 +551,7 @@
 		// The endpoint drops the results by itself a few seconds later.
 		return
 	}
-	resp, err := a.pipe.Do(ctx, newPipeRequest(f.Address, call))
+	resp, err := a.pipe.Do(ctx, a.newPipeRequest(f.Address, freeGroup, call))
 	if err != nil {
 		// The endpoint drops the results by itself a few seconds later.
 		a.log.Debug("call to free results failed", "address", f.Address, "err", err)
@@ -528,8 +566,17 @@
 	}
 }
 
-func newPipeRequest(address string, c io.EndpointCall) pipe.Request {
-	return pipe.Request{Address: address, Method: c.Method, Target: c.Path, Host: address, Header: c.Header, Body: c.Body}
+// newCallID returns an ID that no other call has, so that a late answer to an earlier call is not taken for that to a later one.
+func newCallID() core.RequestID { return core.RequestID(fmt.Sprintf("%016x", rand.Uint64())) }
+
+func (a *Assigner) newPipeRequest(address, group string, c io.EndpointCall) pipe.Request {
+	return pipe.Request{
+		Address: address, Group: group, Method: c.Method, Target: c.Path, Host: address, Header: c.Header, Body: c.Body,
+		IsAnswer: func(resp *http.Response) bool {
+			return a.dialect.ParseResponse(resp.StatusCode, resp.Header).ID == c.ID
+		},
+		NamesNone: func(resp *http.Response) bool { return a.dialect.ParseResponse(resp.StatusCode, resp.Header).ID == "" },
+	}
 }
 
 // outcomeOfSendError returns Unreachable if the request was never sent, and Broken if it may have reached the endpoint.
--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -43,6 +43,9 @@
 
 func (l *fakeLeader) StreamVersion(string, origin.Stream) (string, bool) { return "", true }
 
+// callHeader names a call, in its request and in its answer.
+const callHeader = "Call"
+
 // fakeDialect sends a call's request ID as JSON and takes the whole answer as the handle of its only result.
 type fakeDialect struct{ cio.Dialect }
 
@@ -55,22 +58,22 @@
 	}}, nil
 }
 
-func (fakeDialect) StageCall(_ core.EndpointID, items []order.Item) (cio.EndpointCall, error) {
+func (fakeDialect) StageCall(_ core.EndpointID, id core.RequestID, items []order.Item) (cio.EndpointCall, error) {
 	raw, err := json.Marshal(items[0].ID)
-	return cio.EndpointCall{Method: http.MethodPost, Path: "/run", Header: http.Header{}, Body: raw}, err
+	return cio.EndpointCall{ID: id, Method: http.MethodPost, Path: "/run", Header: http.Header{callHeader: {string(id)}}, Body: raw}, err
 }
 
-func (fakeDialect) FreeResults(handles []string) (cio.EndpointCall, error) {
+func (fakeDialect) FreeResults(id core.RequestID, handles []string) (cio.EndpointCall, error) {
 	body := []byte(strings.Join(handles, " "))
-	return cio.EndpointCall{Method: http.MethodPost, Path: "/free", Header: http.Header{}, Body: body}, nil
+	return cio.EndpointCall{ID: id, Method: http.MethodPost, Path: "/free", Header: http.Header{callHeader: {string(id)}}, Body: body}, nil
 }
 
 func (fakeDialect) ParseStageResults(body []byte) ([]order.ItemResult, error) {
 	return []order.ItemResult{{Handle: string(body)}}, nil
 }
 
-func (fakeDialect) ParseResponse(int, http.Header) cio.EndpointResponse {
-	return cio.EndpointResponse{}
+func (fakeDialect) ParseResponse(_ int, h http.Header) cio.EndpointResponse {
+	return cio.EndpointResponse{ID: core.RequestID(h.Get(callHeader))}
 }
 
 // TestACallOfAFormerLeadershipIsNotTakenForANewOne guards against results that are attributed to the wrong call. The
@@ -153,9 +156,10 @@
 func TestABriefLapseOfTheLeaseKeepsRequestsAndResults(t *testing.T) {
 	answer := make(chan struct{})
 	var sent atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		sent.Add(1)
 		<-answer
+		w.Header().Set(callHeader, r.Header.Get(callHeader))
 		_, _ = w.Write([]byte("result"))
 	}))
 	defer server.Close()
--- a/io/assign/stop_test.go
+++ b/io/assign/stop_test.go
@@ -19,8 +19,9 @@
 func TestALeaderStopsWhileStagesHaveWork(t *testing.T) {
 	for name, callTime := range map[string]time.Duration{"short calls": 100 * time.Millisecond, "a long call": 3 * time.Second} {
 		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				time.Sleep(callTime)
+				w.Header().Set(callHeader, r.Header.Get(callHeader))
 				_, _ = w.Write([]byte("result"))
 			}))
 			defer server.Close()
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -49,14 +49,19 @@
 	dialer  net.Dialer
 
 	mu    sync.Mutex
-	idle  map[string][]*conn
+	idle  map[poolKey][]*conn
 	dials int64
 }
 
+// poolKey identifies the connections that a request may reuse.
+type poolKey struct{ address, group string }
+
 // Request is an HTTP request to the endpoint that listens at Address.
 type Request struct {
 	Address string
-	Method  string
+	// Group separates connections: a request reuses only those of its group.
+	Group  string
+	Method string
 	// Target is the request target of the HTTP request line: the path with the query. Host is the value of the Host header.
 	Target string
 	Host   string
@@ -72,11 +77,13 @@
 	NamesNone func(*http.Response) bool
 }
 
+func (r Request) poolKey() poolKey { return poolKey{address: r.Address, group: r.Group} }
+
 // conn is a connection to an endpoint with its read buffer.
 type conn struct {
 	net.Conn
-	address string
-	reader  *bufio.Reader
+	pool   poolKey
+	reader *bufio.Reader
 	// limit restricts how many bytes the reader may read from the connection.
 	limit *limitedReader
 	// named means that an answer on the connection has named its request.
@@ -88,7 +95,7 @@
 
 // New returns a client whose connection pool is empty.
 func New(o Options) *Client {
-	c := &Client{options: o, idle: map[string][]*conn{}}
+	c := &Client{options: o, idle: map[poolKey][]*conn{}}
 	c.dialer = sock.Dialer(o.LocalAddress, dialTimeout)
 	return c
 }
@@ -101,11 +108,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var errs []error
-	for address, list := range c.idle {
+	for key, list := range c.idle {
 		for _, x := range list {
 			errs = append(errs, x.Close())
 		}
-		delete(c.idle, address)
+		delete(c.idle, key)
 	}
 	return errors.Join(errs...)
 }
@@ -129,7 +136,7 @@
 		}
 		c.discard(x)
 	}
-	x, err := c.connect(ctx, r.Address)
+	x, err := c.connect(ctx, r.poolKey())
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -137,22 +144,22 @@
 }
 
 // connect opens a new connection.
-func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
+func (c *Client) connect(ctx context.Context, key poolKey) (*conn, error) {
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dialer.DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
 	limit := &limitedReader{source: raw}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, idleLimit: maxIdle}, nil
+	return &conn{Conn: raw, pool: key, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit, idleLimit: maxIdle}, nil
 }
 
 // ProcessEnded reports whether the process that listened at an address is gone, which a refused connection proves. If the
 // host does not answer, that remains unknown and an error is returned.
 func (c *Client) ProcessEnded(ctx context.Context, address string) (bool, error) {
-	x, err := c.connect(ctx, address)
+	x, err := c.connect(ctx, poolKey{address: address})
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		return true, nil
@@ -169,18 +176,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock.Now()
-	list := c.idle[r.Address]
+	key := r.poolKey()
+	list := c.idle[key]
 	for len(list) > 0 {
 		x := list[len(list)-1]
 		list = list[:len(list)-1]
 		idle := now - x.idleSince
 		if idle < x.idleLimit && (r.MaxIdle == 0 || idle < r.MaxIdle) {
-			c.idle[r.Address] = list
+			c.idle[key] = list
 			return x
 		}
 		c.discard(x)
 	}
-	delete(c.idle, r.Address)
+	delete(c.idle, key)
 	return nil
 }
 
@@ -189,13 +197,13 @@
 func (c *Client) release(x *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[x.address]
+	list := c.idle[x.pool]
 	if x.reader.Buffered() > 0 || len(list) >= maxIdlePerEndpoint {
 		c.discard(x)
 		return
 	}
 	x.idleSince = c.options.Clock.Now()
-	c.idle[x.address] = append(list, x)
+	c.idle[x.pool] = append(list, x)
 }
 
 // discard closes a connection that cannot be reused; it ignores errors of Close.
@@ -208,7 +216,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock.Now()
-	for address, list := range c.idle {
+	for key, list := range c.idle {
 		kept := list[:0]
 		for _, x := range list {
 			if now-x.idleSince < x.idleLimit {
@@ -218,10 +226,10 @@
 			c.discard(x)
 		}
 		if len(kept) == 0 {
-			delete(c.idle, address)
+			delete(c.idle, key)
 			continue
 		}
-		c.idle[address] = kept
+		c.idle[key] = kept
 	}
 }
 
--- a/io/relay.go
+++ b/io/relay.go
@@ -24,12 +24,12 @@
 	SetProblemHeader(h http.Header, id core.RequestID, p *core.Problem)
 	// EventGrammar returns the grammar of the events of a stream.
 	EventGrammar() event.Grammar
-	// StageCall builds the call that runs pieces at an endpoint of a stage.
-	StageCall(to core.EndpointID, items []order.Item) (EndpointCall, error)
+	// StageCall builds the call with the given ID that runs pieces at an endpoint of a stage.
+	StageCall(to core.EndpointID, id core.RequestID, items []order.Item) (EndpointCall, error)
 	// ParseStageResults parses the response to a stage call. The results are in the order of the call's items.
 	ParseStageResults(body []byte) ([]order.ItemResult, error)
-	// FreeResults builds the call that tells an endpoint to free the results with these handles.
-	FreeResults(handles []string) (EndpointCall, error)
+	// FreeResults builds the call with the given ID that tells an endpoint to free the results with these handles.
+	FreeResults(id core.RequestID, handles []string) (EndpointCall, error)
 	// ParseConfig parses a complete configuration. The caller validates it.
 	ParseConfig(doc []byte) (conf.Config, error)
 }
@@ -84,6 +84,8 @@
 
 // EndpointCall is an HTTP request that the relay itself sends to an endpoint.
 type EndpointCall struct {
+	// ID identifies the call. Endpoints echo it in their response.
+	ID     core.RequestID
 	Method string
 	Path   string
 	Header http.Header
