Tell a client that has left from a connection that the host has closed

A request whose connection ended was logged as abandoned by its client, whichever side had closed the connection, so that the log could not distinguish the hypotheses of the incident. Each connection now records which side has ended it; `request ended` names it, and every listener of both programs warns when it closes a connection beneath a handler.

A stop that closes connections at its end now waits 100 ms for their handlers, whose last lines were lost with the process otherwise.

--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -11,6 +11,7 @@
 	"cyclamenford/core/order"
 	"cyclamenford/core/poison"
 	relay "cyclamenford/io"
+	"cyclamenford/io/listen"
 	"cyclamenford/io/pipe"
 )
 
@@ -156,7 +157,7 @@
 	}
 	e.log.Info("request ended", "request", r.incoming.ID, "route", r.route.Name, "organisation", r.organisation.Name, "content", r.content.String(),
 		"status", status, "how", ending, "reason", reason, "attempts", r.attempts, "resumes", r.incoming.Resumes, "last_event", r.incoming.LastEvent,
-		"took_ms", e.clock.Now()-r.arrived, "first_ms", out.headerDelay(r.arrived), "stopping_ms", e.shutdown.elapsed(), "config", e.table.Load().Config().Version)
+		"took_ms", e.clock.Now()-r.arrived, "first_ms", out.headerDelay(r.arrived), "stopping_ms", e.shutdown.elapsed(), "connection_ended_by", listen.EndedBy(r.httpRequest.Context()), "config", e.table.Load().Config().Version)
 	e.meter.Count("requests_total", 1, "status", statusClass(status), "reason", string(reason))
 	e.meter.Observe("request_ms", int64(e.clock.Now()-r.arrived))
 	switch {
--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -11,10 +11,15 @@
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/io/loop"
 )
 
-// lookTime is how long one look of Stop at the open connections lasts.
-const lookTime = 50 * time.Millisecond
+const (
+	// lookTime is how long one look of Stop at the open connections lasts.
+	lookTime = 50 * time.Millisecond
+	// lastHandlersWait is how long Stop waits for handlers whose connections it has closed, so that their last log lines are written.
+	lastHandlersWait = 100 * time.Millisecond
+)
 
 // Options configure a Server.
 type Options struct {
@@ -38,16 +43,36 @@
 	options Options
 	http    *http.Server
 	log     *slog.Logger
+	// listener is nil before Start.
+	listener net.Listener
+	// handlers counts the handlers in progress.
+	handlers loop.WorkCounter
 }
 
 // New returns a Server that does not listen until Start.
 func New(o Options, h http.Handler, log *slog.Logger) *Server {
-	return &Server{options: o, log: log, http: &http.Server{
-		Handler: h, MaxHeaderBytes: o.MaxHeaderBytes,
+	s := &Server{options: o, log: log}
+	s.http = &http.Server{
+		Handler: s.handler(h), MaxHeaderBytes: o.MaxHeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout.Duration(), ReadTimeout: o.ReadTimeout.Duration(),
-		IdleTimeout: o.IdleTimeout.Duration(),
-		ErrorLog:    slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}}
+		IdleTimeout: o.IdleTimeout.Duration(), ConnContext: withConn,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return s
+}
+
+// handler returns a handler that counts the requests in progress and logs those whose connections this host has closed.
+func (s *Server) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.handlers.Add(1)
+		defer s.handlers.Add(-1)
+		defer func() {
+			if EndedBy(r.Context()) == Host {
+				s.log.Warn("connection closed beneath a request", "for", s.options.Name, "client", r.RemoteAddr, "method", r.Method, "path", r.URL.Path)
+			}
+		}()
+		h.ServeHTTP(w, r)
+	})
 }
 
 // Start opens the listener and serves requests in the background.
@@ -59,9 +84,11 @@
 	if s.options.WrapListener != nil {
 		l = s.options.WrapListener(l)
 	}
+	l = trackingListener{Listener: l}
 	if s.options.Tls != nil {
 		l = tls.NewListener(l, s.options.Tls)
 	}
+	s.listener = l
 	go func() {
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener ended", "for", s.options.Name, "err", err)
@@ -70,6 +97,9 @@
 	return nil
 }
 
+// Addr returns the address on which the server listens. It must be called after Start.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
 // CloseIdle closes idle connections now and all others after their current response. New connections are still
 // accepted, and closed after one request.
 func (s *Server) CloseIdle() {
@@ -88,7 +118,18 @@
 		case err == nil:
 			return nil
 		case ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded):
-			return fmt.Errorf("shut down the listener for %s: %w", s.options.Name, errors.Join(err, s.http.Close()))
+			err = errors.Join(err, s.http.Close())
+			s.waitForHandlers()
+			return fmt.Errorf("shut down the listener for %s: %w", s.options.Name, err)
 		}
 	}
 }
+
+// waitForHandlers waits a short time for the handlers whose connections were closed, which log how their requests ended.
+func (s *Server) waitForHandlers() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastHandlersWait)
+	defer cancel()
+	if err := s.handlers.Wait(ctx); err != nil {
+		s.log.Warn("handlers still run after the stop", "for", s.options.Name, "requests", s.handlers.Count())
+	}
+}
