--- a/io/listen/conn_test.go
+++ b/io/listen/conn_test.go
@@ -1,62 +1,28 @@
 package listen
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"crypto/tls"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"cyclamenford/bench/kept"
 )
 
 const testBodyBytes = 1400
 
-// testClient is a client with one open connection.
-type testClient struct {
-	net.Conn
-	in *bufio.Reader
-}
-
-// send sends a request and reports whether its whole answer has arrived.
-func (c testClient) send(id string) bool {
-	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", testBodyBytes)))
-	r.Header.Set("Id", id)
-	var out bytes.Buffer
-	if r.Write(&out) != nil {
-		return false
-	}
-	if _, err := c.Write(out.Bytes()); err != nil {
-		return false
-	}
-	resp, err := http.ReadResponse(c.in, r)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return err == nil && string(body) == id
-}
-
-func dialTest(t *testing.T, address string, overTls bool) testClient {
-	var c net.Conn
-	var err error
-	if overTls {
-		c, err = tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
-	} else {
-		c, err = net.Dial("tcp", address)
-	}
+// post returns a request with a body of testBodyBytes.
+func post(t *testing.T, id string) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, "http://test.example/", strings.NewReader(strings.Repeat("x", testBodyBytes)))
 	must.NoError(t, err)
-	must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	return testClient{Conn: c, in: bufio.NewReader(c)}
+	r.Header.Set("Id", id)
+	return r
 }
 
 // TestRequestsTellWhichSideHasEndedTheirConnection guards against a log in which a connection that the host has closed looks like a
@@ -78,8 +44,10 @@
 			})
 			s := New(Options{Name: "test", Address: "127.0.0.1:0"}, handler, slog.New(slog.DiscardHandler))
 			must.NoError(t, s.Start(context.Background()))
-			c := dialTest(t, s.Addr().String(), false)
-			go c.send("1")
+			c, err := kept.Dial(s.Addr().String(), nil)
+			must.NoError(t, err)
+			request := post(t, "1")
+			go func() { _, _, _ = c.Ask(request, 10*time.Second) }()
 			<-began
 			stopped, cancel := context.WithCancel(context.Background())
 			cancel()
