End idle connections of a stopping host once their next request might be refused

An entry host now ends its idle connections, by their own reads, when nearly all requests of its slowest route could no longer end in time; serve does so at the signal, since it refuses new requests from then on.

--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// TestIdleConnectionsEndBeforeTheSlowestRouteIsRefused guards against an open connection whose next request can only be refused.
+func TestIdleConnectionsEndBeforeTheSlowestRouteIsRefused(t *testing.T) {
+	l, w := NewLengths(), Window{Began: 0, Ends: 7200}
+	must.Eq(t, 2400, w.LastStart(l.Longest()))
+	l.Add("plain", Sample{Size: 1, First: 50, Total: 50})
+	l.Add("stream", Sample{Size: 100, First: 200, Total: 4200})
+	must.Eq(t, 3000, w.LastStart(l.Longest()))
+}
+
 // TestLengthsForgetRoutes guards against growth with each new route of many configurations.
 func TestLengthsForgetRoutes(t *testing.T) {
 	l := NewLengths()
--- a/core/drain/lengths.go
+++ b/core/drain/lengths.go
@@ -29,10 +29,10 @@
 	First, Total core.Millis
 }
 
-// samples holds a route's latest requests: the milliseconds to the first byte, and those per unit of size after it.
+// samples holds a route's latest requests: the milliseconds to the first byte, those per unit of size after it, and all.
 type samples struct {
-	first, rates []float64
-	next         int
+	first, rates, totals []float64
+	next                 int
 }
 
 // NewLengths returns a Lengths without samples.
@@ -47,12 +47,12 @@
 		s = &samples{}
 		l.routes[route] = s
 	}
-	first, rate := float64(x.First), float64(x.Total-x.First)/float64(max(1, x.Size))
+	first, rate, total := float64(x.First), float64(x.Total-x.First)/float64(max(1, x.Size)), float64(x.Total)
 	if len(s.rates) < samplesPerRoute {
-		s.first, s.rates = append(s.first, first), append(s.rates, rate)
+		s.first, s.rates, s.totals = append(s.first, first), append(s.rates, rate), append(s.totals, total)
 		return
 	}
-	s.first[s.next], s.rates[s.next] = first, rate
+	s.first[s.next], s.rates[s.next], s.totals[s.next] = first, rate, total
 	s.next = (s.next + 1) % samplesPerRoute
 }
 
@@ -66,6 +66,15 @@
 	return max(1, core.Millis(math.Ceil(quantile(s.first)+quantile(s.rates)*float64(max(1, size)))))
 }
 
+// Longest returns how long nearly all requests of the slowest route take, or 0 if nothing is known.
+func (l *Lengths) Longest() core.Millis {
+	var longest float64
+	for _, s := range l.routes {
+		longest = max(longest, quantile(s.totals))
+	}
+	return core.Millis(math.Ceil(longest))
+}
+
 // quantile returns the value that lengthQuantile of the values do not exceed.
 func quantile(values []float64) float64 {
 	sorted := slices.Sorted(slices.Values(values))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -124,16 +124,17 @@
 
 // Stop reports the host as not ready and waits until the load balancer has taken it out of rotation. Then it stops
 // accepting connections, lets the requests in flight finish within the grace period, and ends the background work. Requests that
-// would not finish are refused before they are sent.
+// would not finish are refused before they are sent, and idle connections end before that could happen to their next request.
 func (e *Entry) Stop(ctx context.Context) error {
 	began := e.clock.Now()
 	e.shutdown.start(e.options.ShutdownWork)
 	e.log.Info("entry stops", "work_ms", e.options.ShutdownWork, "grace_ms", e.options.ShutdownGrace, "requests", e.active.Load())
 	e.clientServer.Leave()
-	select {
-	case <-time.After(min(e.options.RotationDelay, e.options.ShutdownGrace).Duration()):
-	case <-ctx.Done():
-	}
+	rotation := min(e.options.RotationDelay, e.options.ShutdownGrace)
+	idleEnd := min(max(0, e.shutdown.idleEnd()), rotation)
+	loop.Sleep(ctx, idleEnd.Duration())
+	e.clientServer.EndIdle()
+	loop.Sleep(ctx, (rotation - idleEnd).Duration())
 	left := max(core.Millis(1), e.options.ShutdownGrace-(e.clock.Now()-began))
 	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
--- a/io/entry/shutdown.go
+++ b/io/entry/shutdown.go
@@ -78,6 +78,14 @@
 	return s.lengths.Estimate(route, size)
 }
 
+// idleEnd returns the time from now until which idle connections stay open at a stopping host: as long as the requests of all routes
+// could still end here.
+func (s *shutdown) idleEnd() core.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window.Load().LastStart(s.lengths.Longest()) - s.clock.Now()
+}
+
 // retainRoutes forgets the requests of all other routes.
 func (s *shutdown) retainRoutes(routes map[string]bool) {
 	s.mu.Lock()
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -83,7 +83,9 @@
 // for the requests in flight. Those that are left shortly before ctx ends get a final answer.
 func (f *Front) Stop(ctx context.Context) error {
 	f.shuttingDown.Store(true)
+	// From now on new requests are refused: idle connections end, so that their clients go elsewhere at once.
 	f.server.Leave()
+	f.server.EndIdle()
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline)
 		end := time.AfterFunc(left-min(maxAnswerReserve.Duration(), left/answerReserveDivisor), func() {
--- a/io/listen/listen.go
+++ b/io/listen/listen.go
@@ -42,8 +42,9 @@
 	options Options
 	http    *http.Server
 	log     *slog.Logger
-	// listener is nil before Start.
+	// listener is nil before Start. accepted is closed when no further connection is accepted.
 	listener net.Listener
+	accepted chan struct{}
 	// handlers counts the handlers in progress, and open the open connections.
 	handlers, open loop.WorkCounter
 	// leaving means that each answer ends its connection.
@@ -97,8 +98,9 @@
 	if s.options.Tls != nil {
 		l = tls.NewListener(l, s.options.Tls)
 	}
-	s.listener = l
+	s.listener, s.accepted = l, make(chan struct{})
 	go func() {
+		defer close(s.accepted)
 		if err := s.http.Serve(l); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener ended", "for", s.options.Name, "err", err)
 		}
@@ -137,21 +139,37 @@
 // learn from an answer that they have to go elsewhere.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// EndIdle ends the open connections of whose next request nothing has been read, and the others after their current request. It
+// returns the number of the former. New connections are still accepted.
+func (s *Server) EndIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retireAll()
+}
+
+// retireAll retires the open connections and returns how many of them were idle. The caller holds the lock.
+func (s *Server) retireAll() int {
+	idle := 0
+	for c := range s.conns {
+		if c.retire() {
+			idle++
+		}
+	}
+	return idle
+}
+
 // Stop closes the listener and the connections of whose next request nothing has been read, and waits for the requests of the
 // others. When ctx ends, it closes the connections of the remaining ones.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Leave()
 	err := s.listener.Close()
+	<-s.accepted
 	s.mu.Lock()
 	s.retiring = true
-	unread := 0
-	for c := range s.conns {
-		if c.retire() {
-			unread++
-		}
-	}
-	s.log.Info("listener stops", "for", s.options.Name, "connections", len(s.conns), "unread", unread, "requests", s.handlers.Count())
+	open := len(s.conns)
+	idle := s.retireAll()
 	s.mu.Unlock()
+	s.log.Info("listener stops", "for", s.options.Name, "connections", open, "idle", idle, "requests", s.handlers.Count())
 	err = errors.Join(err, s.open.Wait(ctx), s.http.Close())
 	s.waitForHandlers()
 	if err != nil {
--- a/io/listen/listen_test.go
+++ b/io/listen/listen_test.go
@@ -33,8 +33,9 @@
 	Name string
 	// Rounds is how many servers are stopped.
 	Rounds int
-	Leave  bool
-	Tls    bool
+	// Leave means that the server begins to leave before it stops, and EndIdle that it also ends idle connections then.
+	Leave, EndIdle bool
+	Tls            bool
 	// IdleMs is the idle timeout of the server, which is not stopped then until all requests were sent.
 	IdleMs core.Millis
 }
@@ -114,6 +115,9 @@
 	}
 	if c.Leave {
 		s.Leave()
+		if c.EndIdle {
+			s.EndIdle()
+		}
 		time.Sleep(sendSpread)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
