--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -86,7 +86,7 @@
 		a.writeJSON(w, http.StatusUnauthorized, errorBody{Error: "the operator's key is not known"})
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	r.Body = listen.MaxBytesReader(w, r.Body, maxBodyBytes)
 	value, err := f(author, r)
 	var withStatus *statusError
 	switch {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -15,6 +15,7 @@
 	relay "cyclamenford/io"
 	"cyclamenford/io/assign"
 	"cyclamenford/io/keeper"
+	"cyclamenford/io/listen"
 )
 
 const (
@@ -145,7 +146,7 @@
 	if configured := r.entry.table.Load().Config().Limits.MaxBodyBytes; configured > 0 {
 		limit = configured
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.httpRequest.Body, limit))
+	body, err := io.ReadAll(listen.MaxBytesReader(w, r.httpRequest.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -15,6 +15,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/tree"
 	"cyclamenford/io/flow"
+	"cyclamenford/io/listen"
 )
 
 // maxDeadline is the longest deadline that a caller may request.
@@ -96,7 +97,7 @@
 	w := c.ResponseWriter().Naive()
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(f.options.ReadTimeout.Duration()))
-	body, err := stdio.ReadAll(http.MaxBytesReader(w, c.Request().Body, f.options.MaxBodyBytes))
+	body, err := stdio.ReadAll(listen.MaxBytesReader(w, c.Request().Body, f.options.MaxBodyBytes))
 	if err == nil {
 		// After an error the deadline remains set, so that the server does not wait for the rest of the body.
 		_ = control.SetReadDeadline(time.Time{})
--- a/io/greet/greet.go
+++ b/io/greet/greet.go
@@ -59,7 +59,7 @@
 		return
 	}
 	var raw json.RawMessage
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&raw); err != nil {
+	if err := json.NewDecoder(listen.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&raw); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
