Flush the log after a stop that has used up its time, and bound the stop of the metrics listener

The log's last lines were lost exactly where services used up the time of a stop: the writer got the context that had ended. It has half of the reserve for the exit now. The metrics listener, which stops before all other services, waits 200 ms at most, and both it and the readiness listener have the timeouts of the others.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -109,7 +109,9 @@
 	e.clientServer = listen.New(listen.Options{
 		Name: "clients", Address: o.ClientAddress, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}, http.HandlerFunc(e.serve), log)
-	e.readyServer = listen.New(listen.Options{Name: "readiness", Address: o.ReadyAddress}, http.HandlerFunc(e.serveReadiness), log)
+	e.readyServer = listen.New(listen.Options{
+		Name: "readiness", Address: o.ReadyAddress, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}, http.HandlerFunc(e.serveReadiness), log)
 	e.sweeper = loop.New(sweepInterval, func(context.Context) { p.Sweep() })
 	return e
 }
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -37,6 +38,8 @@
 	// controlHeaderTimeout is the time limit for reading the header of an announcement or an operator's call.
 	controlHeaderTimeout = 5 * core.Second
 	controlIdleTimeout   = 60 * core.Second
+	// metricsStopTimeout bounds the stop of the metrics listener, which precedes that of all other services.
+	metricsStopTimeout = 200 * core.Millis(1)
 	// A host that stops ends the requests that are left when a workReserve of its grace period is left, closes the connections
 	// that are left with a closeReserve, and waits for its other services until an exitReserve is left. Load balancers and process
 	// managers excuse what is cut in the last sixth of the period. maxWorkReserve bounds the reserves of long periods.
@@ -96,13 +99,16 @@
 
 // Stop shuts the host down gracefully within its grace period, less the time kept for the exit of the process.
 func (r *Relay) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, r.settings.timeUntil(exitReserve).Duration())
+	services, cancel := context.WithTimeout(ctx, r.settings.timeUntil(exitReserve).Duration())
 	defer cancel()
 	r.log.Info("host is stopping", "grace_ms", r.settings.gracePeriod())
-	err := r.kernel.Stop(ctx)
+	err := r.kernel.Stop(services)
 	r.log.Info("host has stopped", "err", err)
-	if err := r.logWriter.Stop(ctx); err != nil {
-		return fmt.Errorf("flush log: %w", err)
+	// The last lines matter most where the services have used up their time.
+	flush, cancelFlush := context.WithTimeout(context.WithoutCancel(ctx), (r.settings.gracePeriod()-r.settings.timeUntil(exitReserve)).Duration()/2)
+	defer cancelFlush()
+	if logErr := r.logWriter.Stop(flush); logErr != nil {
+		return errors.Join(err, fmt.Errorf("flush log: %w", logErr))
 	}
 	return err
 }
@@ -304,7 +310,10 @@
 			r.log.Debug("write metrics response", "err", err)
 		}
 	})
-	return r.kernel.Register(metricsService, listen.New(listen.Options{Name: "metrics", Address: address}, handler, r.log))
+	o := listen.Options{
+		Name: "metrics", Address: address, HeaderTimeout: controlHeaderTimeout, IdleTimeout: controlIdleTimeout, StopTimeout: metricsStopTimeout,
+	}
+	return r.kernel.Register(metricsService, listen.New(o, handler, r.log))
 }
 
 // Reload applies the settings that may change while the host runs, which are the seeds.
