--- a/core/quorum/losses_test.go
+++ b/core/quorum/losses_test.go
@@ -83,6 +83,11 @@
 		w.crash(h)
 	}
 	w.packets = nil
+	return w.recover()
+}
+
+// recover returns a violation unless a leader is elected that holds every committed entry.
+func (w *world) recover() string {
 	last := uint64(0)
 	for index := range w.committed {
 		last = max(last, index)
@@ -96,5 +101,5 @@
 			}
 		}
 	}
-	return fmt.Sprintf("no keeper that holds entry %d leads %d ms after the final loss", last, recoverySteps*stepMillis)
+	return fmt.Sprintf("no keeper that holds entry %d leads %d ms after the last loss", last, recoverySteps*stepMillis)
 }
