Remove a silent voter only once its successor votes

One disk was lost, and one of three is to be tolerated.

Cause: the order of a replacement was chosen by the live voters that may be lost between its two changes, where both orders are equal, and the tie went to the removal. Class: silence taken as evidence of a loss that it does not prove.

Why this works: the target is odd, and with one voter more a majority is left after as many lost disks as the complete set tolerates, whichever they are. A voter whose host has another disk never comes back; it is still removed first, since both orders bear what they must then, and the removal does not depend on the successor. It goes before a voter that is only silent.

--- a/core/quorum/silent_test.go
+++ b/core/quorum/silent_test.go
@@ -12,30 +12,29 @@
 )
 
 const (
-	// warmUpSteps is the time in which a leader is elected and the spares become learners.
-	warmUpSteps = 300
-	// replaceSteps is the time within which the replacement of a silent voter must begin, and lossSteps the number of steps
-	// from its beginning on at which disks are lost.
+	// replaceSteps is the time within which the spares must become learners, and the replacement of a silent voter begin.
+	// lossSteps is the number of steps from then on at which disks are lost.
 	replaceSteps = 400
 	lossSteps    = 12
 )
 
-// TestDisksMayBeLostWhileVotersThatComeBackAreReplaced guards against a replacement after which the loss of as many disks as are
+// TestDisksMayBeLostWhileSilentVotersAreReplaced guards against a replacement after which the loss of as many disks as are
 // tolerated leaves no quorum, although the replaced voters were only silent and come back with their disks.
 //
-// The disks are lost at each step of the replacement, from the step in which its first change is appended.
-func TestDisksMayBeLostWhileVotersThatComeBackAreReplaced(t *testing.T) {
-	for _, c := range []struct{ nodes, silent int }{{3, 1}, {5, 1}, {5, 2}} {
+// The disks are lost at each step of the replacement, from the step in which its first change is appended. Silent voters that have
+// lost their disks count among the losses.
+func TestDisksMayBeLostWhileSilentVotersAreReplaced(t *testing.T) {
+	for _, c := range []struct{ nodes, silent, wiped int }{{3, 1, 0}, {5, 1, 0}, {5, 2, 0}, {5, 1, 1}, {5, 2, 1}} {
 		for _, silenceLeader := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%d of %d silent, leader among them %t", c.silent, c.nodes, silenceLeader), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d of %d silent, %d without its disk, leader among them %t", c.silent, c.nodes, c.wiped, silenceLeader), func(t *testing.T) {
 				t.Parallel()
 				runs := 0
 				var failed []string
 				for step := range lossSteps {
-					for _, lost := range choices(c.nodes+(c.nodes-1)/2-c.silent, (c.nodes-1)/2) {
+					for _, lost := range choices(c.nodes+(c.nodes-1)/2-c.silent, (c.nodes-1)/2-c.wiped) {
 						for _, loseMessages := range []bool{false, true} {
 							runs++
-							r := replacement{nodes: c.nodes, silent: c.silent, silenceLeader: silenceLeader, step: step, lost: lost, loseMessages: loseMessages}
+							r := replacement{nodes: c.nodes, silent: c.silent, wiped: c.wiped, silenceLeader: silenceLeader, step: step, lost: lost, loseMessages: loseMessages}
 							if violation := r.run(); violation != "" {
 								failed = append(failed, fmt.Sprintf("%+v: %s", r, violation))
 							}
@@ -49,10 +48,10 @@
 	}
 }
 
-// replacement is one run of the test: voters go silent, and the disks of lost, numbers of keepers that still run, are lost
-// step steps after the first change of voters.
+// replacement is one run of the test: voters go silent, some of which lose their disks, and the disks of lost, numbers of keepers
+// that still run, are lost step steps after the first change of voters.
 type replacement struct {
-	nodes, silent, step         int
+	nodes, silent, wiped, step  int
 	silenceLeader, loseMessages bool
 	lost                        []int
 }
@@ -63,12 +62,12 @@
 	for range (r.nodes - 1) / 2 {
 		w.hosts = append(w.hosts, &keeperHost{host: hostName(len(w.hosts)), incarnation: 1, downUntil: w.now})
 	}
-	for range warmUpSteps {
-		w.step()
-	}
-	leader := w.leading()
-	if leader == nil || len(leader.node.Config().Learners) < (r.nodes-1)/2 {
-		return "the spares are not learners after the warm-up"
+	var leader *keeperHost
+	if !w.stepUntil(func() bool {
+		leader = w.leading()
+		return leader != nil && len(leader.node.Config().Learners) == (r.nodes-1)/2 && !leader.node.ChangePending()
+	}) {
+		return "the spares have not become learners"
 	}
 	voters := leader.node.Config().Voters
 	silent := w.silence(leader, r.silent, r.silenceLeader)
@@ -86,8 +85,11 @@
 	if r.loseMessages {
 		w.packets = nil
 	}
-	for _, h := range silent {
+	for i, h := range silent {
 		h.downUntil = w.now
+		if i < r.wiped {
+			w.wipe(h)
+		}
 	}
 	return w.recover()
 }
@@ -105,7 +107,7 @@
 	}
 	for _, h := range silent {
 		w.crash(h)
-		h.downUntil = w.now + (replaceSteps+lossSteps)*stepMillis
+		h.downUntil = w.now + 2*replaceSteps*stepMillis
 	}
 	return silent
 }
--- a/core/repair/repair.go
+++ b/core/repair/repair.go
@@ -76,7 +76,7 @@
 	return Change{Config: v.Config.WithVoter(m), Reason: "learner " + string(m) + " has caught up"}, true
 }
 
-// removeExtraVoter removes a voter while there are more than the target: a dead one, else one that leaves, else any but the
+// removeExtraVoter removes a voter while there are more than the target: one that is lost, else one that leaves, else any but the
 // leader, as long as enough others are alive.
 func removeExtraVoter(v View) (Change, bool) {
 	if len(v.Config.Voters) <= v.Target {
@@ -96,9 +96,9 @@
 	return Change{}, false
 }
 
-// replaceVoter begins to replace a voter that is dead or leaves by a learner that has caught up. Of the two orders it takes the
-// one that tolerates more losses between its two changes; for a dead voter they tolerate the same, and the removal comes
-// first, since it does not depend on a member that has only just joined.
+// replaceVoter begins to replace a voter that is lost or leaves by a learner that has caught up. The learner votes first, and the
+// voter is removed then: until it is, one that is only silent may come back with its disk, which counts if others are lost
+// meanwhile. A voter whose disk is lost is removed first, since the set then does not depend on a new voter.
 func replaceVoter(v View) (Change, bool) {
 	learner, ready := v.readyLearner()
 	if !ready {
@@ -108,12 +108,10 @@
 	if !ok {
 		return Change{}, false
 	}
-	removed := Change{Config: v.Config.Without(unwanted), Reason: "voter " + string(unwanted) + " is lost or leaves, and learner " + string(learner) + " has caught up"}
-	added := Change{Config: v.Config.WithVoter(learner), Reason: "learner " + string(learner) + " has caught up and voter " + string(unwanted) + " leaves"}
-	if v.tolerated(added.Config) > v.tolerated(removed.Config) {
-		return added, true
+	if v.diskReplaced(unwanted) {
+		return Change{Config: v.Config.Without(unwanted), Reason: "voter " + string(unwanted) + " has lost its disk, and learner " + string(learner) + " has caught up"}, true
 	}
-	return removed, true
+	return Change{Config: v.Config.WithVoter(learner), Reason: "learner " + string(learner) + " has caught up, and voter " + string(unwanted) + " is lost or leaves"}, true
 }
 
 // addLearner adds a spare disk as learner, so that it holds the log before a voter is lost. There are as many learners as losses
@@ -164,9 +162,10 @@
 	return best, best != ""
 }
 
-// unwantedVoter returns a dead voter, or else one that leaves, but never the leader.
+// unwantedVoter returns a voter whose disk is lost, or else a dead one, or else one that leaves, but never the leader.
 func (v View) unwantedVoter() (quorum.Member, bool) {
 	for _, unwanted := range []func(quorum.Member) bool{
+		func(m quorum.Member) bool { return m != v.Leader && v.diskReplaced(m) },
 		func(m quorum.Member) bool { return !v.alive(m) },
 		func(m quorum.Member) bool { return m != v.Leader && v.memberState(m).Leaving },
 	} {
@@ -204,12 +203,12 @@
 	if m == v.Leader {
 		return true
 	}
-	for _, d := range v.Disks {
-		if d.Member.Host() == m.Host() && d.Member != m {
-			return false
-		}
-	}
-	return v.Now-v.memberState(m).LastReply < v.Patience
+	return !v.diskReplaced(m) && v.Now-v.memberState(m).LastReply < v.Patience
+}
+
+// diskReplaced reports whether a member's host has another disk, so that the member never comes back.
+func (v View) diskReplaced(m quorum.Member) bool {
+	return slices.ContainsFunc(v.Disks, func(d Disk) bool { return d.Member.Host() == m.Host() && d.Member != m })
 }
 
 // liveVoters returns the voters of the configuration for which alive holds.
