Let the relay's soak find requests on open connections that a stopping host passes on and doesn't answer

Its clients did not keep their connections beyond net/http's pool, sent nothing at the moment of a signal, and no check compared what endpoints had worked for with what was answered.

--- a/bench/fault/group.go
+++ b/bench/fault/group.go
@@ -41,9 +41,10 @@
 	// SkipInapplicable skips steps whose host isn't in the state that they need: those for a running host if an earlier step has
 	// ended its process, and those for a stopped host if its process runs.
 	SkipInapplicable bool
-	// OnKill, if set, is called with the index of each host before it is killed. OnFail is called with the error if a host
-	// doesn't exit or doesn't start again during a restart.
+	// OnKill and OnStop, if set, are called with the index of each host before it is killed or sent SIGTERM. OnFail is called with
+	// the error if a host doesn't exit or doesn't start again during a restart.
 	OnKill func(n int)
+	OnStop func(n int)
 	OnFail func(error)
 
 	// restarts tracks the restarts that run in the background.
@@ -85,18 +86,17 @@
 	"Freeze": func(g *Group, _ Step, n int) error { return g.Hosts[n].Signal(syscall.SIGSTOP) },
 	"Thaw":   func(g *Group, _ Step, n int) error { return g.Hosts[n].Signal(syscall.SIGCONT) },
 	"Terminate": func(g *Group, _ Step, n int) error {
-		if err := g.Hosts[n].Signal(syscall.SIGTERM); err != nil {
+		if err := g.stop(n); err != nil {
 			return err
 		}
 		return g.Hosts[n].AwaitExit(exitTimeout)
 	},
 	"Restart": func(g *Group, _ Step, n int) error {
-		h := g.Hosts[n]
-		if err := h.Signal(syscall.SIGTERM); err != nil {
+		if err := g.stop(n); err != nil {
 			return err
 		}
 		g.restarts.Go(func() {
-			if err := h.restart(exitTimeout); err != nil {
+			if err := g.Hosts[n].restart(exitTimeout); err != nil {
 				g.OnFail(err)
 			}
 		})
@@ -239,6 +239,14 @@
 	g.Hosts[n].Kill()
 }
 
+// stop calls OnStop and then sends a host SIGTERM.
+func (g *Group) stop(n int) error {
+	if g.OnStop != nil {
+		g.OnStop(n)
+	}
+	return g.Hosts[n].Signal(syscall.SIGTERM)
+}
+
 // visitBoundaryLinks calls visit for each link between a party inside a failure domain and one outside, in both directions.
 func (g *Group) visitBoundaryLinks(domain core.FailureDomain, visit func(proxy.Link)) {
 	parties := g.Endpoints()
--- a/bench/fault/history.go
+++ b/bench/fault/history.go
@@ -19,12 +19,25 @@
 // stopActions are the actions that stop a host or let it run again. All others of this package affect the network.
 var stopActions = []string{"Kill", "KillAll", "Start", "StartAll", "Freeze", "Thaw", "Restart", "Terminate", "Wipe", "Tear"}
 
+// plannedActions are the actions that stop a host as its operators do.
+var plannedActions = []string{"Restart", "Terminate"}
+
+// endActions maps each action whose fault lasts to the actions that end it.
+var endActions = map[string][]string{
+	"Kill": {"Start", "StartAll"}, "KillAll": {"Start", "StartAll"}, "Freeze": {"Thaw", "HealAll"},
+	"Isolate": {"Heal", "HealAll"}, "IsolateIn": {"Heal", "HealAll"}, "IsolateOut": {"Heal", "HealAll"}, "Delay": {"Heal", "HealAll"},
+	"IsolateDomain": {"HealDomain", "HealAll"},
+}
+
 // disturbance is a step that affected a host. A fault consists of two: its begin and its end.
 type disturbance struct {
-	at    time.Time
-	stops bool
+	at time.Time
+	do string
 }
 
+// stops reports whether it stopped the host or let it run again.
+func (d disturbance) stops() bool { return slices.Contains(stopActions, d.do) }
+
 // history holds the disturbances of each host.
 type history struct {
 	mu     sync.Mutex
@@ -41,7 +54,7 @@
 	}
 	for _, host := range hosts {
 		if s.Host == "" || s.Host == host.Name {
-			h.byHost[host.Name] = append(h.byHost[host.Name], disturbance{at: time.Now(), stops: slices.Contains(stopActions, s.Do)})
+			h.byHost[host.Name] = append(h.byHost[host.Name], disturbance{at: time.Now(), do: s.Do})
 		}
 	}
 }
@@ -75,6 +88,31 @@
 func (g *Group) Knows(host string, answered time.Time) bool {
 	return !g.history.contains(host, func(d disturbance) bool {
 		before := answered.Sub(d.at)
-		return d.stops && before < maxStop || before < maxCut && before > -receiveTime
+		return d.stops() && before < maxStop || before < maxCut && before > -receiveTime
+	})
+}
+
+// Undisturbed reports whether no unplanned fault was in force at a host, or had been within calmTime before, from one moment to
+// another.
+func (g *Group) Undisturbed(host string, from, to time.Time) bool {
+	inForce := map[string]bool{}
+	begins := from.Add(-calmTime)
+	disturbed := g.history.contains(host, func(d disturbance) bool {
+		if slices.Contains(plannedActions, d.do) || d.at.After(to) {
+			return false
+		}
+		if !d.at.Before(begins) {
+			return true
+		}
+		for do := range inForce {
+			if slices.Contains(endActions[do], d.do) {
+				delete(inForce, do)
+			}
+		}
+		if _, lasts := endActions[d.do]; lasts {
+			inForce[d.do] = true
+		}
+		return false
 	})
+	return !disturbed && len(inForce) == 0
 }
