Let the calls that a stopping host has read from its peers get their replies

What callers saw: a call that another host had sent to a stopping one, as a change of the configuration or an announcement forwarded to it, ran and its reply was lost; the sender could not know whether it had run and sent it again elsewhere. A call that did not end held up a stop for as long as it lasted.

Cause: the peers' server closed every connection at once, also beneath calls in progress, and waited for these without a limit. Class: a stop closes the connection of accepted work.

Why this works: a read deadline ends the reading of calls only. net/rpc then serves the calls that it has read, sends their replies and closes the connection. Calls that wait end with the services behind them, which stop first; what is left ends with the context.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -9,6 +9,9 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
+
+	"cyclamenford/io/loop"
 )
 
 // Server accepts connections of other hosts and serves their RPC calls.
@@ -19,18 +22,24 @@
 	log     *slog.Logger
 	rpc     *rpc.Server
 
-	mu       sync.Mutex
 	listener net.Listener
-	conns    map[net.Conn]struct{}
-	closed   bool
-	wg       sync.WaitGroup
+	// open counts the open connections.
+	open loop.WorkCounter
+
+	mu sync.Mutex
+	// conns holds the open connections, with true for those that have passed the handshake.
+	conns  map[net.Conn]bool
+	closed bool
 }
 
+// pastDeadline ends a read without taking any bytes.
+var pastDeadline = time.Unix(1, 0)
+
 // NewServer returns a server for the address. Without a tlsConfig it uses plain TCP.
 func NewServer(address string, key []byte, tlsConfig *tls.Config, log *slog.Logger) *Server {
 	return &Server{
 		address: address, key: key, tls: tlsConfig, log: log,
-		rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{},
+		rpc: rpc.NewServer(), conns: map[net.Conn]bool{},
 	}
 }
 
@@ -52,7 +61,7 @@
 		l = tls.NewListener(l, s.tls)
 	}
 	s.listener = l
-	s.wg.Go(s.accept)
+	s.open.Go(s.accept)
 	return nil
 }
 
@@ -65,22 +74,23 @@
 			}
 			return
 		}
-		if !s.track(conn) {
+		if !s.track(conn, false) {
 			_ = conn.Close()
 			return
 		}
-		s.wg.Go(func() { s.serve(conn) })
+		s.open.Go(func() { s.serve(conn) })
 	}
 }
 
-// track adds the connection to those that Stop closes, or returns false if the server has stopped.
-func (s *Server) track(conn net.Conn) bool {
+// track adds the connection to those that Stop ends, or returns false if the server has stopped. It is called again once the connection
+// has passed the handshake.
+func (s *Server) track(conn net.Conn, authenticated bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = authenticated
 	return true
 }
 
@@ -96,21 +106,39 @@
 		s.log.Warn("peer connection rejected", "remote", conn.RemoteAddr(), "err", err)
 		return
 	}
-	s.rpc.ServeConn(conn)
+	if s.track(conn, true) {
+		s.rpc.ServeConn(conn)
+	}
 }
 
-// Stop closes the listener and every connection, and waits for the calls in progress.
-func (s *Server) Stop(context.Context) error {
-	s.mu.Lock()
-	s.closed = true
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-	s.mu.Unlock()
+// Stop closes the listener, reads no further calls, and waits for the calls in progress, which still get their replies. When ctx
+// ends, it closes the connections of the remaining ones.
+func (s *Server) Stop(ctx context.Context) error {
 	err := s.listener.Close()
-	s.wg.Wait()
-	if err != nil {
-		return fmt.Errorf("close peer listener: %w", err)
+	s.endConns(func(conn net.Conn, authenticated bool) error {
+		if !authenticated {
+			return conn.Close()
+		}
+		// net/rpc serves the calls that it has read, and then closes the connection.
+		return conn.SetReadDeadline(pastDeadline)
+	})
+	waitErr := s.open.Wait(ctx)
+	if waitErr != nil {
+		s.endConns(func(conn net.Conn, _ bool) error { return conn.Close() })
+	}
+	if err := errors.Join(err, waitErr); err != nil {
+		return fmt.Errorf("stop peer server: %w", err)
 	}
 	return nil
 }
+
+// endConns takes no further connections and calls end for each open one.
+func (s *Server) endConns(end func(conn net.Conn, authenticated bool) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn, authenticated := range s.conns {
+		// An error means that the connection has ended.
+		_ = end(conn, authenticated)
+	}
+}
