Send a call that finds its connection to a peer broken over another one

What callers saw: the first call to a host that had started anew failed at once with "connection is shut down", though the host was there: a request of an entry host was placed late, and a search for the leader passed over it. The error did not say that the call was not sent.

Cause: the client takes the open link of a host, which net/rpc has found closed by the other side without telling anyone. Class: a decision taken on a state that another goroutine has already left.

Why this works: net/rpc refuses such a call before it writes anything. The link is retired and the call sent once over a new one. A second failure says that the call was not sent. Calls in progress on a link that this client closes itself get the same error from net/rpc and are not repeated.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -17,6 +17,9 @@
 // dialTimeout covers many round trips inside a region; a host that does not answer in this time is treated as unreachable.
 const dialTimeout = 500 * time.Millisecond
 
+// maxLinksPerCall is the number of links that a call tries: the open one, which the other host may have closed, and a new one.
+const maxLinksPerCall = 2
+
 // ErrNotSent means that the call failed before it was sent, so that the other host has not run it.
 var ErrNotSent = errors.New("the call was not sent")
 
@@ -47,6 +50,8 @@
 	inProgress int
 	// retired is true if the link accepts no new calls and is closed after the last one in progress.
 	retired bool
+	// closed is true once this client has closed the connection.
+	closed bool
 }
 
 // dialAttempt is an attempt to connect; done is closed when it ends, and err is valid after that.
@@ -68,26 +73,33 @@
 
 // Call invokes a method at an address and waits for the reply or the end of ctx.
 //
-// After a call on a link exceeds its deadline, the link is retired, since the network may be partitioned. The calls in
+// A call that finds its link broken was not sent, and is sent over another link. After a call on a link exceeds its deadline, the link is retired, since the network may be partitioned. The calls in
 // progress on it continue until their own deadlines.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	conn := c.hostLinks(address)
-	l, err := conn.acquire(ctx, c, address)
-	if err != nil {
-		return fmt.Errorf("call %s at %s: %w: %w", method, address, ErrNotSent, err)
-	}
-	call := l.client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		err = call.Error
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	conn.release(l, errors.Is(err, context.DeadlineExceeded) || errors.Is(err, rpc.ErrShutdown))
-	if err != nil {
-		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	for range maxLinksPerCall {
+		l, err := conn.acquire(ctx, c, address)
+		if err != nil {
+			return fmt.Errorf("call %s at %s: %w: %w", method, address, ErrNotSent, err)
+		}
+		call := l.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+		select {
+		case <-call.Done:
+			err = call.Error
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		// net/rpc returns ErrShutdown for a call that it has not sent, and for one in progress on a link that this client closes.
+		broken := errors.Is(err, rpc.ErrShutdown)
+		if closed := conn.release(l, errors.Is(err, context.DeadlineExceeded) || broken); broken && !closed {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("call %s at %s: %w", method, address, err)
+		}
+		return nil
 	}
-	return nil
+	return fmt.Errorf("call %s at %s: %w: %w", method, address, ErrNotSent, rpc.ErrShutdown)
 }
 
 // hostLinks returns the links of an address and creates an empty entry if there is none.
@@ -109,7 +121,7 @@
 	for _, conn := range c.hosts {
 		conn.mu.Lock()
 		if conn.current != nil {
-			_ = conn.current.client.Close()
+			conn.current.close()
 			conn.current = nil
 		}
 		conn.mu.Unlock()
@@ -150,10 +162,12 @@
 	return conn.current, nil
 }
 
-// release ends a call on a link, and retires the link if asked to. A retired link is closed after its last call.
-func (conn *hostLinks) release(l *link, retire bool) {
+// release ends a call on a link, and retires the link if asked to. A retired link is closed after its last call. It reports whether
+// the link was closed before the call ended.
+func (conn *hostLinks) release(l *link, retire bool) (closed bool) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
+	closed = l.closed
 	l.inProgress--
 	if retire {
 		l.retired = true
@@ -162,9 +176,16 @@
 		}
 	}
 	if l.retired && l.inProgress == 0 {
-		// Ignores the error: the other side may have closed the connection already.
-		_ = l.client.Close()
+		l.close()
 	}
+	return closed
+}
+
+// close closes the connection. The caller holds the lock of the host's links.
+func (l *link) close() {
+	l.closed = true
+	// Ignores the error: the other side may have closed the connection already.
+	_ = l.client.Close()
 }
 
 // connect makes one connection attempt on behalf of all waiting callers.
