Leave a connection alone that an aborted answer has given back

What callers saw: a request on a reused connection to its endpoint could end as broken off, because the stalled-stream timer of an earlier stream closed that connection; a request that may not be repeated ended with 502 so.

Cause: the timer's Abort runs on another goroutine and may come after Close has returned the connection to the pool. Class: a decision taken on a state that another goroutine has already left.

Evidence: the regression test aborts an answer after Close while the next request is in progress on the connection; before this change that request failed with "use of closed network connection".

Why this works: the first of Abort and Close decides what becomes of the connection, and the other does nothing.

--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"cyclamenford/core"
 )
@@ -31,6 +32,8 @@
 	// request.
 	readToEnd bool
 	reusable  bool
+	// ended is set by the first call of Abort or Close, which decides what becomes of the connection.
+	ended atomic.Bool
 }
 
 // Do sends a request and returns as soon as the header of its answer was read.
@@ -182,13 +185,22 @@
 // EndConnection makes Close end the connection instead of returning it to the pool.
 func (r *Response) EndConnection() { r.reusable = false }
 
-// Abort closes the connection immediately, so that a read in progress fails.
-func (r *Response) Abort() { r.client.discard(r.conn) }
+// Abort closes the connection immediately, so that a read in progress fails. After Close it does nothing, since the connection may
+// serve another request.
+func (r *Response) Abort() {
+	if r.ended.CompareAndSwap(false, true) {
+		r.client.discard(r.conn)
+	}
+}
 
 // Close returns the connection to the pool if the answer was read completely and the connection can be reused. Otherwise it
-// closes the connection.
+// closes the connection. After Abort it does nothing.
 func (r *Response) Close() {
-	if r.unwatchContext() && r.readToEnd && r.reusable {
+	active := r.unwatchContext()
+	if !r.ended.CompareAndSwap(false, true) {
+		return
+	}
+	if active && r.readToEnd && r.reusable {
 		r.client.release(r.conn)
 		return
 	}
