Take no ask for a permit at an issuer that has stopped

What callers saw: a request for limited endpoints that asked a stopping leader for a permit waited until another leader was known, and the call held up the stop of that keeper, which waited for it without a limit.

Cause: the issuer stops before its keeper gives its leadership up, and took asks as long as the keeper led, though the loop that answers them had ended. Class: a decision taken on a state that another goroutine has already left.

Evidence: in the regression test, which asks a stopped issuer three times, an ask that waits had no reply after 2 s before this change.

Why this works: a stopped issuer replies that it does not lead, under the lock under which Stop drops the asks that wait, and the host asks the next leader.

--- a/io/permit/issuer.go
+++ b/io/permit/issuer.go
@@ -36,6 +36,8 @@
 	log    *slog.Logger
 
 	mu sync.Mutex
+	// stopped means that the issuer takes no more asks: its loop, which answers them, has ended.
+	stopped bool
 	// term is the term in which the issuer was last used as the leader's.
 	term    uint64
 	issuer  *limit.Issuer
@@ -62,6 +64,7 @@
 	err := i.Loop.Stop(ctx)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.stopped = true
 	i.dropWaiters()
 	return err
 }
@@ -73,9 +76,12 @@
 	}
 }
 
-// checkLeadership reports whether this keeper leads. In a new term it begins with empty buckets, since the former leader
+// checkLeadership reports whether this keeper leads and the issuer has not stopped. In a new term it begins with empty buckets, since the former leader
 // may have issued all that the limits allow until now. The caller holds mu.
 func (i *Issuer) checkLeadership() bool {
+	if i.stopped {
+		return false
+	}
 	term, ok := i.leader.Leading()
 	if ok && term == i.term {
 		return true
--- a/io/permit/issuer_test.go
+++ b/io/permit/issuer_test.go
@@ -118,3 +118,24 @@
 	must.Eq(t, 2, perSecond)
 	must.True(t, limited)
 }
+
+// TestAStoppedIssuerTakesNoAsk guards against calls that wait for an issuer which has stopped, while its keeper still leads.
+func TestAStoppedIssuerTakesNoAsk(t *testing.T) {
+	i, _, now := newTestIssuer()
+	must.NoError(t, i.Start(context.Background()))
+	must.NoError(t, i.Stop(context.Background()))
+	const asks = 3
+	replies := make([]chan TakeReply, asks)
+	for n := range replies {
+		replies[n] = ask(i, 2, 5000)
+	}
+	now.Advance(400)
+	for _, reply := range replies {
+		select {
+		case r := <-reply:
+			must.False(t, r.Leading)
+		case <-time.After(2 * time.Second):
+			t.Fatal("an ask waits at a stopped issuer")
+		}
+	}
+}
