Check a request again that has waited for a permit or a trial

What callers saw: a request whose key had been taken away while it waited for a permit was passed on, seconds after the acknowledgement. The same holds for the serving lease and the end of a stop.

Cause: the checks before a send precede the waits for a trial and for a permit, which may last as long as the request has time. Class: a decision taken on a state that another goroutine has already left.

Why this works: the checks are asked once more after the waits, last before the send. What does not pass ends its trial and is refused as not run, or gets another endpoint.

--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -307,6 +307,19 @@
 	return nil
 }
 
+// recheckWaited repeats the checks that a request has passed before it waited for a trial or a permit. It reports false if the request
+// must not be sent to the endpoint, or returns its refusal.
+func (r *request) recheckWaited(ctx context.Context, g *order.Grant) (bool, *core.Problem) {
+	problem := r.checkShutdown()
+	if problem == nil && ctx.Err() != nil {
+		problem = r.failureProblem(order.Unreachable)
+	}
+	if problem == nil {
+		problem = r.recheck()
+	}
+	return problem == nil && !r.isUnusable(g), problem
+}
+
 // repeatable reports whether the request may be sent again after an attempt in which it may have run.
 func (r *request) repeatable() bool {
 	return r.route.Class == conf.Repeatable || r.route.Class == conf.Stream && r.route.Resumable
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -74,7 +74,10 @@
 		}
 		if problem == nil {
 			var permitted bool
-			if permitted, problem = r.takePermit(placing, grant, trial); !permitted {
+			if permitted, problem = r.takePermit(placing, grant, trial); permitted {
+				permitted, problem = r.recheckWaited(ctx, grant)
+			}
+			if !permitted {
 				r.reportOutcome(ctx, grant, order.NotSent, trial)
 			}
 			if !permitted && problem == nil {
