Send nothing to an endpoint that has left while the request waited

What callers saw: an endpoint that had its acknowledgement that it leaves still got requests, seconds later (DRAIN).

Cause: retired incarnations were left out when an endpoint was chosen, but the check before the send knew only what the endpoint had said in answers. A request that waits for a permit chooses first and sends later. Class: a decision taken on a state that another goroutine has already left.

Why this works: for the check before a send, a retired incarnation is one that leaves. The request gives its grant back and gets another endpoint.

--- a/core/door/door.go
+++ b/core/door/door.go
@@ -103,10 +103,11 @@
 // ActiveNotice returns the notice that currently forbids requests from this host to an incarnation: that it is
 // leaving, or the rest of its pause. The notice is empty if requests are allowed.
 func (d *Selector) ActiveNotice(now core.Millis, l core.Life) notice.Notice {
-	if d.notices.Usable(now, l) {
+	retired := d.isRetired(l)
+	if d.notices.Usable(now, l) && !retired {
 		return notice.Notice{}
 	}
-	return notice.Notice{Leaving: d.notices.Leaving(l), Pause: max(0, d.notices.PausedUntil(l)-now)}
+	return notice.Notice{Leaving: retired || d.notices.Leaving(l), Pause: max(0, d.notices.PausedUntil(l)-now)}
 }
 
 // RecordLimit records what an answer of an incarnation says about the rate of requests that it accepts.
@@ -367,8 +368,13 @@
 // inService reports whether an endpoint is published, or still kept although a new scheduler's roll omits it, and is
 // neither leaving nor retired. It does not consider the notices that this host received.
 func (d *Selector) inService(now core.Millis, e *endpoint) bool {
-	retirement, ok := d.retired[e.ID]
-	return !e.Leaving && (!ok || retirement.Incarnation < e.Incarnation) && (e.keepUntil == 0 || now < e.keepUntil)
+	return !e.Leaving && !d.isRetired(e.life()) && (e.keepUntil == 0 || now < e.keepUntil)
+}
+
+// isRetired reports whether the control state has retired an incarnation.
+func (d *Selector) isRetired(l core.Life) bool {
+	retirement, ok := d.retired[l.Endpoint]
+	return ok && retirement.Incarnation >= l.Incarnation
 }
 
 // UntilPauseEnds returns the time until the first pause of the service's endpoints ends. It returns 0 if an
