Check in serve that an endpoint is still usable once an attempt has its permit

What callers saw: an attempt could be sent to an endpoint that had said meanwhile that it leaves or pauses.

Cause: the check of what endpoints say precedes the call for a permit to the leader. Class: a decision taken on a state that another goroutine has already left; the relay had the same.

Evidence: in the regression test an endpoint says that it leaves while its permit is issued; it was granted before this change.

Why this works: the check is asked once more with the permit at hand.

--- a/io/tries/tries.go
+++ b/io/tries/tries.go
@@ -73,7 +73,7 @@
 		trial, problem := r.Admit(ctx, a.Request, work, g.Endpoint.ID, 0)
 		usable := r.Broker.Usable(g)
 		sendable := problem == nil && usable && (a.Alone || !trial)
-		if sendable && r.takePermit(ctx, a, g) {
+		if sendable && r.takePermit(ctx, a, g) && r.Broker.Usable(g) {
 			return g, nil
 		}
 		if trial {
