Leave an announcement to the next leader when the leadership is lost beside it

What callers saw: an endpoint that said that it leaves got 503 "this member does not lead", from a keeper in full order, when the leader handed over at that moment.

Cause: the leader had accepted the announcement, could not commit it any more, and replied as a leader that rejects it, so that the keeper at which it was made did not ask the next one. Class: accepted work whose answer is lost by a stop.

Why this works: the reply says that the keeper does not lead, and the caller asks the next leader as for every other call. Announcements carry what the leader needs to detect a repetition.

--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -128,13 +128,13 @@
 	}
 	if args.Gone || args.Leaving {
 		if err := a.commitRetirement(args); err != nil {
-			reply.Detail = err.Error()
+			reply.reject(err)
 			return nil
 		}
 	}
 	if !args.Gone {
 		if err := a.commitVersion(args.Endpoint); err != nil {
-			reply.Detail = err.Error()
+			reply.reject(err)
 			return nil
 		}
 	}
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -1,11 +1,14 @@
 package assign
 
 import (
+	"errors"
+
 	"cyclamenford/core"
 	"cyclamenford/core/limit"
 	"cyclamenford/core/notice"
 	"cyclamenford/core/order"
 	"cyclamenford/core/poison"
+	"cyclamenford/core/quorum"
 	"cyclamenford/core/roll"
 	"cyclamenford/io/keeper"
 )
@@ -74,6 +77,16 @@
 	Detail string
 }
 
+// reject makes the reply say why the announcement was not accepted. Announcements may be repeated, so that a keeper that has lost its
+// leadership meanwhile leaves them to the next leader.
+func (r *AnnounceReply) reject(err error) {
+	if errors.Is(err, quorum.ErrNotLeader) {
+		r.Located = keeper.Located{}
+		return
+	}
+	r.Detail = err.Error()
+}
+
 // CutArgs reports requests whose connection to an endpoint broke, when their host cannot determine whether the
 // endpoint has ended.
 type CutArgs struct {
