Report a command that was applied although its keeper stops or its time ends beside it

What callers saw: a change that was in force could be reported as not committed by a keeper that stops, or whose time was over at that moment, and was made again at the next leader.

Cause: a select takes any one of the events that have occurred, so that the end of the keeper's loop won over a result that was there. Class: a decision taken on a state that another goroutine has already left.

Why this works: the result is looked for once more when the wait ends for another reason.

--- a/io/keeper/serve.go
+++ b/io/keeper/serve.go
@@ -90,9 +90,19 @@
 	case r := <-p.reply:
 		return r.reply, r.err
 	case <-ctx.Done():
-		return state.Reply{}, fmt.Errorf("commit proposal: %w", ctx.Err())
+		return p.resultOr(fmt.Errorf("commit proposal: %w", ctx.Err()))
 	case <-k.done:
-		return state.Reply{}, quorum.ErrNotLeader
+		return p.resultOr(quorum.ErrNotLeader)
+	}
+}
+
+// resultOr returns the result of the proposal, or err if there is none. A select takes any of the events that have occurred.
+func (p proposal) resultOr(err error) (state.Reply, error) {
+	select {
+	case r := <-p.reply:
+		return r.reply, r.err
+	default:
+		return state.Reply{}, err
 	}
 }
 
