Tell events again that a keeper which does not lead has not taken

What callers saw: an endpoint that said in an answer that it leaves or pauses was forgotten by all hosts but one, if the leader stopped or changed at that moment; other hosts went on to send to it. The same holds for limits and for the ends of requests.

Cause: hosts took every reply to their events as taken. A keeper that does not lead drops them, and an assigner that has stopped dropped them and said that it leads, for as long as its keeper still did. Class: accepted work whose answer is lost by a stop.

Evidence: before this change a notice told to a former leader was not told to the next one, and a stopped assigner claimed the events.

Why this works: the reply says that a keeper leads only if it has applied the events, and hosts queue them again otherwise. The scheduler ignores events that it has already seen.

--- a/io/assign/announce_test.go
+++ b/io/assign/announce_test.go
@@ -9,6 +9,7 @@
 	"cyclamenford/core/order"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/state"
+	"cyclamenford/io/keeper"
 	"cyclamenford/io/meter"
 )
 
@@ -38,3 +39,15 @@
 		})
 	}
 }
+
+// TestAStoppedAssignerTakesNoEvents guards against events of hosts that are dropped because a keeper that has stopped to schedule still leads.
+func TestAStoppedAssignerTakesNoEvents(t *testing.T) {
+	leader := &fakeLeader{}
+	leader.leads.Store(true)
+	assigner := newAssigner(leader, nil, meter.New(), &fakeControl{})
+	must.NoError(t, assigner.Start(t.Context()))
+	must.NoError(t, assigner.Stop(t.Context()))
+	var reply keeper.Located
+	must.NoError(t, (&calls{assigner: assigner}).Tell(EventsArgs{Host: "h"}, &reply))
+	must.False(t, reply.Leading)
+}
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -60,14 +60,14 @@
 	})
 }
 
-// Tell applies events that entry hosts report about their requests.
+// Tell applies events that entry hosts report about their requests. The reply says that this keeper leads if it has applied them.
 func (c *calls) Tell(args EventsArgs, reply *keeper.Located) error {
 	a := c.assigner
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	*reply = a.leader.Located()
 	// Events are facts, which the scheduler must not miss while the lease has lapsed.
-	if !a.checkLeadership() && a.suspendedAt == 0 {
+	if reply.Leading = a.checkLeadership() || a.suspendedAt > 0; !reply.Leading {
 		return nil
 	}
 	now := a.clock.Now()
--- a/io/entry/events.go
+++ b/io/entry/events.go
@@ -21,6 +21,8 @@
 	flushInterval = 5 * time.Millisecond
 	// flushTimeout allows for many round trips; a leader that does not answer within it is about to be replaced.
 	flushTimeout = time.Second
+	// notLeadingPause is the pause after a call to a keeper that does not lead.
+	notLeadingPause = 20 * time.Millisecond
 	// maxQueuedEvents limits the queue while there is no leader. An event that is dropped does little harm, since the
 	// scheduler also ends a request at its deadline.
 	maxQueuedEvents = 10_000
@@ -91,7 +93,7 @@
 	}
 }
 
-// flush sends the queued events to the leader and queues them again if that fails.
+// flush sends the queued events to the leader, and queues them again if that fails or if the called keeper does not lead.
 func (e *eventQueue) flush(ctx context.Context) {
 	e.mu.Lock()
 	batch, limits := e.queued, e.limits
@@ -107,10 +109,16 @@
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	var located keeper.Located
-	if err := e.peers.Call(ctx, e.control.LeaderAddress(), assign.Service+".Tell", args, &located); err != nil {
+	err := e.peers.Call(ctx, e.control.LeaderAddress(), assign.Service+".Tell", args, &located)
+	if err == nil && located.Leading {
+		return
+	}
+	e.requeue(batch, limits)
+	if err != nil {
 		e.log.Warn("events not sent", "events", len(batch), "limits", len(limits), "err", err)
-		e.requeue(batch, limits)
+		return
 	}
+	loop.Sleep(ctx, notLeadingPause)
 }
 
 // requeue puts events back to the front of the queue, or drops them if the queue is full. The scheduler ignores events that
--- a/io/entry/events_test.go
+++ b/io/entry/events_test.go
@@ -1,12 +1,20 @@
 package entry
 
 import (
+	"context"
+	"log/slog"
+	"net"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"cyclamenford/core"
+	"cyclamenford/core/clock"
+	"cyclamenford/core/notice"
 	"cyclamenford/core/order"
 	"cyclamenford/io/assign"
+	"cyclamenford/io/keeper"
+	"cyclamenford/io/peer"
 )
 
 // TestEventsThatWereNotToldComeFirstNextTime guards against a changed order of events after a failed call: the events that
@@ -35,3 +43,46 @@
 	must.Eq(t, 1, p.cancelExcept("new"))
 	must.Eq(t, []string{"old"}, ended)
 }
+
+// formerLeader takes events only from the second call on, at which it leads.
+type formerLeader struct {
+	calls int
+	taken []assign.RequestEvent
+}
+
+// Tell takes events.
+func (f *formerLeader) Tell(args assign.EventsArgs, reply *keeper.Located) error {
+	f.calls++
+	if reply.Leading = f.calls > 1; reply.Leading {
+		f.taken = append(f.taken, args.Events...)
+	}
+	return nil
+}
+
+// leaderAt is a control state that names a leader.
+type leaderAt struct {
+	Control
+	address string
+}
+
+func (l leaderAt) LeaderAddress() string { return l.address }
+
+// TestEventsToldToAFormerLeaderAreToldAgain guards against notices of endpoints that are lost when the leader hands over.
+func TestEventsToldToAFormerLeaderAreToldAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := l.Addr().String()
+	must.NoError(t, l.Close())
+	log, leader := slog.New(slog.DiscardHandler), &formerLeader{}
+	server := peer.NewServer(address, []byte("key"), nil, log)
+	must.NoError(t, server.Register(assign.Service, leader))
+	must.NoError(t, server.Start(context.Background()))
+	e := newEventQueue("h", leaderAt{address: address}, peer.NewClient([]byte("key"), nil, nil), clock.New(1), log)
+	life := core.Life{Endpoint: "e", Incarnation: 1}
+	e.addNotice("h", life, notice.Notice{Leaving: true})
+	e.flush(context.Background())
+	e.flush(context.Background())
+	must.NoError(t, server.Stop(context.Background()))
+	must.Len(t, 1, leader.taken)
+	must.Eq(t, life, leader.taken[0].Life)
+}
