Name the scheduler that has a request's results, also after further tries

What callers saw: requests that lost the results of their stages when the leading keeper stopped, and were late or refused.

Cause: a request that is placed anew names its former key, under which the next leader finds its results. Each try took the place of the one before, also one that reached no scheduler: 287 tries at a keeper that had ended, in one stop.

Ruled out: results that are freed too early (claimTimeout is 1.5 s, the hosts came back within 0.7 s).

The answer to a placement has a new field, NotTaken; a keeper of an earlier release does not send it, which is read as before.

--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -97,7 +97,7 @@
 	reply.Located = a.leader.Located()
 	if !leading {
 		a.mu.Unlock()
-		reply.Leading = false
+		reply.Leading, reply.NotTaken = false, true
 		return nil
 	}
 	w.decision = make(chan order.Action, 1)
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -35,6 +35,8 @@
 	Refuse *order.Refusal
 	// Unknown means that this scheduler does not know the request because an earlier scheduler placed it.
 	Unknown bool
+	// NotTaken means that no scheduler of the answering keeper has got to know the request.
+	NotTaken bool
 }
 
 // RequestEvent reports the progress of a request, or a notice of an endpoint, from an entry host. It needs no reply.
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -15,6 +15,7 @@
 	relay "cyclamenford/io"
 	"cyclamenford/io/assign"
 	"cyclamenford/io/keeper"
+	"cyclamenford/io/peer"
 )
 
 const (
@@ -56,8 +57,10 @@
 	content  poison.Content
 	arrived  core.Millis
 	deadline core.Millis
-	// key identifies the request to the present scheduler, and former identified it to an earlier one.
+	// key identifies the request to the present scheduler, and former identified it to an earlier one. keyTaken means that a scheduler may
+	// know the key.
 	key, former order.Key
+	keyTaken    bool
 	attempts    int
 	// tried holds the endpoints that this host has chosen. uncountedAttempts is the number of attempts at unreachable
 	// endpoints that do not count as attempts, endpoints that the scheduler chose included.
@@ -191,9 +194,7 @@
 		if e.clock.Now()-e.control.LastLeaderContact() > leaderTimeout {
 			return nil, r.noLeaderProblem(keeper.ErrNoLeader)
 		}
-		r.former = r.key
-		r.key = order.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
-		grant, problem := r.callScheduler(ctx, assign.Service+".Place", func() any { return assign.PlaceArgs{Ask: r.newAsk()} })
+		grant, problem := r.callScheduler(ctx, assign.Service+".Place", r.newPlaceArgs)
 		if problem == nil || problem.Reason != core.ReasonNoQuorum || !r.waitForLeader(ctx, leader) {
 			return grant, problem
 		}
@@ -201,6 +202,17 @@
 	}
 }
 
+// newPlaceArgs returns the arguments of a placement call, under a key of its own. The former key is the latest one that a scheduler may know:
+// results of the request's stages stand under it.
+func (r *request) newPlaceArgs() any {
+	if r.keyTaken {
+		r.former, r.keyTaken = r.key, false
+	}
+	e := r.entry
+	r.key = order.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
+	return assign.PlaceArgs{Ask: r.newAsk()}
+}
+
 // waitForLeader pauses if the failed leader has not been replaced yet, and reports whether to try again. It reports false
 // when so much time has passed that a refusal, after which the client retries, is better.
 func (r *request) waitForLeader(ctx context.Context, failed string) bool {
@@ -258,6 +270,7 @@
 		remove := e.calls.add(address, cancel)
 		reply := new(assign.PlaceReply)
 		err := e.peers.Call(callCtx, address, method, args(), reply)
+		r.keyTaken = r.keyTaken || !errors.Is(err, peer.ErrNotSent) && !reply.NotTaken
 		remove()
 		stop()
 		cancel()
