--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -38,6 +38,8 @@
 	Refuse *order.Refusal
 	// Unknown means that this scheduler does not know the request because an earlier scheduler placed it.
 	Unknown bool
+	// NotTaken means that no scheduler of the answering keeper has got to know the request.
+	NotTaken bool
 }
 
 // RequestEvent reports the progress of a request, or a notice of an endpoint, from an entry host. It needs no reply.
@@ -146,6 +148,16 @@
 	Now core.Millis
 }
 
+// CopyArgs asks a keeper that may lead next to copy what the leader knows at once.
+type CopyArgs struct{}
+
+// CopyReply answers once the copy is made.
+type CopyReply struct {
+	keeper.Located
+	// Copied means that the answering keeper has the leader's latest events.
+	Copied bool
+}
+
 // KnownEndpoint is an endpoint's latest announcement as the leader knows it.
 type KnownEndpoint struct {
 	Announcement Announcement
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -23,7 +23,8 @@
 // ErrNotSent means that the call failed before it was sent, so that the other host has not run it.
 var ErrNotSent = errors.New("the call was not sent")
 
-// Client calls methods of other hosts. It sends new calls to a host over one connection at a time.
+// Client calls methods of other hosts. It sends new calls to a host over one connection at a time, and connects anew once the other side
+// has closed it.
 type Client struct {
 	key           []byte
 	tls           *tls.Config
@@ -73,8 +74,8 @@
 
 // Call invokes a method at an address and waits for the reply or the end of ctx.
 //
-// A call that finds its link broken was not sent, and is sent over another link. After a call on a link exceeds its deadline, the link is retired, since the network may be partitioned. The calls in
-// progress on it continue until their own deadlines.
+// A call that finds its link closed by the other host was not sent, and is sent over another one. After a call on a link exceeds its
+// deadline, the link is retired, since the network may be partitioned. The calls in progress on it continue until their own deadlines.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	conn := c.hostLinks(address)
 	for range maxLinksPerCall {
