--- a/io/permit/issuer.go
+++ b/io/permit/issuer.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// checkLeadership reports whether this keeper leads and the issuer has not stopped. In a new term it begins with empty buckets, since the former leader
-// may have issued all that the limits allow until now. The caller holds mu.
+// checkLeadership reports whether this keeper leads and the issuer has not stopped. In a new term it begins with empty buckets, since the
+// former leader may have issued all that the limits allow until now. The caller holds mu.
 func (i *Issuer) checkLeadership() bool {
 	if i.stopped {
 		return false
