--- a/io/listen/listen_test.go
+++ b/io/listen/listen_test.go
@@ -97,7 +97,7 @@
 		var err error
 		clients[i], err = kept.Dial(s.Addr().String(), clientTls)
 		must.NoError(t, err)
-		_, _, err = clients[i].Ask(post(t, "warm-up"), testTimeout)
+		_, _, err = clients[i].Ask(post(t, "first"), testTimeout)
 		must.NoError(t, err)
 		idleSince[i] = time.Now()
 	}
