--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -230,9 +230,20 @@
 		ending := r.stream(ctx, g, resp, out)
 		return ending, ending == order.Served
 	}
+	if r.route.Class == conf.Stream {
+		e.log.Warn("answer not read as events", append(r.answerAttrs(g, resp), "type", resp.Header["Content-Type"], "named", verdict.ID != "")...)
+	}
 	return r.forward(ctx, resp, out)
 }
 
+// answerAttrs returns the log attributes of an answer: which attempt it ends, and how it came.
+func (r *request) answerAttrs(g *order.Grant, resp *pipe.Response) []any {
+	return []any{
+		"request", r.incoming.ID, "service", r.service, "endpoint", g.Endpoint, "attempt", r.attempts, "status", resp.Status, "length", resp.Length,
+		"reused", resp.Reused, "written", resp.Written, "request_bytes", len(r.body),
+	}
+}
+
 // isEventStream reports whether an answer is a stream of events. Nothing else may continue one that the client has begun to
 // receive.
 func isEventStream(h http.Header) bool {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -133,7 +133,7 @@
 		line, err := reader.ReadSlice('\n')
 		raw = append(raw, line...)
 		if len(raw) > maxEventBytes {
-			return r.recordGarbage(g, out, raw, pipe.ErrAnswerTooLarge)
+			return r.recordGarbage(g, resp, out, raw, pipe.ErrAnswerTooLarge)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -150,11 +150,11 @@
 		}
 		id, err := grammar.Parse(raw)
 		if err != nil {
-			return r.recordGarbage(g, out, raw, err)
+			return r.recordGarbage(g, resp, out, raw, err)
 		}
 		next, isNew, err := ids.Next(id)
 		if err != nil {
-			return r.recordGarbage(g, out, raw, err)
+			return r.recordGarbage(g, resp, out, raw, err)
 		}
 		ids = next
 		stall.Reset(timeout.Duration())
@@ -176,9 +176,9 @@
 }
 
 // recordGarbage logs and counts bytes of a stream that are not its next event, and returns the outcome of the attempt.
-func (r *request) recordGarbage(g *order.Grant, out *answerWriter, raw []byte, why error) order.AttemptOutcome {
-	r.entry.log.Warn("endpoint sent garbage", "request", r.incoming.ID, "service", r.service, "endpoint", g.Endpoint, "attempt", r.attempts,
-		"after", out.lastEvent, "bytes", len(raw), "begins", strconv.Quote(string(raw[:min(len(raw), loggedGarbageBytes)])), "err", why)
+func (r *request) recordGarbage(g *order.Grant, resp *pipe.Response, out *answerWriter, raw []byte, why error) order.AttemptOutcome {
+	r.entry.log.Warn("endpoint sent garbage", append(r.answerAttrs(g, resp),
+		"after", out.lastEvent, "bytes", len(raw), "begins", strconv.Quote(string(raw[:min(len(raw), loggedGarbageBytes)])), "err", why)...)
 	r.entry.meter.Count("endpoint_garbage_total", 1, "service", r.service)
 	return order.Garbled
 }
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -88,6 +88,8 @@
 	limit *limitedReader
 	// named means that an answer on the connection has named its request.
 	named bool
+	// used means that the connection has carried a request.
+	used bool
 	// idleSince is when the connection was returned to the pool, and idleLimit how long it may stay there.
 	idleSince core.Millis
 	idleLimit core.Millis
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -23,9 +23,12 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if the header does not say.
 	Length int64
-	body   io.ReadCloser
-	client *Client
-	conn   *conn
+	// Reused means that the connection had carried an earlier request, and Written that the request was written completely before the
+	// header of the answer had been read.
+	Reused, Written bool
+	body            io.ReadCloser
+	client          *Client
+	conn            *conn
 	// unwatchContext ends the watch that closes the connection when the request's context ends.
 	unwatchContext func() bool
 	// readToEnd means that the body was read to its end, and reusable that the connection may then serve another
@@ -65,11 +68,13 @@
 	}
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		body: resp.Body, client: c, conn: x, unwatchContext: unwatch,
+		Reused: x.used, body: resp.Body, client: c, conn: x, unwatchContext: unwatch,
 	}
+	x.used = true
 	select {
 	case err := <-written:
-		out.reusable = err == nil && !resp.Close
+		out.Written = err == nil
+		out.reusable = out.Written && !resp.Close
 	default:
 		// The request is not written completely: the endpoint would read the rest of its body as the next request.
 		out.reusable = false
