Forward each event as soon as it is whole, and nothing but whole events of a stream that is cut

Clients got streams that end within an event which had come whole, such as 'id: 44' and a part of its data, and waited for whole events until the rest of the next one had come; where the engine stopped there, such events were lost to them. Cause: the relay flushed only where its reader held nothing more. The HTTP server writes what it buffers in blocks, and drops the rest at a cut. Class of fault: bytes are forwarded at the borders of buffers in place of those of events. All whole events of a read are parsed (core/event Batch), written and flushed together, before anything that comes behind them is looked at. Bytes that begin no event are refused at their first line, and data that is not UTF-8 is refused. The header of a stream is written with its first event, so that a stream that brings none is answered by a status and not by a closed connection, and a later attempt brings the header of its own.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"unicode/utf8"
 )
 
 // maxIDDigits limits the digits of an id, so that each is an int64.
@@ -29,34 +30,51 @@
 
 // Parse returns the id of an event, which includes its empty line. All bytes that are not an event give an error that wraps ErrNoEvent.
 func (g Grammar) Parse(raw []byte) (int64, error) {
+	id, size, err := g.parseFirst(raw)
+	switch {
+	case err != nil:
+		return 0, err
+	case size == 0:
+		return 0, fmt.Errorf("%w: incomplete", ErrNoEvent)
+	case size < len(raw):
+		return 0, fmt.Errorf("%w: bytes after the empty line", ErrNoEvent)
+	}
+	return id, nil
+}
+
+// parseFirst returns the id and the size in bytes of the event at the beginning of raw. The size is 0 while the event is incomplete.
+// An error means that its complete lines begin no event.
+func (g Grammar) parseFirst(raw []byte) (id int64, size int, err error) {
 	line, rest := cutLine(raw)
 	if value, ok := cutField(line, g.LeadingField); ok && g.LeadingField != "" {
 		if _, err := parseNumber(value); err != nil {
-			return 0, fmt.Errorf("%s: %w", g.LeadingField, err)
+			return 0, 0, fmt.Errorf("%s: %w", g.LeadingField, err)
 		}
 		line, rest = cutLine(rest)
 	}
+	if len(line) == 0 {
+		return 0, 0, nil
+	}
 	value, ok := cutField(line, "id")
 	if !ok {
-		return 0, fmt.Errorf("%w: no id", ErrNoEvent)
+		return 0, 0, fmt.Errorf("%w: no id", ErrNoEvent)
 	}
-	id, err := parseNumber(value)
-	if err != nil {
-		return 0, fmt.Errorf("id: %w", err)
+	if id, err = parseNumber(value); err != nil {
+		return 0, 0, fmt.Errorf("id: %w", err)
 	}
 	for n := 0; ; n++ {
 		line, rest = cutLine(rest)
 		if len(line) == 0 {
-			return 0, fmt.Errorf("%w: incomplete", ErrNoEvent)
+			return 0, 0, nil
 		}
 		if len(trim(line)) == 0 {
-			if n == 0 || len(rest) > 0 {
-				return 0, fmt.Errorf("%w: no data, or bytes after the empty line", ErrNoEvent)
+			if n == 0 {
+				return 0, 0, fmt.Errorf("%w: no data", ErrNoEvent)
 			}
-			return id, nil
+			return id, len(raw) - len(rest), nil
 		}
-		if _, ok := cutField(line, "data"); !ok {
-			return 0, fmt.Errorf("%w: unknown field", ErrNoEvent)
+		if value, ok := cutField(line, "data"); !ok || !utf8.Valid(value) {
+			return 0, 0, fmt.Errorf("%w: unknown field, or data that is not UTF-8", ErrNoEvent)
 		}
 	}
 }
--- a/core/event/order.go
+++ b/core/event/order.go
@@ -26,3 +26,6 @@
 	}
 	return Order{received: max(o.received, id), previous: id}, id > o.received, nil
 }
+
+// Received returns the id of the last event that the client has after the events of the attempt, None if it has none.
+func (o Order) Received() int64 { return o.received }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -111,71 +109,76 @@
 	return nil
 }
 
-// stream forwards events as they arrive, each one once it is complete, and returns how the stream ended. It skips events
-// that the client already has. Bytes that are not the next event end the attempt, and nothing of them is forwarded.
+// stream forwards the events that the client lacks, each one as soon as it is complete, and returns how the stream ended. At bytes that
+// are not the next event the attempt ends, and nothing of them is forwarded.
 func (r *request) stream(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) order.AttemptOutcome {
-	if !out.started {
-		// A later attempt may go on in the same answer, so that its length is not known.
-		resp.Header.Del("Content-Length")
-		out.writeHeader(resp.Status, resp.Header)
-	}
 	timeout := r.stallTimeout()
 	stall := time.AfterFunc(timeout.Duration(), func() {
 		r.entry.log.Warn("stream stalled", "request", r.incoming.ID, "bound_ms", timeout)
 		resp.Abort()
 	})
 	defer stall.Stop()
-	flush := http.NewResponseController(out.w)
-	reader := bufio.NewReaderSize(resp, eventBufferSize)
 	grammar, ids := r.entry.dialect.EventGrammar(), event.NewOrder(out.lastEvent)
 	var raw []byte
+	part := make([]byte, eventBufferSize)
 	for {
-		line, err := reader.ReadSlice('\n')
-		raw = append(raw, line...)
-		if len(raw) > maxEventBytes {
-			return r.recordGarbage(g, resp, out, raw, pipe.ErrAnswerTooLarge)
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(raw) == 0 {
-			out.finished = true
-			return order.Served
-		}
-		if err != nil {
-			return r.classifyError(ctx, err)
+		n, readErr := resp.Read(part)
+		raw = append(raw, part[:n]...)
+		batch, err := ids.Parse(grammar, raw)
+		ids = batch.Order
+		if batch.Events > 0 {
+			stall.Reset(timeout.Duration())
+			r.markBegun()
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
-		}
-		id, err := grammar.Parse(raw)
-		if err != nil {
-			return r.recordGarbage(g, resp, out, raw, err)
-		}
-		next, isNew, err := ids.Next(id)
-		if err != nil {
-			return r.recordGarbage(g, resp, out, raw, err)
-		}
-		ids = next
-		stall.Reset(timeout.Duration())
-		r.markBegun()
-		if isNew {
+		if len(batch.New) > 0 {
 			r.bind(g)
-			if _, err := out.w.Write(raw); err != nil {
+			if err := out.writeEvents(resp, batch.New, ids.Received()); err != nil {
+				r.entry.log.Info("events not forwarded", "request", r.incoming.ID, "err", err)
 				return order.Abandoned
 			}
-			if reader.Buffered() == 0 {
-				if err := flush.Flush(); err != nil {
-					return order.Abandoned
-				}
-			}
-			out.lastEvent = id
 		}
-		raw = raw[:0]
+		switch {
+		case err != nil:
+			return r.recordGarbage(g, resp, out, batch.Rest, err)
+		case len(batch.Rest) > maxEventBytes:
+			return r.recordGarbage(g, resp, out, batch.Rest, pipe.ErrAnswerTooLarge)
+		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0:
+			out.startStream(resp)
+			out.finished = true
+			return order.Served
+		case readErr != nil:
+			return r.classifyError(ctx, readErr)
+		}
+		raw = append(raw[:0], batch.Rest...)
+	}
+}
+
+// startStream writes the header of a stream, unless an earlier attempt has.
+func (o *answerWriter) startStream(resp *pipe.Response) {
+	if o.started {
+		return
 	}
+	// A later attempt may go on in the same answer, so that its length is not known.
+	resp.Header.Del("Content-Length")
+	o.writeHeader(resp.Status, resp.Header)
+}
+
+// writeEvents writes whole events, the last of which has the given id. They leave the HTTP server's buffers at once: an answer that is cut
+// later would lose a part of them.
+func (o *answerWriter) writeEvents(resp *pipe.Response, events []byte, last int64) error {
+	o.startStream(resp)
+	if _, err := o.w.Write(events); err != nil {
+		return fmt.Errorf("write events: %w", err)
+	}
+	if err := http.NewResponseController(o.w).Flush(); err != nil {
+		return fmt.Errorf("flush events: %w", err)
+	}
+	o.lastEvent = last
+	return nil
 }
 
-// recordGarbage logs and counts bytes of a stream that are not its next event, and returns the outcome of the attempt.
+// recordGarbage logs and counts an answer that is not the one that is due, or bytes of a stream that are not its next event, and returns
+// the outcome of the attempt.
 func (r *request) recordGarbage(g *order.Grant, resp *pipe.Response, out *answerWriter, raw []byte, why error) order.AttemptOutcome {
 	r.entry.log.Warn("endpoint sent garbage", append(r.answerAttrs(g, resp),
 		"after", out.lastEvent, "bytes", len(raw), "begins", strconv.Quote(string(raw[:min(len(raw), loggedGarbageBytes)])), "err", why)...)
