Let the request decide which answer is due, and refuse successes of another kind

Cause: an answer on a stream route was read as events only where its own head said text/event-stream; a faulty engine's head lacks the type, names another one or can't be parsed, or has another status, and such answers were forwarded unread. Class of fault: the answer decides whether it is checked. core/reply says by the request which success is due (events, a body, JSON) and refuses all others before a byte goes to the client; the attempt ends as Garbled. Refused as well: a content encoding, which no request asks for, a part of a body, and a stream on a plain route.

--- /dev/null
+++ b/core/reply/reply.go
@@ -0,0 +1,93 @@
+package reply
+
+import (
+	"errors"
+	"fmt"
+	"mime"
+	"strings"
+)
+
+// ErrNotDue means that an answer is not of the kind that its request is due.
+var ErrNotDue = errors.New("not the answer that is due")
+
+// The statuses that decide what a success holds.
+const (
+	statusOK             = 200
+	statusPartialContent = 206
+)
+
+// The media types of answers that are parsed.
+const (
+	eventsType = "text/event-stream"
+	jsonType   = "application/json"
+)
+
+// Kind is what a request is due as its success. What asks for it decides, and nothing in the answer.
+type Kind string
+
+// The kinds of successes.
+const (
+	// Events is a stream of events.
+	Events Kind = "Events"
+	// Body is one body of any type other than a stream of events.
+	Body Kind = "Body"
+	// JSON is a JSON document.
+	JSON Kind = "JSON"
+)
+
+// Head holds what the head of an answer says of its body.
+type Head struct {
+	Status int
+	// Types and Encodings hold the values of the headers Content-Type and Content-Encoding, one for each line.
+	Types, Encodings []string
+}
+
+// Check returns an error that wraps ErrNotDue if an answer claims success and is not of the kind. The bodies of other answers are
+// free.
+func (k Kind) Check(h Head) error {
+	switch {
+	case h.Status/100 != 2:
+		return nil
+	case len(h.Encodings) > 0 && !strings.EqualFold(strings.Join(h.Encodings, ","), "identity"):
+		return fmt.Errorf("%w: content encoding %q", ErrNotDue, h.Encodings)
+	case k == Body:
+		return checkBody(h)
+	case h.Status != statusOK:
+		return fmt.Errorf("%w: status %d", ErrNotDue, h.Status)
+	case mediaType(h.Types) != k.mediaType():
+		return fmt.Errorf("%w: content type %q in place of %s", ErrNotDue, h.Types, k.mediaType())
+	}
+	return nil
+}
+
+// checkBody checks the success of a request that is due a body of any type.
+func checkBody(h Head) error {
+	switch {
+	case h.Status == statusPartialContent:
+		return fmt.Errorf("%w: a part of a body", ErrNotDue)
+	case mediaType(h.Types) == eventsType:
+		return fmt.Errorf("%w: a stream of events", ErrNotDue)
+	}
+	return nil
+}
+
+// mediaType returns the media type that a head names, or an empty string if it names none, several or one that cannot be parsed.
+func mediaType(types []string) string {
+	if len(types) != 1 {
+		return ""
+	}
+	kind, _, err := mime.ParseMediaType(types[0])
+	if err != nil {
+		// The head names no media type that anybody could read.
+		return ""
+	}
+	return kind
+}
+
+// mediaType returns the media type of a kind that has only one.
+func (k Kind) mediaType() string {
+	if k == Events {
+		return eventsType
+	}
+	return jsonType
+}
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"mime"
 	"net/http"
 
 	"cyclamenford/core"
@@ -10,6 +9,7 @@
 	"cyclamenford/core/drain"
 	"cyclamenford/core/order"
 	"cyclamenford/core/poison"
+	"cyclamenford/core/reply"
 	relay "cyclamenford/io"
 	"cyclamenford/io/listen"
 	"cyclamenford/io/pipe"
@@ -213,6 +213,9 @@
 	}
 	defer resp.Close()
 	verdict := e.dialect.ParseResponse(resp.Status, resp.Header)
+	if err := r.checkAnswer(verdict, resp); err != nil {
+		return r.recordGarbage(g, resp, out, nil, err), false
+	}
 	r.recordNotice(g, verdict)
 	r.recordLimit(g, verdict.Limit, sentAt)
 	switch {
@@ -226,14 +229,28 @@
 		return order.Broken, false
 	}
 	r.reportBegan()
-	if r.route.Class == conf.Stream && resp.Status == http.StatusOK && isEventStream(resp.Header) {
+	if r.due() == reply.Events && resp.Status == http.StatusOK {
 		ending := r.stream(ctx, g, resp, out)
 		return ending, ending == order.Served
 	}
+	return r.forward(ctx, g, resp, out)
+}
+
+// due returns the kind of the answer that the request is due if it succeeds.
+func (r *request) due() reply.Kind {
 	if r.route.Class == conf.Stream {
-		e.log.Warn("answer not read as events", append(r.answerAttrs(g, resp), "type", resp.Header["Content-Type"], "named", verdict.ID != "")...)
+		return reply.Events
+	}
+	return reply.Body
+}
+
+// checkAnswer returns an error if an answer is neither a proof that the request has not run nor the endpoint's answer to it, of the kind
+// that is due.
+func (r *request) checkAnswer(verdict relay.EndpointResponse, resp *pipe.Response) error {
+	if verdict.NotRun {
+		return nil
 	}
-	return r.forward(ctx, resp, out)
+	return r.due().Check(resp.Head())
 }
 
 // answerAttrs returns the log attributes of an answer: which attempt it ends, and how it came.
@@ -244,16 +261,9 @@
 	}
 }
 
-// isEventStream reports whether an answer is a stream of events. Nothing else may continue one that the client has begun to
-// receive.
-func isEventStream(h http.Header) bool {
-	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
-}
-
 // forward reads an answer completely before it forwards any of it to the client, unless the answer is longer than
 // bufferedAnswerBytes. It holds back an error answer of the endpoint if another attempt may follow.
-func (r *request) forward(ctx context.Context, resp *pipe.Response, out *answerWriter) (order.AttemptOutcome, bool) {
+func (r *request) forward(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) (order.AttemptOutcome, bool) {
 	body, whole, err := resp.ReadUpTo(bufferedAnswerBytes)
 	if err != nil {
 		return r.classifyError(ctx, err), false
@@ -271,6 +281,7 @@
 		}
 		return order.Erred, false
 	}
+	r.entry.log.Info("answer forwarded", append(r.answerAttrs(g, resp), "due", r.due(), "type", resp.Header["Content-Type"])...)
 	if whole {
 		out.writeBuffered(a)
 	} else if err := out.writeLong(a, resp); err != nil {
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"cyclamenford/core"
+	"cyclamenford/core/reply"
 )
 
 // ErrStrayAnswers means that the connection delivered more late answers to other requests than the client skips.
@@ -156,6 +157,11 @@
 	return maxIdle
 }
 
+// Head returns what the head of the answer says of its body.
+func (r *Response) Head() reply.Head {
+	return reply.Head{Status: r.Status, Types: r.Header["Content-Type"], Encodings: r.Header["Content-Encoding"]}
+}
+
 // Read reads from the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
