Refuse an endpoint's own answer that names no request

Cause: a response that names no request counted as the answer on a connection on which no answer had named its request, whatever it claimed.

--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"cyclamenford/core"
@@ -195,10 +196,13 @@
 	endpointRequest := pipe.Request{
 		Address: g.Address, Method: r.httpRequest.Method, Target: r.httpRequest.RequestURI, Host: r.httpRequest.Host, Header: header, Body: r.body,
 		IsAnswer: func(resp *http.Response) bool {
-			return e.dialect.ParseResponse(resp.StatusCode, resp.Header).ID == r.incoming.ID
+			verdict := e.dialect.ParseResponse(resp.StatusCode, resp.Header)
+			// An unnamed answer of the endpoint's own ends its connection, so that it is no earlier one.
+			return verdict.ID == r.incoming.ID || verdict.IsUnnamed()
 		},
 		NamesNone: func(resp *http.Response) bool {
-			return e.dialect.ParseResponse(resp.StatusCode, resp.Header).ID == ""
+			verdict := e.dialect.ParseResponse(resp.StatusCode, resp.Header)
+			return verdict.ID == "" && !verdict.IsUnnamed()
 		},
 	}
 	if !r.repeatable() {
@@ -244,11 +248,17 @@
 	return reply.Body
 }
 
+// errUnnamed means that an answer that an endpoint has made does not name its request.
+var errUnnamed = errors.New("the answer names no request")
+
 // checkAnswer returns an error if an answer is neither a proof that the request has not run nor the endpoint's answer to it, of the kind
 // that is due.
 func (r *request) checkAnswer(verdict relay.EndpointResponse, resp *pipe.Response) error {
-	if verdict.NotRun {
+	switch {
+	case verdict.NotRun:
 		return nil
+	case verdict.IsUnnamed():
+		return errUnnamed
 	}
 	return r.due().Check(resp.Head())
 }
--- a/io/relay.go
+++ b/io/relay.go
@@ -82,6 +82,9 @@
 	HeaderError string
 }
 
+// IsUnnamed reports whether an endpoint claims an answer as its own that names no request.
+func (r EndpointResponse) IsUnnamed() bool { return r.FromRunner && !r.NotRun && r.ID == "" }
+
 // EndpointCall is an HTTP request that the relay itself sends to an endpoint.
 type EndpointCall struct {
 	// ID identifies the call. Endpoints echo it in their response.
