Refuse a new stream that ends without an event

Clients got a whole stream without any event (ORDER: a stream ends as complete before its last piece). Cause: the end of the body was taken for the end of the stream, whatever had come.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -109,6 +109,9 @@
 	return nil
 }
 
+// errNoEvents means that a new stream has ended without an event.
+var errNoEvents = errors.New("the stream ended without an event")
+
 // stream forwards the events that the client lacks, each one as soon as it is complete, and returns how the stream ended. At bytes that
 // are not the next event the attempt ends, and nothing of them is forwarded.
 func (r *request) stream(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) order.AttemptOutcome {
@@ -142,6 +145,8 @@
 			return r.recordGarbage(g, resp, out, batch.Rest, err)
 		case len(batch.Rest) > maxEventBytes:
 			return r.recordGarbage(g, resp, out, batch.Rest, pipe.ErrAnswerTooLarge)
+		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0 && ids.Received() == event.None:
+			return r.recordGarbage(g, resp, out, nil, errNoEvents)
 		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0:
 			out.startStream(resp)
 			out.finished = true
