--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -291,7 +291,9 @@
 		}
 		return order.Erred, false
 	}
-	r.entry.log.Info("answer forwarded", append(r.answerAttrs(g, resp), "due", r.due(), "type", resp.Header["Content-Type"])...)
+	if r.due() == reply.Events {
+		r.entry.log.Info("answer not read as events", append(r.answerAttrs(g, resp), "type", resp.Header["Content-Type"])...)
+	}
 	if whole {
 		out.writeBuffered(a)
 	} else if err := out.writeLong(a, resp); err != nil {
