Refuse a failure that claims to be a stream of events

A client of a stream got events and bytes that nobody had read, as the body of an endpoint's failure.

--- a/core/reply/reply.go
+++ b/core/reply/reply.go
@@ -42,35 +42,38 @@
 	Types, Encodings []string
 }
 
-// Check returns an error that wraps ErrNotDue if an answer claims success and is not of the kind. The bodies of other answers are
-// free.
+// Check returns an error that wraps ErrNotDue if an answer claims success and is not of the kind, or is a failure and claims to be a
+// stream of events. The bodies of other failures are free.
 func (k Kind) Check(h Head) error {
-	switch {
-	case h.Status/100 != 2:
+	if h.Status/100 != 2 {
+		if mediaType(h.Types) == eventsType {
+			return fmt.Errorf("%w: events with status %d", ErrNotDue, h.Status)
+		}
 		return nil
+	}
+	return k.checkSuccess(h)
+}
+
+// checkSuccess is Check for a success.
+func (k Kind) checkSuccess(h Head) error {
+	named := mediaType(h.Types)
+	switch {
 	case len(h.Encodings) > 0 && !strings.EqualFold(strings.Join(h.Encodings, ","), "identity"):
 		return fmt.Errorf("%w: content encoding %q", ErrNotDue, h.Encodings)
+	case k == Body && h.Status == statusPartialContent:
+		return fmt.Errorf("%w: a part of a body", ErrNotDue)
+	case k == Body && named == eventsType:
+		return fmt.Errorf("%w: a stream of events in place of a body", ErrNotDue)
 	case k == Body:
-		return checkBody(h)
+		return nil
 	case h.Status != statusOK:
 		return fmt.Errorf("%w: status %d", ErrNotDue, h.Status)
-	case mediaType(h.Types) != k.mediaType():
+	case named != k.mediaType():
 		return fmt.Errorf("%w: content type %q in place of %s", ErrNotDue, h.Types, k.mediaType())
 	}
 	return nil
 }
 
-// checkBody checks the success of a request that is due a body of any type.
-func checkBody(h Head) error {
-	switch {
-	case h.Status == statusPartialContent:
-		return fmt.Errorf("%w: a part of a body", ErrNotDue)
-	case mediaType(h.Types) == eventsType:
-		return fmt.Errorf("%w: a stream of events", ErrNotDue)
-	}
-	return nil
-}
-
 // mediaType returns the media type that a head names, or an empty string if it names none, several or one that cannot be parsed.
 func mediaType(types []string) string {
 	if len(types) != 1 {
