Close the connection of a request that ends without an answer

Cause: a request whose client has left ends without a problem and without an answer, and the HTTP server completes such an answer with status 200. An answer that is not whole now always ends with its connection. Evidence: TestAClientThatHasEndedItsSideGetsNoAnswerOfItsOwn failed before and passes now.

--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -146,8 +146,8 @@
 	return core.NewProblem(http.StatusBadGateway, core.Unknown, core.ReasonConnectionLost, "the endpoint broke off")
 }
 
-// finish answers the client unless an answer has been started, reports the end of the request to the scheduler, and logs
-// it. It aborts the client's connection if the answer was started and not finished.
+// finish answers the client with a problem unless an answer has been started, reports the end of the request to the scheduler, and logs
+// it. It aborts the client's connection if there is no whole answer.
 func (r *request) finish(out *answerWriter, ending order.AttemptOutcome, p *core.Problem) {
 	e := r.entry
 	r.reportEnded(ending)
@@ -167,8 +167,8 @@
 	switch {
 	case p != nil && !out.started:
 		e.refuse(out.w, r.incoming.ID, p)
-	case out.started && !out.finished:
-		// Only a closed connection shows the client that the answer is incomplete.
+	case !out.finished:
+		// Only a closed connection shows the client that the answer is missing or incomplete: the HTTP server completes it with status 200.
 		panic(http.ErrAbortHandler)
 	}
 }
