--- a/core/event/batch.go
+++ b/core/event/batch.go
@@ -1,5 +1,7 @@
 package event
 
+import "bytes"
+
 // Batch holds the whole events at the beginning of what an attempt has brought.
 type Batch struct {
 	// New holds the events that the client lacks, one after another, and Rest the bytes after the last whole event. Both are parts of
@@ -34,3 +36,9 @@
 		b.Order, b.New, b.Rest = next, raw[first:end], raw[end:]
 	}
 }
+
+// MayEnd reports whether an event may end in the bytes of raw from the given place on.
+func MayEnd(raw []byte, from int) bool {
+	added := raw[max(0, from-2):]
+	return bytes.Contains(added, []byte("\n\n")) || bytes.Contains(added, []byte("\n\r\n"))
+}
--- a/core/event/batch_test.go
+++ b/core/event/batch_test.go
@@ -47,3 +47,26 @@
 		})
 	}
 }
+
+// TestMayEnd guards against an event whose end is not seen, wherever its parts are split.
+func TestMayEnd(t *testing.T) {
+	for _, whole := range []string{"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n"} {
+		for from := range len(whole) {
+			must.True(t, MayEnd([]byte(whole), from), must.Sprintf("%q from %d", whole, from))
+			must.False(t, MayEnd([]byte(whole[:len(whole)-1]), from), must.Sprintf("%q from %d", whole, from))
+		}
+	}
+}
+
+// BenchmarkLongEvent measures the parsing of a long event that comes in small parts.
+func BenchmarkLongEvent(b *testing.B) {
+	raw := []byte("id: 1\n" + strings.Repeat("data: "+strings.Repeat("x", 64)+"\n", 3600) + "\n")
+	for range b.N {
+		for n := 64; n < len(raw); n += 64 {
+			if MayEnd(raw[:n], n-64) {
+				_, err := NewOrder(None).Parse(testGrammar, raw[:n])
+				must.NoError(b, err)
+			}
+		}
+	}
+}
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -19,13 +19,15 @@
 	must.NoError(t, err)
 	var rows []struct {
 		Name, Raw string
-		ID        int64
-		Bad       bool
+		// Bytes are used in place of Raw if that is empty.
+		Bytes []byte
+		ID    int64
+		Bad   bool
 	}
 	must.NoError(t, strict.Decode(raw, &rows))
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
-			id, err := testGrammar.Parse([]byte(row.Raw))
+			id, err := testGrammar.Parse(append([]byte(row.Raw), row.Bytes...))
 			if row.Bad {
 				must.ErrorIs(t, err, ErrNoEvent)
 				return
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -57,7 +57,7 @@
 // writeHeader writes the status and the header of an endpoint's answer without its hop-by-hop headers.
 func (o *answerWriter) writeHeader(status int, h http.Header) {
 	dropped := slices.Clone(hopByHop)
-	for _, name := range strings.Split(h.Get("Connection"), ",") {
+	for _, name := range strings.Split(strings.Join(h["Connection"], ","), ",") {
 		dropped = append(dropped, http.CanonicalHeaderKey(strings.TrimSpace(name)))
 	}
 	for name, values := range h {
@@ -127,6 +127,10 @@
 	for {
 		n, readErr := resp.Read(part)
 		raw = append(raw, part[:n]...)
+		if readErr == nil && len(raw) > eventBufferSize && len(raw) <= maxEventBytes && !event.MayEnd(raw, len(raw)-n) {
+			// A long event in small parts is not parsed anew with each of them.
+			continue
+		}
 		batch, err := ids.Parse(grammar, raw)
 		ids = batch.Order
 		if batch.Events > 0 {
