--- a/core/reply/reply.go
+++ b/core/reply/reply.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"mime"
-	"strings"
 )
 
 // ErrNotDue means that an answer is not of the kind that its request is due.
@@ -27,6 +26,8 @@
 
 // The kinds of successes.
 const (
+	// None is an answer without a body.
+	None Kind = "None"
 	// Events is a stream of events.
 	Events Kind = "Events"
 	// Body is one body of any type other than a stream of events.
@@ -38,27 +39,33 @@
 // Head holds what the head of an answer says of its body.
 type Head struct {
 	Status int
+	// Length is the length of the body in bytes, or -1 if the head does not say.
+	Length int64
 	// Types and Encodings hold the values of the headers Content-Type and Content-Encoding, one for each line.
 	Types, Encodings []string
 }
 
-// Check returns an error that wraps ErrNotDue if an answer claims success and is not of the kind, or is a failure and claims to be a
-// stream of events. The bodies of other failures are free.
+// Check returns an error that wraps ErrNotDue if an answer claims success and is not of the kind. A failure may have any body, but it is
+// no stream of events, and to a client that waits for one it says what it is.
 func (k Kind) Check(h Head) error {
-	if h.Status/100 != 2 {
-		if mediaType(h.Types) == eventsType {
-			return fmt.Errorf("%w: events with status %d", ErrNotDue, h.Status)
-		}
+	named := mediaType(h.Types)
+	switch {
+	case k == None:
 		return nil
+	case h.Status/100 == 2:
+		return k.checkSuccess(h, named)
+	case named == eventsType:
+		return fmt.Errorf("%w: events with status %d", ErrNotDue, h.Status)
+	case k == Events && named == "" && h.Length != 0:
+		return fmt.Errorf("%w: status %d with a body of content type %q", ErrNotDue, h.Status, h.Types)
 	}
-	return k.checkSuccess(h)
+	return nil
 }
 
-// checkSuccess is Check for a success.
-func (k Kind) checkSuccess(h Head) error {
-	named := mediaType(h.Types)
+// checkSuccess is Check for a success whose head names a media type.
+func (k Kind) checkSuccess(h Head, named string) error {
 	switch {
-	case len(h.Encodings) > 0 && !strings.EqualFold(strings.Join(h.Encodings, ","), "identity"):
+	case len(h.Encodings) > 0:
 		return fmt.Errorf("%w: content encoding %q", ErrNotDue, h.Encodings)
 	case k == Body && h.Status == statusPartialContent:
 		return fmt.Errorf("%w: a part of a body", ErrNotDue)
--- a/core/reply/reply_test.go
+++ b/core/reply/reply_test.go
@@ -17,13 +17,14 @@
 		Name             string
 		Kind             Kind
 		Status           int
+		Length           int64
 		Types, Encodings []string
 		Bad              bool
 	}
 	must.NoError(t, strict.Decode(raw, &rows))
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
-			err := row.Kind.Check(Head{Status: row.Status, Types: row.Types, Encodings: row.Encodings})
+			err := row.Kind.Check(Head{Status: row.Status, Length: row.Length, Types: row.Types, Encodings: row.Encodings})
 			if row.Bad {
 				must.ErrorIs(t, err, ErrNotDue)
 				return
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -197,7 +197,7 @@
 		Address: g.Address, Method: r.httpRequest.Method, Target: r.httpRequest.RequestURI, Host: r.httpRequest.Host, Header: header, Body: r.body,
 		IsAnswer: func(resp *http.Response) bool {
 			verdict := e.dialect.ParseResponse(resp.StatusCode, resp.Header)
-			// An unnamed answer of the endpoint's own ends its connection, so that it is no earlier one.
+			// Unless it is a refusal, an unnamed answer ends its connection, so that it is no earlier one.
 			return verdict.ID == r.incoming.ID || verdict.IsUnnamed()
 		},
 		NamesNone: func(resp *http.Response) bool {
@@ -242,14 +242,17 @@
 
 // due returns the kind of the answer that the request is due if it succeeds.
 func (r *request) due() reply.Kind {
-	if r.route.Class == conf.Stream {
+	switch {
+	case r.httpRequest.Method == http.MethodHead:
+		return reply.None
+	case r.route.Class == conf.Stream:
 		return reply.Events
 	}
 	return reply.Body
 }
 
-// errUnnamed means that an answer that an endpoint has made does not name its request.
-var errUnnamed = errors.New("the answer names no request")
+// errUnnamed means that an answer which is no refusal does not name its request.
+var errUnnamed = errors.New("the answer names no request, or several, or has several signatures")
 
 // checkAnswer returns an error if an answer is neither a proof that the request has not run nor the endpoint's answer to it, of the kind
 // that is due.
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -149,7 +149,7 @@
 			return r.recordGarbage(g, resp, out, batch.Rest, err)
 		case len(batch.Rest) > maxEventBytes:
 			return r.recordGarbage(g, resp, out, batch.Rest, pipe.ErrAnswerTooLarge)
-		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0 && ids.Received() == event.None:
+		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0 && !out.started && !r.takesUp():
 			return r.recordGarbage(g, resp, out, nil, errNoEvents)
 		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0:
 			out.startStream(resp)
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -159,7 +159,7 @@
 
 // Head returns what the head of the answer says of its body.
 func (r *Response) Head() reply.Head {
-	return reply.Head{Status: r.Status, Types: r.Header["Content-Type"], Encodings: r.Header["Content-Encoding"]}
+	return reply.Head{Status: r.Status, Length: r.Length, Types: r.Header["Content-Type"], Encodings: r.Header["Content-Encoding"]}
 }
 
 // Read reads from the body.
--- a/io/relay.go
+++ b/io/relay.go
@@ -64,7 +64,7 @@
 
 // EndpointResponse holds what the headers of an endpoint's response report about the request and the endpoint.
 type EndpointResponse struct {
-	// ID is the request ID that the endpoint echoes in its response.
+	// ID is the request ID that the endpoint echoes in its response, empty if the head is ambiguous.
 	ID core.RequestID
 	// FromRunner is true if the response comes from a runner and not from something in between. NotRun is true if the
 	// runner has not started to work on the request.
@@ -82,8 +82,8 @@
 	HeaderError string
 }
 
-// IsUnnamed reports whether an endpoint claims an answer as its own that names no request.
-func (r EndpointResponse) IsUnnamed() bool { return r.FromRunner && !r.NotRun && r.ID == "" }
+// IsUnnamed reports whether an answer that is no refusal names no request, so that it is no answer to one.
+func (r EndpointResponse) IsUnnamed() bool { return !r.NotRun && r.ID == "" }
 
 // EndpointCall is an HTTP request that the relay itself sends to an endpoint.
 type EndpointCall struct {
