Don't reuse a connection for a later attempt of the request that it carried

Callers could be told of a later attempt what an earlier one was told: all attempts of a request carry the same X-Request-Id, so that a copy of the earlier answer that comes late, on a connection that the later attempt reuses, names the later attempt too. A refusal would then promise that a request has not run that runs; a 200 or 500 would be passed on in the place of the answer.

io/pipe took any idle connection to the address. Today's io/entry comes close to it only in part (by reading, not played): it closes the connection of a refusal, whose body it doesn't read, and schedulers and this host skip the endpoints that a request has tried. But a request that a new leader gets has tried none there (PlacementRequest names no endpoints), the endpoint that answers 421 for a former one at its address has another id, and the connection of a 500 that was read whole goes back to the pool.

Connections remember the names of their latest 32 requests, as hashes, and a request takes none that has carried its name; the others of the pool stay. Stage calls need no name: each has an id of its own.

The accept loops of the package's tests are one function now.

--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -195,6 +195,7 @@
 	})
 	endpointRequest := pipe.Request{
 		Address: g.Address, Method: r.httpRequest.Method, Target: r.httpRequest.RequestURI, Host: r.httpRequest.Host, Header: header, Body: r.body,
+		Name: string(r.incoming.ID),
 		IsAnswer: func(resp *http.Response) bool {
 			verdict := e.dialect.ParseResponse(resp.StatusCode, resp.Header)
 			// An unnamed answer of the endpoint's own ends its connection, so that it is no earlier one.
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"cyclamenford/core"
@@ -29,6 +31,8 @@
 	readBufferSize     = 4 << 10
 	// maxDirectWrite is a size of requests that the send buffer of an idle connection always holds.
 	maxDirectWrite = 4 << 10
+	// maxCarriedNames limits the names of requests that a connection remembers, the latest ones.
+	maxCarriedNames = 32
 	// maxStrayAnswers limits the late answers to earlier requests that are skipped before the connection is closed.
 	maxStrayAnswers = 2
 )
@@ -67,6 +71,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Name is what answers name the request by. A request reuses no connection that has carried one of the same name lately, such as an
+	// earlier attempt: a late copy of that answer would look like its own. Names that are never used again may be left empty.
+	Name string
 	// MaxIdle limits how long a reused connection may have been idle, for requests that must not be repeated; 0 means
 	// no limit.
 	MaxIdle core.Millis
@@ -90,6 +97,9 @@
 	named bool
 	// used means that the connection has carried a request.
 	used bool
+	// carried holds the hashes of the names of the latest requests, nextCarried being the place of the oldest one once it is full.
+	carried     []uint64
+	nextCarried int
 	// idleSince is when the connection was returned to the pool, and idleLimit how long it may stay there.
 	idleSince core.Millis
 	idleLimit core.Millis
@@ -172,17 +182,20 @@
 	return false, nil
 }
 
-// takeIdle removes the most recently used idle connection that is fresh enough from the pool and returns it, or nil if
-// there is none. It closes the expired ones that it meets.
+// takeIdle removes the most recently used idle connection that is fresh enough and has not carried the request's name from the pool and
+// returns it, or nil if there is none. It closes the expired ones that it meets.
 func (c *Client) takeIdle(r Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Clock.Now()
 	key := r.poolKey()
 	list := c.idle[key]
-	for len(list) > 0 {
-		x := list[len(list)-1]
-		list = list[:len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		x := list[i]
+		if x.hasCarried(r) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		idle := now - x.idleSince
 		if idle < x.idleLimit && (r.MaxIdle == 0 || idle < r.MaxIdle) {
 			c.idle[key] = list
@@ -190,10 +203,31 @@
 		}
 		c.discard(x)
 	}
+	if len(list) > 0 {
+		c.idle[key] = list
+		return nil
+	}
 	delete(c.idle, key)
 	return nil
 }
 
+// recordCarried remembers that the connection carries a request.
+func (x *conn) recordCarried(r Request) {
+	switch {
+	case r.Name == "":
+	case len(x.carried) < maxCarriedNames:
+		x.carried = append(x.carried, xxhash.Sum64String(r.Name))
+	default:
+		x.carried[x.nextCarried] = xxhash.Sum64String(r.Name)
+		x.nextCarried = (x.nextCarried + 1) % maxCarriedNames
+	}
+}
+
+// hasCarried reports whether the connection has carried a request of the same name lately.
+func (x *conn) hasCarried(r Request) bool {
+	return r.Name != "" && slices.Contains(x.carried, xxhash.Sum64String(r.Name))
+}
+
 // release returns a connection to the pool after its last answer was read completely. It closes a connection with unread
 // bytes, and one for which the pool has no room.
 func (c *Client) release(x *conn) {
--- a/io/pipe/endless_test.go
+++ b/io/pipe/endless_test.go
@@ -25,33 +25,20 @@
 // flood starts an endpoint that answers each request with begin and then repeats again until the connection closes. It
 // returns the endpoint's address and a counter with the largest number of bytes sent on one connection.
 func flood(t *testing.T, begin, again string) (string, *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	maxSent := &atomic.Int64{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				n, err := io.WriteString(c, begin)
-				sent := int64(n)
-				// A string would be copied for each write, and the copies count as memory of the process under test.
-				for chunk := []byte(strings.Repeat(again, max(1, 4096/len(again)))); err == nil; sent += int64(n) {
-					n, err = c.Write(chunk)
-				}
-				for old := maxSent.Load(); sent > old && !maxSent.CompareAndSwap(old, sent); old = maxSent.Load() {
-				}
-			}()
+	return serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		n, err := io.WriteString(c, begin)
+		sent := int64(n)
+		// A string would be copied for each write, and the copies count as memory of the process under test.
+		for chunk := []byte(strings.Repeat(again, max(1, 4096/len(again)))); err == nil; sent += int64(n) {
+			n, err = c.Write(chunk)
+		}
+		for old := maxSent.Load(); sent > old && !maxSent.CompareAndSwap(old, sent); old = maxSent.Load() {
 		}
-	}()
-	return l.Addr().String(), maxSent
+	}), maxSent
 }
 
 // TestEndlessAnswersEndAtTheirBound guards against an endpoint that exhausts the memory or the time of a host with an
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -49,6 +49,7 @@
 		return nil, err
 	}
 	unwatch := context.AfterFunc(ctx, func() { c.discard(x) })
+	x.recordCarried(r)
 	written := make(chan error, 1)
 	raw := encodeRequest(r)
 	if len(raw) <= maxDirectWrite {
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -18,9 +18,8 @@
 	"cyclamenford/io/wall"
 )
 
-// endpoint starts a server that answers each request on a connection with the next raw answer. It closes the connection
-// after an answer that ends with "<close>", and resets it instead of the answer "reset".
-func endpoint(t *testing.T, answers []string) string {
+// serve accepts connections, passes each to handle in a goroutine of its own and closes it after that. It returns the address.
+func serve(t *testing.T, handle func(net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -30,15 +29,23 @@
 			if err != nil {
 				return
 			}
-			go answer(c, answers)
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(c)
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// endpoint starts a server that answers each request on a connection with the next raw answer. It closes the connection
+// after an answer that ends with "<close>", and resets it instead of the answer "reset".
+func endpoint(t *testing.T, answers []string) string {
+	return serve(t, func(c net.Conn) { answer(c, answers) })
+}
+
 // answer serves one connection of endpoint.
 func answer(c net.Conn, answers []string) {
-	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for _, raw := range answers {
 		r, err := http.ReadRequest(reader)
@@ -95,6 +102,7 @@
 	defer cancel()
 	resp, err := c.Do(ctx, Request{
 		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Name:      id,
 		IsAnswer:  func(r *http.Response) bool { return r.Header.Get("Id") == id },
 		NamesNone: func(r *http.Response) bool { return r.Header.Get("Id") == "" },
 	})
