Refuse stage answers that are not the JSON that their call is due

What callers could get: a stage call took any 2xx for its answer, whatever its type, status or encoding, and used what of the body could be decoded. An answer with another number of results was dropped by the scheduler, but as a call that was served, without a log line, and what it said of its endpoint (leaving, pause, limit) was believed. A handle that stood twice became the input of two pieces; one with a comma would have become two (by reading). A body that could not be decoded counted as a broken connection, so that its requests were suspected of having crashed the endpoint.

Cause: as for clients' requests, the bytes decided what was read, not the request.

Not checked: that a handle begins with the endpoint's announced address.

--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -52,8 +51,6 @@
 	callGrace = 4 * core.Second
 	// freeTimeout bounds a call that asks an endpoint to free results.
 	freeTimeout = time.Second
-	// maxStageResponse bounds the body of the answer to a stage call in bytes. Its items are short handles.
-	maxStageResponse = 1 << 20
 )
 
 // Leader is the local keeper: its leadership, its copy of the replicated state and commits to that state.
@@ -479,82 +476,7 @@
 // callGrace.
 func maxCallTime(c order.Call) core.Millis { return c.Expected*3 + callGrace }
 
-// sendStageCall sends a stage call, which was decided at the given time, to its endpoint and returns the results and how
-// the call ended.
-func (a *Assigner) sendStageCall(c order.Call, decidedAt core.Millis) ([]order.ItemResult, order.AttemptOutcome, error) {
-	call, err := a.dialect.StageCall(c.Endpoint, newCallID(), c.Items)
-	if err != nil {
-		return nil, order.Broken, err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), maxCallTime(c).Duration())
-	defer cancel()
-	life := core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}
-	sentAt := a.clock.Now()
-	// A call of a suspected request may have waited for its trial.
-	permitted := c.Permitted && sentAt-decidedAt < permit.Validity
-	if !a.mayCall(life, permitted, "stage call") {
-		return nil, order.Rejected, nil
-	}
-	resp, err := a.pipe.Do(ctx, a.newPipeRequest(c.Address, "", call))
-	if err != nil {
-		return nil, outcomeOfSendError(err), err
-	}
-	defer resp.Close()
-	verdict := a.dialect.ParseResponse(resp.Status, resp.Header)
-	named := verdict.ID == call.ID
-	a.applyStageNotice(life, verdict)
-	a.recordStageLimit(life, verdict.Limit, sentAt)
-	body, err := resp.ReadAll(maxStageResponse)
-	if err != nil {
-		return nil, order.Broken, err
-	}
-	results, outcome, err := a.parseStageAnswer(verdict, resp.Status, body)
-	switch {
-	case outcome == order.OtherEndpoint || err != nil:
-		resp.EndConnection()
-	case named:
-	case !slices.ContainsFunc(results, func(r order.ItemResult) bool { return r.Handle != "" }):
-		// Such answers are alike, so that one that comes once more could be taken for that to the next call on the connection.
-		resp.EndConnection()
-	case a.isCopy(life, c.Items, body):
-		resp.EndConnection()
-		return nil, order.Garbled, errCopiedAnswer
-	}
-	return results, outcome, err
-}
-
-// errCopiedAnswer means that an endpoint has sent the answer to an earlier call once more in the place of another one.
-var errCopiedAnswer = errors.New("the endpoint sent an earlier answer once more")
-
-// isCopy reports whether an endpoint has sent the answer to a call for other pieces before. The results of different pieces differ.
-func (a *Assigner) isCopy(life core.Life, items []order.Item, body []byte) bool {
-	var pieces []byte
-	for _, i := range items {
-		pieces = fmt.Appendf(pieces, "%s %d %d\n", i.ID, i.Stage, i.Piece)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.answers.IsCopy(life, pieces, body)
-}
-
-// parseStageAnswer returns the results of a stage call and how it ended.
-func (a *Assigner) parseStageAnswer(verdict io.EndpointResponse, status int, body []byte) ([]order.ItemResult, order.AttemptOutcome, error) {
-	switch {
-	case verdict.OtherEndpoint:
-		return nil, order.OtherEndpoint, nil
-	case verdict.NotRun:
-		return nil, order.Rejected, nil
-	case status/100 != 2:
-		return nil, order.Erred, fmt.Errorf("status %d", status)
-	}
-	results, err := a.dialect.ParseStageResults(body)
-	if err != nil {
-		return nil, order.Broken, err
-	}
-	return results, order.Served, nil
-}
-
-// freeResults asks an endpoint to free results. Failures are only logged.
+// freeResults asks an endpoint to free results. Failures are only logged. Any success is due, and its body says nothing.
 func (a *Assigner) freeResults(f order.Free) {
 	call, err := a.dialect.FreeResults(newCallID(), f.Handles)
 	if err != nil {
--- a/io/assign/copies_test.go
+++ b/io/assign/copies_test.go
@@ -37,7 +37,7 @@
 		if names {
 			name = callHeader + ": " + r.Header.Get(callHeader) + "\r\n"
 		}
-		last = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", name, len(body), body)
+		last = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", name, len(body), body)
 		fmt.Fprint(c, last)
 	}
 }
--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -91,6 +91,7 @@
 			return
 		}
 		<-answer[body]
+		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte("result-of-" + strings.Trim(body, `"`)))
 	}))
 	defer server.Close()
@@ -159,6 +160,7 @@
 		sent.Add(1)
 		<-answer
 		w.Header().Set(callHeader, r.Header.Get(callHeader))
+		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte("result"))
 	}))
 	defer server.Close()
--- a/io/assign/limit_test.go
+++ b/io/assign/limit_test.go
@@ -19,7 +19,10 @@
 // TestStageCallDoesNotUseAnOldPermit guards against more calls to an endpoint than its limit when calls wait long for their trial.
 func TestStageCallDoesNotUseAnOldPermit(t *testing.T) {
 	arrived := &atomic.Int32{}
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Content-Type", "application/json")
+	}))
 	defer server.Close()
 	leader := &fakeLeader{}
 	leader.leads.Store(true)
--- a/io/assign/stop_test.go
+++ b/io/assign/stop_test.go
@@ -22,6 +22,7 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				time.Sleep(callTime)
 				w.Header().Set(callHeader, r.Header.Get(callHeader))
+				w.Header().Set("Content-Type", "application/json")
 				_, _ = w.Write([]byte("result"))
 			}))
 			defer server.Close()
--- a/io/assign/takeover_test.go
+++ b/io/assign/takeover_test.go
@@ -72,6 +72,7 @@
 		}
 		n.Add(1)
 		<-until
+		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(result + strings.Trim(body, `"`)))
 	}))
 }
