Close a connection after garbage that was read to its end

A stream without any event was refused, and its connection went back to the pool, because the body had been read to its end: the next request was sent to an endpoint that had just sent garbage, on the same connection. All other answers that are refused end their connection because they aren't read. recordGarbage ends the connection now, whatever was read of it.

TestAConnectionThatBroughtGarbageIsClosed fails without the change (one connection for two answers) and passes with it.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -183,8 +183,9 @@
 }
 
 // recordGarbage logs and counts an answer that is not the one that is due, or bytes of a stream that are not its next event, and returns
-// the outcome of the attempt.
+// the outcome of the attempt. The connection is not used again.
 func (r *request) recordGarbage(g *order.Grant, resp *pipe.Response, out *answerWriter, raw []byte, why error) order.AttemptOutcome {
+	resp.EndConnection()
 	r.entry.log.Warn("endpoint sent garbage", append(r.answerAttrs(g, resp),
 		"after", out.lastEvent, "bytes", len(raw), "begins", strconv.Quote(string(raw[:min(len(raw), loggedGarbageBytes)])), "err", why)...)
 	r.entry.meter.Count("endpoint_garbage_total", 1, "service", r.service)
