Let the call decide which answer an endpoint owes serve

Callers could get an output that no run made, be told that a call had not run, or have a request blamed for a crash, because an endpoint's answer decided how far it was checked. serve read a success by its status 200 alone, any other status as an error, and the body of an error or a health check by whatever it held. Class of fault: the answer decides whether it is checked. io/dial now sends every call through one place that checks status, type, encoding (core/reply) and the attempt that the head names, before anything else of the answer is read or believed. Refused, each with a row that failed before: - whole answers, streams, resumptions, health checks, outputs and orders' answers of another type, encoding or success; gzip, which the transport asked for by itself and undid - a promise NotRun with a success or a redirect, and an error with another outcome than NotRun or Failed: Completed was recorded as the empty answer of a call that may run once - bytes that can't be read, told as Failed though the call may have completed: they are Unknown now, so that the output is asked for by key - a NotRun of a resumption, whose attempt has been begun - a health check {} or of any type or status, which showed that the endpoint had crashed - an output by key that names no key or another one, or has none: {} was recorded as the call's answer; an order's answer with another fence - notices and limits in all of these, and in errors of another attempt, which were believed before the attempt was looked at Each refusal is the line 'endpoint sent garbage' and counts in endpoint_garbage_total by call. The stand-in echoes the key of an output and names the attempt in refused resumptions and in answers to cancellations.

--- a/bench/site/hop_test.go
+++ b/bench/site/hop_test.go
@@ -20,6 +20,7 @@
 	"cyclamenford/core"
 	"cyclamenford/io/caller"
 	"cyclamenford/io/dial"
+	"cyclamenford/io/meter"
 	"cyclamenford/io/trace"
 )
 
@@ -127,7 +128,7 @@
 		for _, through := range []bool{false, true} {
 			b.Run(fmt.Sprintf("streams=%d/throughHost=%v", streams, through), func(b *testing.B) {
 				s, ctx := startHopSite(b, func(o *stand.Options) { o.Slots, o.TokenMs, o.Tokens = 128, hopTokenMs, hopTokens })
-				c := dial.New(nil, nil, trace.New(trace.Options{}), func(core.Life, dial.EndpointState) {}, nil)
+				c := dial.New(nil, nil, trace.New(trace.Options{}), func(core.Life, dial.EndpointState) {}, nil, meter.New(), slog.New(slog.DiscardHandler))
 				read := func(i int) ([]time.Duration, error) { return streamDirect(ctx, s, c, i) }
 				if through {
 					read = func(i int) ([]time.Duration, error) { return streamThroughHost(ctx, s, i) }
--- a/bench/stand/plain.go
+++ b/bench/stand/plain.go
@@ -69,10 +69,11 @@
 
 // serveCallResult returns the output of an executed call, or 404 if the stand-in has not executed it.
 func (s *Server) serveCallResult(w http.ResponseWriter, r *http.Request) {
-	output, ok := s.calls.output(r.URL.Query().Get("Key"))
+	key := r.URL.Query().Get("Key")
+	output, ok := s.calls.output(key)
 	if !ok {
 		writeJSON(w, http.StatusNotFound, dial.Refusal{Outcome: core.NotRun, Detail: "not seen"})
 		return
 	}
-	writeJSON(w, http.StatusOK, dial.Result{Output: output})
+	writeJSON(w, http.StatusOK, dial.CallOutput{Key: key, Output: output})
 }
--- a/bench/stand/stream.go
+++ b/bench/stand/stream.go
@@ -197,6 +197,7 @@
 // serveResume streams the events of an earlier attempt, starting with the number From.
 func (s *Server) serveResume(w http.ResponseWriter, r *http.Request) {
 	attempt := core.AttemptID(r.PathValue("attempt"))
+	w.Header().Set("Attempt-Id", string(attempt))
 	from, err := strconv.ParseUint(r.URL.Query().Get("From"), 10, 64)
 	st, ok := s.batch.streams.get(attempt)
 	if err != nil || !ok || from < st.firstSeq {
@@ -207,8 +208,10 @@
 	s.writeEvents(w, r, attempt, st, from)
 }
 
-func (s *Server) serveCancel(_ http.ResponseWriter, r *http.Request) {
-	if st, ok := s.batch.streams.get(core.AttemptID(r.PathValue("attempt"))); ok {
+func (s *Server) serveCancel(w http.ResponseWriter, r *http.Request) {
+	attempt := core.AttemptID(r.PathValue("attempt"))
+	w.Header().Set("Attempt-Id", string(attempt))
+	if st, ok := s.batch.streams.get(attempt); ok {
 		st.cancel()
 	}
 }
--- a/core/reply/reply.go
+++ b/core/reply/reply.go
@@ -10,10 +10,13 @@
 // ErrNotDue means that an answer is not of the kind that its request is due.
 var ErrNotDue = errors.New("not the answer that is due")
 
-// The statuses that decide what a success holds.
+// The statuses that decide what an answer holds.
 const (
 	statusOK             = 200
 	statusPartialContent = 206
+	// firstError and lastError limit the statuses of errors.
+	firstError = 400
+	lastError  = 599
 )
 
 // The media types of answers that are parsed.
@@ -48,7 +51,7 @@
 	switch {
 	case h.Status/100 != 2:
 		return nil
-	case len(h.Encodings) > 0 && !strings.EqualFold(strings.Join(h.Encodings, ","), "identity"):
+	case isEncoded(h):
 		return fmt.Errorf("%w: content encoding %q", ErrNotDue, h.Encodings)
 	case k == Body:
 		return checkBody(h)
@@ -60,6 +63,24 @@
 	return nil
 }
 
+// CheckError returns an error that wraps ErrNotDue unless a head is that of an error whose body is a JSON document.
+func CheckError(h Head) error {
+	switch {
+	case h.Status < firstError || h.Status > lastError:
+		return fmt.Errorf("%w: status %d", ErrNotDue, h.Status)
+	case isEncoded(h):
+		return fmt.Errorf("%w: content encoding %q", ErrNotDue, h.Encodings)
+	case mediaType(h.Types) != jsonType:
+		return fmt.Errorf("%w: content type %q in place of %s", ErrNotDue, h.Types, jsonType)
+	}
+	return nil
+}
+
+// isEncoded reports whether a body is not sent as it is.
+func isEncoded(h Head) bool {
+	return len(h.Encodings) > 0 && !strings.EqualFold(strings.Join(h.Encodings, ","), "identity")
+}
+
 // checkBody checks the success of a request that is due a body of any type.
 func checkBody(h Head) error {
 	switch {
--- a/core/reply/reply_test.go
+++ b/core/reply/reply_test.go
@@ -32,3 +32,26 @@
 		})
 	}
 }
+
+// TestCheckError guards against an error whose body is read although its head says that it is something else.
+func TestCheckError(t *testing.T) {
+	raw, err := os.ReadFile("testdata/errors.json")
+	must.NoError(t, err)
+	var rows []struct {
+		Name             string
+		Status           int
+		Types, Encodings []string
+		Bad              bool
+	}
+	must.NoError(t, strict.Decode(raw, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			err := CheckError(Head{Status: row.Status, Types: row.Types, Encodings: row.Encodings})
+			if row.Bad {
+				must.ErrorIs(t, err, ErrNotDue)
+				return
+			}
+			must.NoError(t, err)
+		})
+	}
+}
--- a/io/dial/client.go
+++ b/io/dial/client.go
@@ -7,15 +7,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/reply"
+	"cyclamenford/io/meter"
 	"cyclamenford/io/trace"
 )
 
@@ -54,12 +54,6 @@
 	return e.Err
 }
 
-// ErrWrongAttempt reports a response with the request or attempt ID of another attempt.
-var ErrWrongAttempt = errors.New("the answer belongs to another attempt")
-
-// ErrTooLarge reports a response longer than MaxAnswerBytes.
-var ErrTooLarge = errors.New("the answer is too large")
-
 // Client sends runs, orders, probes and cancellations to endpoints.
 type Client struct {
 	tracer  *trace.Tracer
@@ -67,6 +61,8 @@
 	onState StateHandler
 	permit  PermitFunc
 	scheme  string
+	meter   *meter.Meter
+	log     *slog.Logger
 	// pooled reuses connections. unpooled opens a new connection for each call, because net/http may resend a request
 	// automatically when a reused connection fails.
 	pooled   *http.Client
@@ -76,14 +72,14 @@
 // New returns a Client. It binds connections to the local IP from, or to any if from is nil. It uses plain HTTP if
 // tlsConfig is nil. The client calls onState with what endpoints report about themselves in their responses, and asks permit
 // before each call other than a run, unless it is nil.
-func New(tlsConfig *tls.Config, from net.IP, tracer *trace.Tracer, onState StateHandler, permit PermitFunc) *Client {
+func New(tlsConfig *tls.Config, from net.IP, tracer *trace.Tracer, onState StateHandler, permit PermitFunc, m *meter.Meter, log *slog.Logger) *Client {
 	scheme := "http"
 	if tlsConfig != nil {
 		scheme = "https"
 	}
 	d := &net.Dialer{Timeout: connectTimeout, LocalAddr: &net.TCPAddr{IP: from}}
 	return &Client{
-		dialer: d, tracer: tracer, onState: onState, permit: permit, scheme: scheme,
+		dialer: d, tracer: tracer, onState: onState, permit: permit, scheme: scheme, meter: m, log: log,
 		pooled:   &http.Client{Transport: transport(tlsConfig, d, false)},
 		unpooled: &http.Client{Transport: transport(tlsConfig, d, true)},
 	}
@@ -94,102 +90,49 @@
 	return &http.Transport{
 		DialContext: d.DialContext, TLSClientConfig: tlsConfig, DisableKeepAlives: unpooled,
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression: true,
 	}
 }
 
-// attemptHeader names the attempt that a response answers.
-const attemptHeader = "Attempt-Id"
-
 // Call runs work whose answer is not streamed. Only repeatable work uses a reused connection.
 func (c *Client) Call(ctx context.Context, target core.Target, run Run, repeatable bool) (Result, error) {
 	client := c.unpooled
 	if repeatable {
 		client = c.pooled
 	}
-	sentAt := time.Now()
-	resp, connected, err := c.postRun(ctx, client, target, run)
+	a, connected, err := c.postRun(ctx, client, exchange{name: "Run", target: target, attempt: run.AttemptID, due: reply.JSON}, run)
 	if err != nil {
 		return Result{}, transportError(err, connected)
 	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	if err != nil {
-		return Result{}, &Error{Outcome: core.Unknown, Reason: core.ReasonConnectionLost, ConnectionLost: true, Err: err}
-	}
-	if len(raw) > MaxAnswerBytes {
-		return Result{}, &Error{Outcome: core.Failed, Reason: core.ReasonBadAnswer, Err: ErrTooLarge}
-	}
-	r, err := parseResult(raw, run)
-	if err == nil {
-		c.reportState(target, sentAt, resp)
-	}
-	return r, err
-}
-
-// parseResult decodes a result and checks that it belongs to the attempt.
-func parseResult(raw []byte, run Run) (Result, error) {
+	defer a.Body.Close()
 	var r Result
-	if err := json.Unmarshal(raw, &r); err != nil {
-		return Result{}, &Error{Outcome: core.Failed, Reason: core.ReasonBadAnswer, Err: fmt.Errorf("decode answer: %w", err)}
+	if err := c.readJSON(a, &r); err != nil {
+		return Result{}, err
 	}
 	if r.AttemptID != run.AttemptID || r.RequestID != run.RequestID {
-		return Result{}, &Error{Outcome: core.Unknown, Reason: core.ReasonBadAnswer, Err: ErrWrongAttempt}
+		return Result{}, c.refuse(a, ErrWrongAttempt)
+	}
+	if r.Output == nil {
+		return Result{}, c.refuse(a, errIncomplete)
 	}
+	c.reportState(a)
 	return r, nil
 }
 
-// postRun sends the work and returns the response if the endpoint accepted it. The second result reports whether the
+// postRun sends the work and returns the answer if the endpoint accepted it. The second result reports whether the
 // connection was established, so that data may have been sent.
-func (c *Client) postRun(ctx context.Context, client *http.Client, target core.Target, run Run) (*http.Response, bool, error) {
+func (c *Client) postRun(ctx context.Context, client *http.Client, x exchange, run Run) (*answer, bool, error) {
 	body, err := json.Marshal(run)
 	if err != nil {
 		return nil, false, fmt.Errorf("encode run: %w", err)
 	}
-	var connected, reused atomic.Bool
-	traceCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			connected.Store(true)
-			reused.Store(i.Reused)
-		},
-	})
-	req, err := http.NewRequestWithContext(traceCtx, http.MethodPost, c.url(target.Address, "/v1/run"), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(x.target.Address, "/v1/run"), bytes.NewReader(body))
 	if err != nil {
 		return nil, false, fmt.Errorf("make request: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	c.tracer.Inject(ctx, req.Header)
-	sentAt := time.Now()
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, connected.Load(), err
-	}
-	if resp.StatusCode == http.StatusOK {
-		return resp, true, nil
-	}
-	defer resp.Body.Close()
-	c.reportState(target, sentAt, resp)
-	// On a reused connection a refusal that names no attempt may be that of an earlier one, sent once more.
-	if named := resp.Header.Get(attemptHeader); named != string(run.AttemptID) && (named != "" || reused.Load()) {
-		return nil, true, &Error{Outcome: core.Unknown, Reason: core.ReasonBadAnswer, Err: ErrWrongAttempt}
-	}
-	return nil, true, refusalError(resp)
-}
-
-// refusalError converts an error response of an endpoint into an Error.
-func refusalError(resp *http.Response) error {
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
-	if err != nil {
-		return &Error{Outcome: core.Unknown, Reason: core.ReasonConnectionLost, ConnectionLost: true, Err: err}
-	}
-	var r Refusal
-	if err := json.Unmarshal(raw, &r); err != nil || r.Outcome == "" {
-		return &Error{Outcome: core.Failed, Reason: core.ReasonBadAnswer, Err: fmt.Errorf("status %d", resp.StatusCode)}
-	}
-	reason := core.ReasonEndpointFailed
-	if r.Outcome == core.NotRun {
-		reason = core.ReasonEndpointRefused
-	}
-	return &Error{Outcome: r.Outcome, Reason: reason, Refused: true, Err: errors.New(r.Detail)}
+	return c.accepted(c.do(client, x, req))
 }
 
 // transportError converts a transport error into an Error. Its outcome is NotRun only if no connection was established.
@@ -215,13 +158,14 @@
 	if err != nil {
 		return
 	}
-	sentAt := time.Now()
-	resp, err := c.pooled.Do(req)
+	a, _, err := c.do(c.pooled, exchange{name: "Cancel", target: target, due: reply.Body}, req)
 	if err != nil {
 		return
 	}
-	c.reportState(target, sentAt, resp)
-	_ = resp.Body.Close()
+	if a.names(attempt) || !a.reused && a.namesNone() {
+		c.reportState(a)
+	}
+	_ = a.Body.Close()
 }
 
 // Probe queries the ID and incarnation of the endpoint at an address. gone is true if the address refuses connections.
@@ -235,17 +179,22 @@
 	if err != nil {
 		return Health{}, false, fmt.Errorf("make probe: %w", err)
 	}
-	sentAt := time.Now()
-	resp, err := c.unpooled.Do(req)
+	a, _, err := c.do(c.unpooled, exchange{name: "Probe", target: target, due: reply.JSON}, req)
 	if err != nil {
 		return Health{}, isConnectionRefused(err), fmt.Errorf("probe %s: %w", target.Address, err)
 	}
-	defer resp.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, MaxAnswerBytes)).Decode(&h); err != nil {
-		return Health{}, false, fmt.Errorf("decode probe of %s: %w", target.Address, err)
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return Health{}, false, fmt.Errorf("probe %s: status %d", target.Address, a.StatusCode)
+	}
+	if err := c.readJSON(a, &h); err != nil {
+		return Health{}, false, fmt.Errorf("read probe of %s: %w", target.Address, err)
+	}
+	if h.ID == "" || h.Incarnation == 0 {
+		return Health{}, false, fmt.Errorf("probe %s: %w", target.Address, c.refuse(a, errIncomplete))
 	}
 	if (core.Life{Endpoint: h.ID, Incarnation: h.Incarnation}) == target.Life {
-		c.reportState(target, sentAt, resp)
+		c.reportState(a)
 	}
 	return h, false, nil
 }
@@ -284,16 +233,29 @@
 	if err != nil {
 		return nil, false
 	}
-	sentAt := time.Now()
-	resp, err := c.unpooled.Do(req)
+	a, _, err := c.accepted(c.do(c.unpooled, exchange{name: "FetchOutput", target: target, due: reply.JSON}, req))
 	if err != nil {
+		c.log.Info("output not fetched", "endpoint", target.Endpoint, "key", key, "err", err)
 		return nil, false
 	}
-	defer resp.Body.Close()
-	c.reportState(target, sentAt, resp)
-	var r Result
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(resp.Body, MaxAnswerBytes)).Decode(&r) != nil {
+	defer a.Body.Close()
+	output, err := c.readOutput(a, key)
+	if err != nil {
+		c.log.Info("output not fetched", "endpoint", target.Endpoint, "key", key, "err", err)
 		return nil, false
 	}
-	return r.Output, true
+	c.reportState(a)
+	return output, true
+}
+
+// readOutput returns the output of the call with the given key from an answer.
+func (c *Client) readOutput(a *answer, key string) ([]byte, error) {
+	var r CallOutput
+	if err := c.readJSON(a, &r); err != nil {
+		return nil, err
+	}
+	if r.Key != key || r.Output == nil {
+		return nil, c.refuse(a, errWrongKey)
+	}
+	return r.Output, nil
 }
--- a/io/dial/notice.go
+++ b/io/dial/notice.go
@@ -46,21 +46,21 @@
 // it may be sent.
 type PermitFunc func(ctx context.Context, l core.Life, wait core.Millis) bool
 
-// reportState passes what a response reports about its endpoint to the handler. For responses that contain request, attempt or
-// endpoint IDs, it must only be called after these have been verified.
-func (c *Client) reportState(target core.Target, sentAt time.Time, resp *http.Response) {
+// reportState passes what an answer reports about its endpoint to the handler. It must only be called once the answer is known to
+// be that of its call.
+func (c *Client) reportState(a *answer) {
 	s := EndpointState{
-		Notice: notice.Notice{Leaving: resp.Header.Get(headerLeaving) == "1"},
+		Notice: notice.Notice{Leaving: a.Header.Get(headerLeaving) == "1"},
 		// Rounded up, so that the request does not seem to be newer than it is.
-		SentAge: core.Millis(time.Since(sentAt).Milliseconds()) + 1,
+		SentAge: core.Millis(time.Since(a.sentAt).Milliseconds()) + 1,
 	}
-	if text := resp.Header.Get(headerRetryAfter); text != "" && resp.StatusCode == http.StatusServiceUnavailable {
-		s.Notice.Pause, s.HeaderError = pause.ParseRetryAfter(text, resp.Header.Get("Date"))
+	if text := a.Header.Get(headerRetryAfter); text != "" && a.StatusCode == http.StatusServiceUnavailable {
+		s.Notice.Pause, s.HeaderError = pause.ParseRetryAfter(text, a.Header.Get("Date"))
 	}
-	stated, err := limit.Parse(headerLimit, resp.Header[headerLimit])
+	stated, err := limit.Parse(headerLimit, a.Header[headerLimit])
 	s.Limit = stated
 	s.HeaderError = errors.Join(s.HeaderError, err)
-	c.onState(target.Life, s)
+	c.onState(a.target.Life, s)
 }
 
 // permitted reports whether a call other than a run may be sent. Whoever starts a run takes its permit before.
--- a/io/dial/notice_test.go
+++ b/io/dial/notice_test.go
@@ -15,7 +15,6 @@
 	"cyclamenford/core"
 	"cyclamenford/core/limit"
 	"cyclamenford/core/notice"
-	"cyclamenford/io/trace"
 )
 
 // TestNotices reads cases from a data file. It guards against attributing a notice to an endpoint when the response
@@ -47,7 +46,7 @@
 			var got notice.Notice
 			var stated limit.Statement
 			unread := false
-			c := New(nil, nil, trace.New(trace.Options{}), func(l core.Life, s EndpointState) {
+			c := newClient(func(l core.Life, s EndpointState) {
 				must.Eq(t, target.Life, l)
 				got, stated, unread = s.Notice, s.Limit, s.HeaderError != nil
 			}, nil)
@@ -90,7 +89,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
 	target := core.Target{Address: strings.TrimPrefix(server.URL, "http://")}
 	denied := func(context.Context, core.Life, core.Millis) bool { return false }
-	c := New(nil, nil, trace.New(trace.Options{}), func(core.Life, EndpointState) {}, denied)
+	c := newClient(ignoreState, denied)
 	_, gone, err := c.Probe(context.Background(), target)
 	must.False(t, gone)
 	must.ErrorIs(t, err, ErrNoPermit)
--- a/io/dial/order.go
+++ b/io/dial/order.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/reply"
 )
 
 // Order is the body of POST /v1/orders.
@@ -43,19 +43,18 @@
 		return OrderAnswer{}, fmt.Errorf("make order: %w", err)
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
-	sentAt := time.Now()
-	resp, err := c.unpooled.Do(req)
+	a, connected, err := c.accepted(c.do(c.unpooled, exchange{name: "Order", target: target, due: reply.JSON}, req))
 	if err != nil {
-		return OrderAnswer{}, &Error{Outcome: core.Unknown, Reason: core.ReasonConnectionLost, Err: err}
-	}
-	defer resp.Body.Close()
-	c.reportState(target, sentAt, resp)
-	if resp.StatusCode != http.StatusOK {
-		return OrderAnswer{}, refusalError(resp)
+		return OrderAnswer{}, transportError(err, connected)
 	}
+	defer a.Body.Close()
 	var answer OrderAnswer
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return OrderAnswer{}, fmt.Errorf("decode order's answer: %w", err)
+	if err := c.readJSON(a, &answer); err != nil {
+		return OrderAnswer{}, err
+	}
+	if answer.Fence != o.Fence {
+		return OrderAnswer{}, c.refuse(a, errWrongFence)
 	}
+	c.reportState(a)
 	return answer, nil
 }
--- a/io/dial/stale_test.go
+++ b/io/dial/stale_test.go
@@ -12,7 +12,6 @@
 	"github.com/shoenig/test/must"
 
 	"cyclamenford/core"
-	"cyclamenford/io/trace"
 )
 
 // TestEarlierRefusalOnAReusedConnectionProvesNothing guards against telling a client that its request has not run, because an
@@ -33,9 +32,10 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				var run Run
 				must.NoError(t, json.NewDecoder(r.Body).Decode(&run))
+				w.Header().Set("Content-Type", "application/json")
 				calls++
 				if calls == 1 {
-					must.NoError(t, json.NewEncoder(w).Encode(Result{RequestID: run.RequestID, AttemptID: run.AttemptID}))
+					must.NoError(t, json.NewEncoder(w).Encode(Result{RequestID: run.RequestID, AttemptID: run.AttemptID, Output: json.RawMessage("1")}))
 					return
 				}
 				if named := c.refusals[calls-2]; named != "" {
@@ -45,7 +45,7 @@
 				must.NoError(t, json.NewEncoder(w).Encode(Refusal{Outcome: core.NotRun}))
 			}))
 			defer server.Close()
-			client := New(nil, nil, trace.New(trace.Options{}), func(core.Life, EndpointState) {}, nil)
+			client := newClient(ignoreState, nil)
 			target := core.Target{Life: core.Life{Endpoint: "e", Incarnation: 7}, Address: strings.TrimPrefix(server.URL, "http://")}
 			run := Run{RequestID: "r", AttemptID: "a"}
 			_, err := client.Call(context.Background(), target, run, true)
--- a/io/dial/stream.go
+++ b/io/dial/stream.go
@@ -11,10 +11,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 	"unicode/utf8"
 
 	"cyclamenford/core"
+	"cyclamenford/core/reply"
 )
 
 // ErrTruncated reports that a stream ended before its closing event.
@@ -37,12 +37,11 @@
 // Stream starts work with a streamed answer.
 func (c *Client) Stream(ctx context.Context, target core.Target, run Run) (*Stream, error) {
 	run.Stream = true
-	sentAt := time.Now()
-	resp, connected, err := c.postRun(ctx, c.pooled, target, run)
+	a, connected, err := c.postRun(ctx, c.pooled, exchange{name: "Stream", target: target, attempt: run.AttemptID, due: reply.Events}, run)
 	if err != nil {
 		return nil, transportError(err, connected)
 	}
-	return c.newStream(resp, target, run.AttemptID, sentAt)
+	return c.newStream(a), nil
 }
 
 // Resume reopens the stream of an attempt, starting with the event with the given number.
@@ -55,29 +54,24 @@
 	if err != nil {
 		return nil, fmt.Errorf("make resume: %w", err)
 	}
-	sentAt := time.Now()
-	resp, err := c.pooled.Do(req)
+	a, _, err := c.accepted(c.do(c.pooled, exchange{name: "Resume", target: target, attempt: attempt, due: reply.Events}, req))
+	var refused *Error
+	if errors.As(err, &refused) && refused.Outcome == core.NotRun {
+		// The attempt was begun, whatever its endpoint says now.
+		refused.Outcome = core.Unknown
+	}
 	if err != nil {
 		return nil, transportError(err, true)
 	}
-	if resp.StatusCode != http.StatusOK {
-		defer resp.Body.Close()
-		c.reportState(target, sentAt, resp)
-		return nil, refusalError(resp)
-	}
-	return c.newStream(resp, target, attempt, sentAt)
+	return c.newStream(a), nil
 }
 
-// newStream returns a Stream after it has checked that the response belongs to the attempt.
-func (c *Client) newStream(resp *http.Response, target core.Target, attempt core.AttemptID, sentAt time.Time) (*Stream, error) {
-	if got := resp.Header.Get(attemptHeader); got != string(attempt) {
-		return nil, errors.Join(
-			&Error{Outcome: core.Unknown, Reason: core.ReasonBadAnswer, Err: ErrWrongAttempt}, resp.Body.Close())
-	}
-	c.reportState(target, sentAt, resp)
-	s := &Stream{body: resp.Body, scanner: bufio.NewScanner(resp.Body)}
+// newStream returns the Stream of an answer.
+func (c *Client) newStream(a *answer) *Stream {
+	c.reportState(a)
+	s := &Stream{body: a.Body, scanner: bufio.NewScanner(a.Body)}
 	s.scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	return s, nil
+	return s
 }
 
 // Next returns the next event. It returns an Error if the connection ends before the closing event, the engine reports
--- a/io/dial/wire.go
+++ b/io/dial/wire.go
@@ -41,6 +41,12 @@
 	Tokens    int `json:",omitempty"`
 }
 
+// CallOutput is the response body of GET /v1/calls.
+type CallOutput struct {
+	Key    string
+	Output json.RawMessage
+}
+
 // Refusal is the body of an endpoint's error response.
 type Refusal struct {
 	// Outcome is NotRun if the endpoint has not started the work, otherwise Failed.
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -156,7 +156,7 @@
 		permitted, _ := p.Ask(ctx, l, "", 0, wait)
 		return permitted
 	}
-	return w.register(dialService, dial.New(config, a.localIP(), t, s.ApplyState, ask), traceService, shareService, permitClientService)
+	return w.register(dialService, dial.New(config, a.localIP(), t, s.ApplyState, ask, a.meter, a.log), traceService, shareService, permitClientService)
 }
 
 func (a *App) addShare() error {
