Don't follow an endpoint's redirect

A run could be sent once more, to any address that an endpoint's answer named, also one of a call that may run only once. Cause: the HTTP client follows the statuses 307 and 308 with the body, by default. Class of fault: the answer decides whether it is checked. The client returns such an answer now, and it is refused as not due.

--- a/io/dial/client.go
+++ b/io/dial/client.go
@@ -80,11 +80,16 @@
 	d := &net.Dialer{Timeout: connectTimeout, LocalAddr: &net.TCPAddr{IP: from}}
 	return &Client{
 		dialer: d, tracer: tracer, onState: onState, permit: permit, scheme: scheme, meter: m, log: log,
-		pooled:   &http.Client{Transport: transport(tlsConfig, d, false)},
-		unpooled: &http.Client{Transport: transport(tlsConfig, d, true)},
+		pooled:   httpClient(transport(tlsConfig, d, false)),
+		unpooled: httpClient(transport(tlsConfig, d, true)),
 	}
 }
 
+// httpClient returns a client that does not follow redirects: an endpoint's answer does not decide where its work runs.
+func httpClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
 // transport returns the HTTP transport for reused connections, or for one connection per call if unpooled is true.
 func transport(tlsConfig *tls.Config, d *net.Dialer, unpooled bool) *http.Transport {
 	return &http.Transport{
