End an attempt of serve at bytes that are not its next event

Callers got an event's text from the second of two data lines or with U+FFFD for bytes that are no UTF-8, and streams went on behind garbage. Cause: io/dial skipped each line that it did not know, so that the bytes decided whether they were looked at, and took what was left for events; io/flow dropped any event with a low number and took a gap for a cut connection, by which the request was suspected of a crash. Class of fault: the answer decides whether it is checked; what can't be read is passed over in place of being refused. dial.Stream holds the grammar of its events and, as the relay, their order (core/event): a number or a name, one line of data with the fields that are due, an empty line; the first event is the one that was asked for or repeats known ones, each other follows by one, and the closing event counts them. All else ends the attempt as BadAnswer, with the line 'endpoint sent garbage', and the stream goes on elsewhere.

--- a/io/dial/stream_test.go
+++ b/io/dial/stream_test.go
@@ -1,8 +1,9 @@
 package dial
 
 import (
-	"bufio"
 	"encoding/json"
+	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,12 @@
 	"github.com/shoenig/test/must"
 )
 
+// newTestStream returns the stream of an answer with the given body.
+func newTestStream(body string) *Stream {
+	a := &answer{Response: &http.Response{Body: io.NopCloser(strings.NewReader(body))}}
+	return newClient(ignoreState, nil).newStream(a, 1)
+}
+
 // FuzzPlainText checks that plainText returns the same text as the JSON decoder whenever it accepts the data.
 func FuzzPlainText(f *testing.F) {
 	for _, data := range []string{`{"Text":"plain"}`, `{"Text":"a\"b"}`, `{"Text":""}`, `{"Text":"x","Count":3}`, `{"Text":"\\"}`} {
@@ -32,21 +39,20 @@
 	} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
-			s := &Stream{scanner: bufio.NewScanner(strings.NewReader(strings.Repeat(event, b.N)))}
+			s := newTestStream(strings.Repeat(event, b.N))
 			for range b.N {
-				_, err := s.Next()
+				_, err := s.readEvent()
 				must.NoError(b, err)
 			}
 		})
 	}
 }
 
-// TestBytesThatAreNoEventAreNoText guards against garbage of an engine that becomes a part of a stream's text. Whoever reads the
-// stream drops events without a number.
+// TestBytesThatAreNoEventAreNoText guards against garbage of an engine that becomes a part of a stream's text.
 func TestBytesThatAreNoEventAreNoText(t *testing.T) {
 	first, second := "id: 1\ndata: {\"Text\":\"a\"}\n\n", "id: 2\ndata: {\"Text\":\"b\"}\n\n"
 	for _, garbage := range []string{"\x01garbage\n\n", "garbage", "garbage\n", "HTTP/1.1 200 OK\r\n\r\n", "data: garbage\n\n", "id: x\n\n", "id: 9\n\n"} {
-		s := &Stream{scanner: bufio.NewScanner(strings.NewReader(first + garbage + second))}
+		s := newTestStream(first + garbage + second)
 		text, ids := "", []uint64{}
 		for {
 			e, err := s.Next()
--- a/io/flow/stream.go
+++ b/io/flow/stream.go
@@ -24,8 +24,8 @@
 	maxResumes = 3
 )
 
-// ErrChecksum reports that the received text does not match the event count or checksum sent by the engine.
-var ErrChecksum = errors.New("count or checksum of the stream is wrong")
+// ErrChecksum reports that the received text does not match the checksum sent by the engine.
+var ErrChecksum = errors.New("checksum of the stream is wrong")
 
 // errCallerGone reports that writing to the caller failed.
 var errCallerGone = errors.New("the caller has gone")
@@ -130,7 +130,7 @@
 	}
 }
 
-// forwardEvents forwards events in order. It drops duplicates and treats a gap like a broken connection.
+// forwardEvents forwards the events that the caller lacks.
 func (s *streamRun) forwardEvents(stream *dial.Stream, watchdog *time.Timer) (dial.Event, error) {
 	for {
 		e, err := stream.Next()
@@ -143,15 +143,9 @@
 			s.runner.Begun(s.work)
 		}
 		if e.Done {
-			return e, s.verifyChecksum(e)
+			return e, s.verifyChecksum(stream, e)
 		}
-		if e.Seq < s.next {
-			continue
-		}
-		if e.Seq > s.next {
-			return e, &dial.Error{Outcome: core.Unknown, Reason: core.ReasonConnectionLost, ConnectionLost: true, Err: dial.ErrTruncated}
-		}
-		s.next++
+		s.next = e.Seq + 1
 		s.text.WriteString(e.Text)
 		_, _ = s.hash.WriteString(e.Text)
 		if err := s.progress.request.Sink.Event(e.Seq, e.Text); err != nil {
@@ -160,10 +154,10 @@
 	}
 }
 
-// verifyChecksum compares the sent text with the event count and checksum in the closing event.
-func (s *streamRun) verifyChecksum(e dial.Event) error {
-	if e.Count != s.next-1 || e.Checksum != hexChecksum(s.hash) {
-		return &dial.Error{Outcome: core.Failed, Reason: core.ReasonBadAnswer, Err: ErrChecksum}
+// verifyChecksum compares the sent text with the checksum in the closing event.
+func (s *streamRun) verifyChecksum(stream *dial.Stream, e dial.Event) error {
+	if e.Checksum != hexChecksum(s.hash) {
+		return stream.Refuse(ErrChecksum)
 	}
 	return nil
 }
