Check the checksum of a resumed stream that is sent from its beginning

Callers who resumed a stream from its first event got a whole stream whose text did not match its checksum, and refusals of garbage as ConnectionLost. Cause: forwardRest looked at the count only, since it does not know the text before the rest; there is none before the first event. Its problems name the reason of the attempt's error now.

--- a/io/flow/resume.go
+++ b/io/flow/resume.go
@@ -89,23 +89,34 @@
 	return r.forwardRest(stream, q.Sink, after+1)
 }
 
-// forwardRest forwards the remaining events of a resumed stream, starting with event number next.
+// forwardRest forwards the remaining events of a resumed stream, starting with event number next. The text before it is not known
+// here, so that only the caller can compare the checksum, unless the stream is sent from its beginning.
 func (r *Runner) forwardRest(stream *dial.Stream, sink Sink, next uint64) (Answer, *core.Problem) {
+	hash := xxhash.New()
 	for {
 		e, err := stream.Next()
+		if err == nil && e.Done && next == 1 && e.Checksum != hexChecksum(hash) {
+			err = stream.Refuse(ErrChecksum)
+		}
 		switch {
 		case err != nil:
-			return Answer{}, core.NewProblem(http.StatusBadGateway, core.Failed, core.ReasonConnectionLost, "%v", err)
-		case e.Done && e.Count == next-1:
+			return Answer{}, streamProblem(err)
+		case e.Done:
 			return Answer{Count: e.Count, Checksum: e.Checksum}, nil
-		case e.Done || e.Seq > next:
-			return Answer{}, core.NewProblem(http.StatusBadGateway, core.Failed, core.ReasonBadAnswer, "the stream has a gap")
-		case e.Seq < next:
-			continue
 		}
-		next++
+		_, _ = hash.WriteString(e.Text)
 		if err := sink.Event(e.Seq, e.Text); err != nil {
 			return Answer{}, core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")
 		}
 	}
 }
+
+// streamProblem returns the problem of a resumed stream that has ended with an error.
+func streamProblem(err error) *core.Problem {
+	reason := core.ReasonConnectionLost
+	var e *dial.Error
+	if errors.As(err, &e) {
+		reason = e.Reason
+	}
+	return core.NewProblem(http.StatusBadGateway, core.Failed, reason, "%v", err)
+}
--- /dev/null
+++ b/io/flow/resume_test.go
@@ -0,0 +1,39 @@
+package flow
+
+import (
+	"context"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/bench/strict"
+	"cyclamenford/core"
+	"cyclamenford/core/tree"
+)
+
+// TestResumedStreamsThatAreNotTheRestAreRefused guards against a resumed stream that looks whole and holds other events.
+func TestResumedStreamsThatAreNotTheRestAreRefused(t *testing.T) {
+	raw, err := os.ReadFile("testdata/resumed.json")
+	must.NoError(t, err)
+	var rows []struct {
+		Name, Body, Text string
+		After            uint64
+		Reason           core.Reason
+	}
+	must.NoError(t, strict.Decode(raw, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			r, engine := startEngine(t, row.Body)
+			sink := &textSink{}
+			q := Request{ID: "r", Sink: sink, TeamSettings: tree.Team{Organisation: "o"}}
+			_, problem := r.Resume(context.Background(), q, r.token(q, "a", engine), row.After)
+			reason := core.Reason("")
+			if problem != nil {
+				reason = problem.Reason
+			}
+			must.Eq(t, row.Reason, reason)
+			must.Eq(t, row.Text, sink.text)
+		})
+	}
+}
