End a resumed stream whose engine sends nothing

Callers who resumed a stream waited for an engine that sent nothing until they gave up. Cause: the bound on a stall (1.5 s without an event) stood in forwardAttempt only, and a resumed stream is read elsewhere. It has the same bound now; its caller gets a problem and may resume again. Evidence: TestAResumedStreamThatStallsEnds fails after 20 s without the change and passes with it.

--- a/io/flow/resume.go
+++ b/io/flow/resume.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -77,6 +78,10 @@
 	if err != nil {
 		return Answer{}, core.NewProblem(http.StatusForbidden, core.NotRun, core.ReasonForbidden, "%v", err)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(stallTimeout, cancel)
+	defer watchdog.Stop()
 	stream, err := r.Dial.Resume(ctx, p.On, p.Attempt, after+1)
 	if err != nil {
 		return Answer{}, core.NewProblem(http.StatusGone, core.Failed, core.ReasonUnknownStream,
@@ -86,15 +91,16 @@
 	if err := q.Sink.Start(token); err != nil {
 		return Answer{}, core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")
 	}
-	return r.forwardRest(stream, q.Sink, after+1)
+	return forwardRest(stream, q.Sink, after+1, watchdog)
 }
 
 // forwardRest forwards the remaining events of a resumed stream, starting with event number next. The text before it is not known
 // here, so that only the caller can compare the checksum, unless the stream is sent from its beginning.
-func (r *Runner) forwardRest(stream *dial.Stream, sink Sink, next uint64) (Answer, *core.Problem) {
+func forwardRest(stream *dial.Stream, sink Sink, next uint64, watchdog *time.Timer) (Answer, *core.Problem) {
 	hash := xxhash.New()
 	for {
 		e, err := stream.Next()
+		watchdog.Reset(stallTimeout)
 		if err == nil && e.Done && next == 1 && e.Checksum != hexChecksum(hash) {
 			err = stream.Refuse(ErrChecksum)
 		}
--- a/io/flow/resume_test.go
+++ b/io/flow/resume_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -37,3 +38,16 @@
 		})
 	}
 }
+
+// TestAResumedStreamThatStallsEnds guards against a caller that waits without end for an engine that sends nothing.
+func TestAResumedStreamThatStallsEnds(t *testing.T) {
+	r, engine := startEngine(t, "id: 1\ndata: {\"Text\":\"a\"}\n\n"+stalls)
+	sink := &textSink{}
+	q := Request{ID: "r", Sink: sink, TeamSettings: tree.Team{Organisation: "o"}}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, problem := r.Resume(ctx, q, r.token(q, "a", engine), 0)
+	must.NotNil(t, problem)
+	must.NoError(t, ctx.Err())
+	must.Eq(t, "a", sink.text)
+}
--- a/io/flow/stream_test.go
+++ b/io/flow/stream_test.go
@@ -30,12 +30,20 @@
 	return nil
 }
 
+// stalls ends the body of an engine that then sends nothing.
+const stalls = "STALLS"
+
 // startEngine starts an engine that answers each call with a stream, and returns a runner and the engine's announcement.
 func startEngine(t *testing.T, body string) (*Runner, core.Announcement) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	body, stalled := strings.CutSuffix(body, stalls)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set("Attempt-Id", "a")
 		_, _ = w.Write([]byte(body))
+		if stalled {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
 	}))
 	t.Cleanup(server.Close)
 	m, log := meter.New(), slog.New(slog.DiscardHandler)
