End resumed streams when the requests of a stopping host end

A stop waited for a resumed stream until its connection was closed, so that its caller got no final answer. Cause: only the contexts of pipelines and calls end with EndRequests; a resumed stream had its connection's. It ends with the others now, with the reason HostStopping, and its caller may resume at another host. Evidence: TestAResumedStreamEndsWhenTheHostStops fails after 20 s without the change (and, with the bound on stalls alone, by its reason) and passes with it.

--- a/io/flow/resume.go
+++ b/io/flow/resume.go
@@ -78,8 +78,19 @@
 	if err != nil {
 		return Answer{}, core.NewProblem(http.StatusForbidden, core.NotRun, core.ReasonForbidden, "%v", err)
 	}
+	answer, problem := r.forwardResumed(ctx, q, p, token, after)
+	if problem != nil && r.ended.Err() != nil {
+		return Answer{}, core.NewProblem(http.StatusGatewayTimeout, core.Failed, core.ReasonHostStopping, "this host stops").WithRetryAfter(core.Second)
+	}
+	return answer, problem
+}
+
+// forwardResumed resumes the stream of an attempt and forwards its events until it stalls or the host stops.
+func (r *Runner) forwardResumed(ctx context.Context, q Request, p resumePoint, token string, after uint64) (Answer, *core.Problem) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	unregister := context.AfterFunc(r.ended, cancel)
+	defer unregister()
 	watchdog := time.AfterFunc(stallTimeout, cancel)
 	defer watchdog.Stop()
 	stream, err := r.Dial.Resume(ctx, p.On, p.Attempt, after+1)
--- a/io/flow/resume_test.go
+++ b/io/flow/resume_test.go
@@ -51,3 +51,16 @@
 	must.NoError(t, ctx.Err())
 	must.Eq(t, "a", sink.text)
 }
+
+// TestAResumedStreamEndsWhenTheHostStops guards against a resumed stream that holds up a stop until its connection is closed.
+func TestAResumedStreamEndsWhenTheHostStops(t *testing.T) {
+	r, engine := startEngine(t, stalls)
+	q := Request{ID: "r", Sink: &textSink{}, TeamSettings: tree.Team{Organisation: "o"}}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	r.EndRequests()
+	_, problem := r.Resume(ctx, q, r.token(q, "a", engine), 0)
+	must.NoError(t, ctx.Err())
+	must.NotNil(t, problem)
+	must.Eq(t, core.ReasonHostStopping, problem.Reason)
+}
