--- a/io/dial/answer_test.go
+++ b/io/dial/answer_test.go
@@ -61,14 +61,15 @@
 func call(c *Client, name string, target core.Target) (bool, core.Outcome) {
 	ctx := context.Background()
 	run := Run{RequestID: "r", AttemptID: "a"}
+	var s *Stream
 	var err error
 	switch name {
 	case "Run":
 		_, err = c.Call(ctx, target, run, false)
 	case "Stream":
-		_, err = c.Stream(ctx, target, run)
+		s, err = c.Stream(ctx, target, run)
 	case "Resume":
-		_, err = c.Resume(ctx, target, "a", 1)
+		s, err = c.Resume(ctx, target, "a", 1)
 	case "Probe":
 		_, _, err = c.Probe(ctx, target)
 	case "Ran":
@@ -76,6 +77,11 @@
 		return ran, ""
 	case "Order":
 		_, err = c.Order(ctx, target, "k", Order{Fence: 3})
+	case "Cancel":
+		c.Cancel(target, "a")
+	}
+	if s != nil {
+		s.Close()
 	}
 	var e *Error
 	if errors.As(err, &e) {
--- a/io/dial/notice_test.go
+++ b/io/dial/notice_test.go
@@ -50,7 +50,7 @@
 				must.Eq(t, target.Life, l)
 				got, stated, unread = s.Notice, s.Limit, s.HeaderError != nil
 			}, nil)
-			makeCall(c, row.Call, target)
+			call(c, row.Call, target)
 			must.Eq(t, row.Want, got)
 			must.Eq(t, row.Limit, stated)
 			must.Eq(t, row.Unread, unread)
@@ -58,32 +58,6 @@
 	}
 }
 
-// makeCall performs the named call of the protocol and ignores its result.
-func makeCall(c *Client, call string, target core.Target) {
-	ctx := context.Background()
-	run := Run{RequestID: "r", AttemptID: "a"}
-	switch call {
-	case "Run":
-		_, _ = c.Call(ctx, target, run, false)
-	case "Stream":
-		if s, err := c.Stream(ctx, target, run); err == nil {
-			s.Close()
-		}
-	case "Resume":
-		if s, err := c.Resume(ctx, target, "a", 1); err == nil {
-			s.Close()
-		}
-	case "Probe":
-		_, _, _ = c.Probe(ctx, target)
-	case "Ran":
-		_, _ = c.FetchOutput(ctx, target, "k")
-	case "Order":
-		_, _ = c.Order(ctx, target, "k", Order{})
-	case "Cancel":
-		c.Cancel(target, "a")
-	}
-}
-
 func TestProbeWithoutPermitTellsWhetherTheEndpointHasEnded(t *testing.T) {
 	served := 0
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
