Tell callers that a stream is gone only if its engine has refused it

Callers who resumed a stream got 410 UnknownStream, and gave it up, for any error: bytes that are no answer, a lost connection, a limit that allowed no call just then, while the engine kept the stream. Cause: every error of the call was taken for the engine's refusal. All but a refusal that is due get 502 with the error's reason. Evidence: two of three rows of TestOnlyARefusalShowsThatAStreamIsGone fail without the change to resume.go; all pass with it.

--- a/io/flow/resume.go
+++ b/io/flow/resume.go
@@ -95,8 +95,7 @@
 	defer watchdog.Stop()
 	stream, err := r.Dial.Resume(ctx, p.On, p.Attempt, after+1)
 	if err != nil {
-		return Answer{}, core.NewProblem(http.StatusGone, core.Failed, core.ReasonUnknownStream,
-			"the engine no longer has the stream: %v", err)
+		return Answer{}, resumeProblem(err)
 	}
 	defer stream.Close()
 	if err := q.Sink.Start(token); err != nil {
@@ -128,6 +127,15 @@
 	}
 }
 
+// resumeProblem returns the problem of a stream that could not be resumed. Only a refusal of its engine shows that it is gone.
+func resumeProblem(err error) *core.Problem {
+	var e *dial.Error
+	if errors.As(err, &e) && e.Refused {
+		return core.NewProblem(http.StatusGone, core.Failed, core.ReasonUnknownStream, "the engine no longer has the stream: %v", err)
+	}
+	return streamProblem(err)
+}
+
 // streamProblem returns the problem of a resumed stream that has ended with an error.
 func streamProblem(err error) *core.Problem {
 	reason := core.ReasonConnectionLost
--- a/io/flow/resume_test.go
+++ b/io/flow/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -64,3 +65,30 @@
 	must.NotNil(t, problem)
 	must.Eq(t, core.ReasonHostStopping, problem.Reason)
 }
+
+// TestOnlyARefusalShowsThatAStreamIsGone guards against callers that give up a stream because of an answer that is not due.
+func TestOnlyARefusalShowsThatAStreamIsGone(t *testing.T) {
+	for _, row := range []struct {
+		name, kind, body string
+		status, want     int
+		reason           core.Reason
+	}{
+		{"a refusal", "application/json", `{"Outcome":"NotRun"}`, http.StatusNotFound, http.StatusGone, core.ReasonUnknownStream},
+		{"a page", "text/html", "x", http.StatusBadGateway, http.StatusBadGateway, core.ReasonBadAnswer},
+		{"a success of another type", "text/plain", "x", http.StatusOK, http.StatusBadGateway, core.ReasonBadAnswer},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			r, engine := startEngineOf(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", row.kind)
+				w.Header().Set("Attempt-Id", "a")
+				w.WriteHeader(row.status)
+				_, _ = w.Write([]byte(row.body))
+			})
+			q := Request{ID: "r", Sink: &textSink{}, TeamSettings: tree.Team{Organisation: "o"}}
+			_, problem := r.Resume(context.Background(), q, r.token(q, "a", engine), 0)
+			must.NotNil(t, problem)
+			must.Eq(t, row.want, problem.Status)
+			must.Eq(t, row.reason, problem.Reason)
+		})
+	}
+}
--- a/io/flow/stream_test.go
+++ b/io/flow/stream_test.go
@@ -36,7 +36,7 @@
 // startEngine starts an engine that answers each call with a stream, and returns a runner and the engine's announcement.
 func startEngine(t *testing.T, body string) (*Runner, core.Announcement) {
 	body, stalled := strings.CutSuffix(body, stalls)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return startEngineOf(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set("Attempt-Id", "a")
 		_, _ = w.Write([]byte(body))
@@ -44,7 +44,12 @@
 			_ = http.NewResponseController(w).Flush()
 			<-r.Context().Done()
 		}
-	}))
+	})
+}
+
+// startEngineOf starts an engine with the given handler, and returns a runner and the engine's announcement.
+func startEngineOf(t *testing.T, serve http.HandlerFunc) (*Runner, core.Announcement) {
+	server := httptest.NewServer(serve)
 	t.Cleanup(server.Close)
 	m, log := meter.New(), slog.New(slog.DiscardHandler)
 	c := dial.New(nil, nil, trace.New(trace.Options{}), func(core.Life, dial.EndpointState) {}, nil, m, log)
