--- a/io/dial/stream.go
+++ b/io/dial/stream.go
@@ -33,9 +33,6 @@
 	failedEvent = "failed"
 )
 
-// errNoEvent reports bytes of a stream that are not an event.
-var errNoEvent = errors.New("not an event")
-
 // Stream reads the events of a streamed attempt.
 type Stream struct {
 	client  *Client
@@ -215,7 +212,7 @@
 // refuseLine refuses the stream for its last line.
 func (s *Stream) refuseLine() error {
 	line := s.scanner.Bytes()
-	return s.Refuse(fmt.Errorf("%w: line of %d bytes, begins %q", errNoEvent, len(line), line[:min(len(line), loggedGarbageBytes)]))
+	return s.Refuse(fmt.Errorf("%w: line of %d bytes, begins %q", event.ErrNoEvent, len(line), line[:min(len(line), loggedGarbageBytes)]))
 }
 
 // Refuse logs and counts a stream that is not the one that is due, and returns the Error that ends its attempt.
@@ -235,10 +232,10 @@
 func parseNumber(text []byte) (uint64, error) {
 	n, err := strconv.ParseInt(string(text), 10, 64)
 	if err != nil {
-		return 0, fmt.Errorf("%w: event number: %w", errNoEvent, err)
+		return 0, fmt.Errorf("%w: event number: %w", event.ErrNoEvent, err)
 	}
 	if n < 1 || text[0] == '0' || text[0] == '+' {
-		return 0, fmt.Errorf("%w: event number %q", errNoEvent, text)
+		return 0, fmt.Errorf("%w: event number %q", event.ErrNoEvent, text)
 	}
 	return uint64(n), nil
 }
