--- a/io/dial/notice_test.go
+++ b/io/dial/notice_test.go
@@ -15,7 +15,6 @@
 	"cyclamenford/core"
 	"cyclamenford/core/limit"
 	"cyclamenford/core/notice"
-	"cyclamenford/io/trace"
 )
 
 // TestNotices reads cases from a data file. It guards against attributing a notice to an endpoint when the response
@@ -47,11 +46,11 @@
 			var got notice.Notice
 			var stated limit.Statement
 			unread := false
-			c := New(nil, nil, trace.New(trace.Options{}), func(l core.Life, s EndpointState) {
+			c := newClient(func(l core.Life, s EndpointState) {
 				must.Eq(t, target.Life, l)
 				got, stated, unread = s.Notice, s.Limit, s.HeaderError != nil
 			}, nil)
-			makeCall(c, row.Call, target)
+			call(c, row.Call, target)
 			must.Eq(t, row.Want, got)
 			must.Eq(t, row.Limit, stated)
 			must.Eq(t, row.Unread, unread)
@@ -59,38 +58,12 @@
 	}
 }
 
-// makeCall performs the named call of the protocol and ignores its result.
-func makeCall(c *Client, call string, target core.Target) {
-	ctx := context.Background()
-	run := Run{RequestID: "r", AttemptID: "a"}
-	switch call {
-	case "Run":
-		_, _ = c.Call(ctx, target, run, false)
-	case "Stream":
-		if s, err := c.Stream(ctx, target, run); err == nil {
-			s.Close()
-		}
-	case "Resume":
-		if s, err := c.Resume(ctx, target, "a", 1); err == nil {
-			s.Close()
-		}
-	case "Probe":
-		_, _, _ = c.Probe(ctx, target)
-	case "Ran":
-		_, _ = c.FetchOutput(ctx, target, "k")
-	case "Order":
-		_, _ = c.Order(ctx, target, "k", Order{})
-	case "Cancel":
-		c.Cancel(target, "a")
-	}
-}
-
 func TestProbeWithoutPermitTellsWhetherTheEndpointHasEnded(t *testing.T) {
 	served := 0
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
 	target := core.Target{Address: strings.TrimPrefix(server.URL, "http://")}
 	denied := func(context.Context, core.Life, core.Millis) bool { return false }
-	c := New(nil, nil, trace.New(trace.Options{}), func(core.Life, EndpointState) {}, denied)
+	c := newClient(ignoreState, denied)
 	_, gone, err := c.Probe(context.Background(), target)
 	must.False(t, gone)
 	must.ErrorIs(t, err, ErrNoPermit)
--- a/io/flow/resume.go
+++ b/io/flow/resume.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -77,35 +78,70 @@
 	if err != nil {
 		return Answer{}, core.NewProblem(http.StatusForbidden, core.NotRun, core.ReasonForbidden, "%v", err)
 	}
+	answer, problem := r.forwardResumed(ctx, q, p, token, after)
+	if problem != nil && r.ended.Err() != nil {
+		return Answer{}, core.NewProblem(http.StatusGatewayTimeout, core.Failed, core.ReasonHostStopping, "this host stops").WithRetryAfter(core.Second)
+	}
+	return answer, problem
+}
+
+// forwardResumed resumes the stream of an attempt and forwards its events until it stalls or the host stops.
+func (r *Runner) forwardResumed(ctx context.Context, q Request, p resumePoint, token string, after uint64) (Answer, *core.Problem) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	unregister := context.AfterFunc(r.ended, cancel)
+	defer unregister()
+	watchdog := time.AfterFunc(stallTimeout, cancel)
+	defer watchdog.Stop()
 	stream, err := r.Dial.Resume(ctx, p.On, p.Attempt, after+1)
 	if err != nil {
-		return Answer{}, core.NewProblem(http.StatusGone, core.Failed, core.ReasonUnknownStream,
-			"the engine no longer has the stream: %v", err)
+		return Answer{}, resumeProblem(err)
 	}
 	defer stream.Close()
 	if err := q.Sink.Start(token); err != nil {
 		return Answer{}, core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")
 	}
-	return r.forwardRest(stream, q.Sink, after+1)
+	return forwardRest(stream, q.Sink, after+1, watchdog)
 }
 
-// forwardRest forwards the remaining events of a resumed stream, starting with event number next.
-func (r *Runner) forwardRest(stream *dial.Stream, sink Sink, next uint64) (Answer, *core.Problem) {
+// forwardRest forwards the remaining events of a resumed stream, starting with event number next. The text before it is not known
+// here, so that only the caller can compare the checksum, unless the stream is sent from its beginning.
+func forwardRest(stream *dial.Stream, sink Sink, next uint64, watchdog *time.Timer) (Answer, *core.Problem) {
+	hash := xxhash.New()
 	for {
 		e, err := stream.Next()
+		watchdog.Reset(stallTimeout)
+		if err == nil && e.Done && next == 1 && e.Checksum != hexChecksum(hash) {
+			err = stream.Refuse(ErrChecksum)
+		}
 		switch {
 		case err != nil:
-			return Answer{}, core.NewProblem(http.StatusBadGateway, core.Failed, core.ReasonConnectionLost, "%v", err)
-		case e.Done && e.Count == next-1:
+			return Answer{}, streamProblem(err)
+		case e.Done:
 			return Answer{Count: e.Count, Checksum: e.Checksum}, nil
-		case e.Done || e.Seq > next:
-			return Answer{}, core.NewProblem(http.StatusBadGateway, core.Failed, core.ReasonBadAnswer, "the stream has a gap")
-		case e.Seq < next:
-			continue
 		}
-		next++
+		_, _ = hash.WriteString(e.Text)
 		if err := sink.Event(e.Seq, e.Text); err != nil {
 			return Answer{}, core.NewProblem(499, core.Failed, core.ReasonCallerGone, "the caller has gone")
 		}
 	}
 }
+
+// resumeProblem returns the problem of a stream that could not be resumed. Only a refusal of its engine shows that it is gone.
+func resumeProblem(err error) *core.Problem {
+	var e *dial.Error
+	if errors.As(err, &e) && e.Refused {
+		return core.NewProblem(http.StatusGone, core.Failed, core.ReasonUnknownStream, "the engine no longer has the stream: %v", err)
+	}
+	return streamProblem(err)
+}
+
+// streamProblem returns the problem of a resumed stream that has ended with an error.
+func streamProblem(err error) *core.Problem {
+	reason := core.ReasonConnectionLost
+	var e *dial.Error
+	if errors.As(err, &e) {
+		reason = e.Reason
+	}
+	return core.NewProblem(http.StatusBadGateway, core.Failed, reason, "%v", err)
+}
