Let the log take up the lines of requests again after a burst

Operators found no line about requests of an entry host after a burst of lines, however long the host was quiet since. Cause: the sampler decides by the writer's budget, which only written lines refilled. Once the budget was used up, every line about a request was dropped before it could refill anything; only a line about no request ended that. Asking for the kept share refills the budget now. Evidence: TestLinesOnRequestsComeBack fails without the change (no line 4 s after the burst, by a manual clock) and passes with it.

--- a/io/logs/writer.go
+++ b/io/logs/writer.go
@@ -65,9 +65,7 @@
 func (w *Writer) takeBudget(n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.clock.Now()
-	w.budget = min(w.rate*burstSeconds, w.budget+w.rate*float64(now-w.budgetAt)/float64(core.Second))
-	w.budgetAt = now
+	w.refill()
 	if w.budget < float64(n) {
 		return false
 	}
@@ -75,11 +73,19 @@
 	return true
 }
 
+// refill adds to the budget what has become free since the last call. The caller holds mu.
+func (w *Writer) refill() {
+	now := w.clock.Now()
+	w.budget = min(w.rate*burstSeconds, w.budget+w.rate*float64(now-w.budgetAt)/float64(core.Second))
+	w.budgetAt = now
+}
+
 // keptShare returns the share of requests whose lines are kept, in units of 1/shareScale. It is the full share while
 // at least half of the budget is left, and falls linearly to 0 below that.
 func (w *Writer) keptShare() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.refill()
 	filled := w.budget / (w.rate * burstSeconds)
 	return uint64(shareScale * min(1, max(0, 2*filled)))
 }
--- a/io/logs/writer_test.go
+++ b/io/logs/writer_test.go
@@ -70,7 +70,7 @@
 	for _, out := range []*bytes.Buffer{&a, &b} {
 		w := New(out, 4000, clock.New(1))
 		must.NoError(t, w.Start(context.Background()))
-		log := slog.New(NewHandler(w, slog.NewJSONHandler(w, nil)))
+		log := newTestLogger(w)
 		for i := range 400 {
 			log.Info("decision", requestAttr, fmt.Sprint("request-", i))
 		}
@@ -87,7 +87,7 @@
 	var out bytes.Buffer
 	w := New(&out, 40_000, clock.New(1))
 	must.NoError(t, w.Start(context.Background()))
-	log := slog.New(NewHandler(w, slog.NewJSONHandler(w, nil)))
+	log := newTestLogger(w)
 	for i := range 4000 {
 		log.Info("call ended", requestsAttr, []core.RequestID{core.RequestID(fmt.Sprint("request-", i))})
 	}
@@ -95,3 +95,27 @@
 	must.NoError(t, w.Stop(context.Background()))
 	must.StrContains(t, out.String(), "disk is full")
 }
+
+// floodedLines is more than the budget of any writer of these tests holds.
+const floodedLines = 20_000
+
+// newTestLogger returns a logger that writes through w as the program's loggers do.
+func newTestLogger(w *Writer) *slog.Logger {
+	return slog.New(NewHandler(w, slog.NewJSONHandler(w, nil)))
+}
+
+// TestLinesOnRequestsComeBack guards against a sampler that drops all requests for good after the budget was once used up.
+func TestLinesOnRequestsComeBack(t *testing.T) {
+	var out bytes.Buffer
+	c := clock.New(1)
+	w := New(&out, 4000, c)
+	must.NoError(t, w.Start(context.Background()))
+	log := newTestLogger(w)
+	for range floodedLines {
+		log.Info("ordinary")
+	}
+	c.Advance(burstSeconds * core.Second)
+	log.Info("request ended", requestAttr, "request")
+	must.NoError(t, w.Stop(context.Background()))
+	must.True(t, strings.Contains(out.String(), "request ended"))
+}
