Keep warnings about requests when the log's budget runs low

Operators could find no line about a fault of a request, as 'endpoint sent garbage', on a host whose log had run low: the sampler dropped the lines of a share of the requests whatever their level, and ordinary lines could fill the writer's budget and its queue. Records of level Warn and above pass the sampler now, and an eighth of the budget and of the queue is theirs alone. They stay bounded by the same budget and queue, and never block. The tests build their logger as the program does, since a handler needs an output for each of the two kinds of lines.

--- a/io/logs/sample.go
+++ b/io/logs/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"slices"
 
@@ -20,20 +21,25 @@
 const shareScale = 1024
 
 // sampler drops the lines of some requests when the writer's budget runs low. It selects requests by a hash of their
-// ID, so that all hosts keep the same requests and the lines of a kept request are complete.
+// ID, so that all hosts keep the same requests and the lines of a kept request are complete. Records of level Warn and above are
+// passed on whichever request they belong to.
 type sampler struct {
 	slog.Handler
-	writer *Writer
+	warnings slog.Handler
+	writer   *Writer
 }
 
-// NewHandler returns a handler that passes records to next, which writes to w. It drops the records of some requests when
-// the budget of w runs low.
-func NewHandler(w *Writer, next slog.Handler) slog.Handler {
-	return sampler{Handler: next, writer: w}
+// NewHandler returns a handler that passes records to handlers that write to w, which newHandler makes. It drops the ordinary records of
+// some requests when the budget of w runs low.
+func NewHandler(w *Writer, newHandler func(io.Writer) slog.Handler) slog.Handler {
+	return sampler{Handler: newHandler(w), warnings: newHandler(warnings{w}), writer: w}
 }
 
-// Handle passes a record on, or drops and counts it if it belongs to requests none of which is kept at present.
+// Handle passes a record on, or drops and counts it if it is an ordinary one of requests none of which is kept at present.
 func (s sampler) Handle(ctx context.Context, r slog.Record) error {
+	if r.Level >= slog.LevelWarn {
+		return s.warnings.Handle(ctx, r)
+	}
 	kept := true
 	r.Attrs(func(a slog.Attr) bool {
 		switch a.Key {
@@ -60,10 +66,10 @@
 
 // WithAttrs returns a handler that adds attributes to each record.
 func (s sampler) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return sampler{Handler: s.Handler.WithAttrs(attrs), writer: s.writer}
+	return sampler{Handler: s.Handler.WithAttrs(attrs), warnings: s.warnings.WithAttrs(attrs), writer: s.writer}
 }
 
 // WithGroup returns a handler that puts the attributes of each record into a group.
 func (s sampler) WithGroup(name string) slog.Handler {
-	return sampler{Handler: s.Handler.WithGroup(name), writer: s.writer}
+	return sampler{Handler: s.Handler.WithGroup(name), warnings: s.warnings.WithGroup(name), writer: s.writer}
 }
--- a/io/logs/writer.go
+++ b/io/logs/writer.go
@@ -15,10 +15,13 @@
 	queueLength = 4096
 	// burstSeconds is the largest burst, in seconds of the rate.
 	burstSeconds = 4
+	// reservedLines of the queue and reservedShare of the largest burst are for lines of level Warn and above only.
+	reservedLines = queueLength / 8
+	reservedShare = 1.0 / 8
 )
 
 // Writer writes lines to an output in the background and limits their rate with a token bucket. It drops and counts
-// the lines that exceed the rate or find the queue full.
+// the lines that exceed the rate or find the queue full. A part of both is kept for warnings.
 type Writer struct {
 	out   io.Writer
 	clock core.Clock
@@ -47,31 +50,38 @@
 	}
 }
 
-// Write queues or drops one line. It never blocks and never fails.
+// Write queues or drops one ordinary line. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.takeBudget(len(line)) {
+	return w.write(line, w.reservedBudget(), reservedLines)
+}
+
+// warnings is the output for lines of level Warn and above: all of its writer's budget and queue.
+type warnings struct{ writer *Writer }
+
+// Write queues or drops one line. It never blocks and never fails.
+func (o warnings) Write(line []byte) (int, error) { return o.writer.write(line, 0, 0) }
+
+// write queues one line, or drops it if less than spareBytes of the budget or spareLines of the queue would be left.
+func (w *Writer) write(line []byte, spareBytes float64, spareLines int) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refill()
+	size := float64(len(line))
+	if w.budget < size+spareBytes || len(w.lines) >= queueLength-spareLines {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
+		w.budget -= size
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
-// takeBudget takes n bytes from the budget and reports whether the budget was sufficient.
-func (w *Writer) takeBudget(n int) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.refill()
-	if w.budget < float64(n) {
-		return false
-	}
-	w.budget -= float64(n)
-	return true
-}
+// reservedBudget returns the bytes of the budget that are for lines of level Warn and above only.
+func (w *Writer) reservedBudget() float64 { return w.rate * burstSeconds * reservedShare }
 
 // refill adds to the budget what has become free since the last call. The caller holds mu.
 func (w *Writer) refill() {
@@ -81,12 +91,13 @@
 }
 
 // keptShare returns the share of requests whose lines are kept, in units of 1/shareScale. It is the full share while
-// at least half of the budget is left, and falls linearly to 0 below that.
+// at least half of the budget for ordinary lines is left, and falls linearly to 0 below that.
 func (w *Writer) keptShare() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.refill()
-	filled := w.budget / (w.rate * burstSeconds)
+	reserved := w.reservedBudget()
+	filled := (w.budget - reserved) / (w.rate*burstSeconds - reserved)
 	return uint64(shareScale * min(1, max(0, 2*filled)))
 }
 
--- a/io/logs/writer_test.go
+++ b/io/logs/writer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -101,7 +102,7 @@
 
 // newTestLogger returns a logger that writes through w as the program's loggers do.
 func newTestLogger(w *Writer) *slog.Logger {
-	return slog.New(NewHandler(w, slog.NewJSONHandler(w, nil)))
+	return slog.New(NewHandler(w, func(out io.Writer) slog.Handler { return slog.NewJSONHandler(out, nil) }))
 }
 
 // TestLinesOnRequestsComeBack guards against a sampler that drops all requests for good after the budget was once used up.
--- a/setup/logger.go
+++ b/setup/logger.go
@@ -19,7 +19,7 @@
 // NewLogger returns a logger with the level and format of the settings. It writes through w, which limits the rate and does
 // not block on its output.
 func NewLogger(w *logs.Writer, s LogSettings) *slog.Logger {
-	return slog.New(logs.NewHandler(w, newHandler(w, s)))
+	return slog.New(logs.NewHandler(w, func(out io.Writer) slog.Handler { return newHandler(out, s) }))
 }
 
 func newHandler(w io.Writer, s LogSettings) slog.Handler {
