Log the end of each grant, and what the client has got of whom

Only an attempt that was followed by another had a line 'attempt ended'; a grant that was not used, and the last attempt of a request, had none, and no line said how many events an attempt had forwarded, or whose header the client got. Now each grant has one line 'attempt ended', used or not: how it ended, what is next, how long it waited and took, what it forwarded, the last event that the client then has, how its answer came (unless 'endpoint sent garbage' says so), and at what a body broke off. 'request ended' says the number of events and the endpoint whose header the client has. 'answer forwarded', 'long answer broke off' and 'events not forwarded' are part of the line now; the error of a stream that broke off was logged nowhere.

--- a/core/event/batch.go
+++ b/core/event/batch.go
@@ -5,8 +5,8 @@
 	// New holds the events that the client lacks, one after another, and Rest the bytes after the last whole event. Both are parts of
 	// the parsed bytes.
 	New, Rest []byte
-	// Events is the number of whole events, those that the client has included.
-	Events int
+	// Events is the number of whole events, those that the client has included, and Added the number of new ones.
+	Events, Added int
 	// Order is the order of the attempt after the last whole event.
 	Order Order
 }
@@ -26,7 +26,9 @@
 			return b, err
 		}
 		end += size
-		if !isNew {
+		if isNew {
+			b.Added++
+		} else {
 			// Only the first events of an attempt can be known to the client.
 			first = end
 		}
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -72,7 +72,7 @@
 	if !ok {
 		return false
 	}
-	r.recordAttempt(g, order.NotSent, 0)
+	r.endUnsent(g, order.NotSent, otherPermitted, again)
 	r.entry.log.Info("permit for another endpoint", "request", r.incoming.ID, "endpoint", choice.Endpoint, "instead_of", g.Endpoint)
 	r.tried = append(r.tried, choice.Endpoint)
 	g.Endpoint, g.Life, g.Address = choice.Endpoint, choice.Incarnation, choice.Address
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -77,6 +77,7 @@
 	// errorAnswer is an error answer of an endpoint, which the client gets if no later attempt succeeds.
 	errorAnswer *answer
 	sending     sending
+	record      attemptRecord
 	// bound means that the client has received events of the stream, which may go on only at the software version version.
 	bound   bool
 	version string
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -30,6 +30,7 @@
 
 // answer is an endpoint's answer. Its body may be only the buffered beginning of a long one.
 type answer struct {
+	from   core.EndpointID
 	status int
 	header http.Header
 	body   []byte
@@ -46,7 +47,7 @@
 	for {
 		if r.clientGone() {
 			if grant != nil {
-				r.recordAttempt(grant, order.Abandoned, 0)
+				r.endUnsent(grant, order.Abandoned, clientGone, gone)
 			}
 			r.finish(out, order.Abandoned, nil)
 			return
@@ -66,7 +67,7 @@
 			problem = r.checkVersion(grant)
 		}
 		if problem == nil && r.isUnusable(grant) {
-			r.recordAttempt(grant, order.NotSent, 0)
+			r.endUnsent(grant, order.NotSent, endpointUnusable, again)
 			grant, problem = r.placeAgain(placing, grant, order.NotSent)
 			continue
 		}
@@ -75,32 +76,36 @@
 		}
 		if problem == nil {
 			var permitted bool
+			why := notPermitted
 			if permitted, problem = r.takePermit(placing, grant, trial); permitted {
+				why = endpointUnusable
 				permitted, problem = r.recheckWaited(ctx, grant)
 			}
 			if !permitted {
 				r.reportOutcome(ctx, grant, order.NotSent, trial)
 			}
 			if !permitted && problem == nil {
-				r.recordAttempt(grant, order.NotSent, 0)
+				r.endUnsent(grant, order.NotSent, why, again)
 				grant, problem = r.placeAgain(placing, grant, order.NotSent)
 				continue
 			}
 		}
 		if problem != nil {
-			if grant != nil {
-				r.recordAttempt(grant, order.Abandoned, 0)
-			}
+			why := problem.Reason
 			if r.mayHaveRun != "" {
 				problem = r.failureProblem(r.mayHaveRun)
 			}
+			if grant != nil {
+				r.endUnsent(grant, order.Abandoned, why, r.nextOf(out, problem))
+			}
 			r.finish(out, order.Abandoned, problem)
 			return
 		}
-		r.attempts++
+		r.beginAttempt(out)
 		began := e.clock.Now()
 		ending, done := r.attempt(ctx, grant, out)
 		took := e.clock.Now() - began
+		r.record.took = took
 		r.recordAttempt(grant, ending, took)
 		if ending == order.Served && r.bodyBeganAt > 0 {
 			e.shutdown.addLength(r.route.Name, drain.Sample{Size: r.size(), First: r.bodyBeganAt - began, Total: took})
@@ -112,14 +117,17 @@
 			placing = ctx
 		}
 		if done {
+			r.logAttempt(grant, out, ending, r.nextOf(out, nil))
 			r.finish(out, ending, nil)
 			return
 		}
 		if !r.mayRetry(ending) || standing == poison.Convicted {
-			r.finish(out, ending, r.failureProblem(ending))
+			problem = r.failureProblem(ending)
+			r.logAttempt(grant, out, ending, r.nextOf(out, problem))
+			r.finish(out, ending, problem)
 			return
 		}
-		e.log.Info("attempt ended", "request", r.incoming.ID, "endpoint", grant.Endpoint, "attempt", r.attempts, "how", ending, "next", "again")
+		r.logAttempt(grant, out, ending, again)
 		grant, problem = r.placeAgain(placing, grant, ending)
 	}
 }
@@ -151,7 +159,7 @@
 func (r *request) finish(out *answerWriter, ending order.AttemptOutcome, p *core.Problem) {
 	e := r.entry
 	r.reportEnded(ending)
-	if p != nil && p.Outcome != core.NotRun && r.errorAnswer != nil && !out.started {
+	if !out.started && r.isErrorAnswerDue(p) {
 		out.writeBuffered(r.errorAnswer)
 		p = nil
 	}
@@ -160,7 +168,7 @@
 		status, reason = p.Status, p.Reason
 	}
 	e.log.Info("request ended", "request", r.incoming.ID, "route", r.route.Name, "organisation", r.organisation.Name, "content", r.content.String(),
-		"status", status, "how", ending, "reason", reason, "attempts", r.attempts, "resumes", r.incoming.Resumes, "last_event", r.incoming.LastEvent,
+		"status", status, "how", ending, "reason", reason, "attempts", r.attempts, "answered_by", out.answeredBy, "events", out.events, "resumes", r.incoming.Resumes, "last_event", r.incoming.LastEvent,
 		"took_ms", e.clock.Now()-r.arrived, "first_ms", out.headerDelay(r.arrived), "stopping_ms", e.shutdown.elapsed(), "connection_ended_by", listen.EndedBy(r.httpRequest.Context()), "config", e.table.Load().Config().Version)
 	e.meter.Count("requests_total", 1, "status", statusClass(status), "reason", string(reason))
 	e.meter.Observe("request_ms", int64(e.clock.Now()-r.arrived))
@@ -212,10 +220,11 @@
 	r.logLimited(g)
 	resp, err := e.pipe.Do(ctx, endpointRequest)
 	if err != nil {
-		e.log.Info("endpoint failed", "request", r.incoming.ID, "endpoint", g.Endpoint, "attempt", r.attempts, "err", err)
+		e.log.Info("endpoint failed", append(r.grantAttrs(g, r.attempts), "request_bytes", len(r.body), "err", err)...)
 		return r.classifyError(ctx, err), false
 	}
 	defer resp.Close()
+	r.record.resp = resp
 	verdict := e.dialect.ParseResponse(resp.Status, resp.Header)
 	if err := r.checkAnswer(verdict, resp); err != nil {
 		return r.recordGarbage(g, resp, out, nil, err), false
@@ -263,20 +272,12 @@
 	return r.due().Check(resp.Head())
 }
 
-// answerAttrs returns the log attributes of an answer: which attempt it ends, and how it came.
-func (r *request) answerAttrs(g *order.Grant, resp *pipe.Response) []any {
-	return []any{
-		"request", r.incoming.ID, "service", r.service, "endpoint", g.Endpoint, "attempt", r.attempts, "status", resp.Status, "length", resp.Length,
-		"reused", resp.Reused, "written", resp.Written, "request_bytes", len(r.body),
-	}
-}
-
 // forward reads an answer completely before it forwards any of it to the client, unless the answer is longer than
 // bufferedAnswerBytes. It holds back an error answer of the endpoint if another attempt may follow.
 func (r *request) forward(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) (order.AttemptOutcome, bool) {
 	body, whole, err := resp.ReadUpTo(bufferedAnswerBytes)
 	if err != nil {
-		return r.classifyError(ctx, err), false
+		return r.breakOff(ctx, err), false
 	}
 	if resp.Status == http.StatusOK {
 		r.markBegun()
@@ -284,19 +285,17 @@
 	if out.started {
 		return order.Erred, false
 	}
-	a := &answer{status: resp.Status, header: resp.Header, body: body}
+	a := &answer{from: g.Endpoint, status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError && r.mayRetry(order.Erred) {
 		if whole {
 			r.errorAnswer = a
 		}
 		return order.Erred, false
 	}
-	r.entry.log.Info("answer forwarded", append(r.answerAttrs(g, resp), "due", r.due(), "type", resp.Header["Content-Type"])...)
 	if whole {
 		out.writeBuffered(a)
 	} else if err := out.writeLong(a, resp); err != nil {
-		r.entry.log.Info("long answer broke off", "request", r.incoming.ID, "err", err)
-		return r.classifyError(ctx, err), false
+		return r.breakOff(ctx, err), false
 	}
 	if resp.Status >= http.StatusInternalServerError {
 		return order.Erred, true
@@ -304,6 +303,12 @@
 	return order.Served, true
 }
 
+// breakOff records the error at which the answer of the present attempt ended, and returns the ending of the attempt.
+func (r *request) breakOff(ctx context.Context, err error) order.AttemptOutcome {
+	r.record.err = err
+	return r.classifyError(ctx, err)
+}
+
 // classifyError returns the ending of an attempt that failed with an error.
 func (r *request) classifyError(ctx context.Context, err error) order.AttemptOutcome {
 	switch {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -42,6 +42,11 @@
 	headerAt core.Millis
 	// lastEvent is the id of the last event that the client has, event.None before the first.
 	lastEvent int64
+	// answeredBy is the endpoint whose header the client has got.
+	answeredBy core.EndpointID
+	// events and bytes are what the client has got of endpoints' answers here.
+	events int
+	bytes  int64
 }
 
 // newAnswerWriter returns a writer for a client that has the events of the stream up to lastEvent.
@@ -55,7 +60,7 @@
 }
 
 // writeHeader writes the status and the header of an endpoint's answer without its hop-by-hop headers.
-func (o *answerWriter) writeHeader(status int, h http.Header) {
+func (o *answerWriter) writeHeader(from core.EndpointID, status int, h http.Header) {
 	dropped := slices.Clone(hopByHop)
 	for _, name := range strings.Split(h.Get("Connection"), ",") {
 		dropped = append(dropped, http.CanonicalHeaderKey(strings.TrimSpace(name)))
@@ -65,7 +70,7 @@
 			o.w.Header()[name] = values
 		}
 	}
-	o.started, o.status, o.headerAt = true, status, o.clock.Now()
+	o.started, o.status, o.headerAt, o.answeredBy = true, status, o.clock.Now(), from
 	o.w.WriteHeader(status)
 }
 
@@ -81,9 +86,10 @@
 // writeBuffered writes an answer whose body was read completely.
 func (o *answerWriter) writeBuffered(a *answer) {
 	a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
-	o.writeHeader(a.status, a.header)
+	o.writeHeader(a.from, a.status, a.header)
 	// A write error means that the client has closed the connection; the answer then stays unfinished.
-	_, err := o.w.Write(a.body)
+	n, err := o.w.Write(a.body)
+	o.bytes += int64(n)
 	o.finished = err == nil
 }
 
@@ -94,11 +100,14 @@
 	if rest.Length >= 0 {
 		a.header.Set("Content-Length", strconv.FormatInt(rest.Length, 10))
 	}
-	o.writeHeader(a.status, a.header)
-	if _, err := o.w.Write(a.body); err != nil {
+	o.writeHeader(a.from, a.status, a.header)
+	began, err := o.w.Write(a.body)
+	o.bytes += int64(began)
+	if err != nil {
 		return fmt.Errorf("forward answer: %w", err)
 	}
 	n, err := io.Copy(o.w, io.LimitReader(rest, maxAnswerBytes))
+	o.bytes += n
 	switch {
 	case err != nil:
 		return fmt.Errorf("forward answer: %w", err)
@@ -117,7 +126,7 @@
 func (r *request) stream(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) order.AttemptOutcome {
 	timeout := r.stallTimeout()
 	stall := time.AfterFunc(timeout.Duration(), func() {
-		r.entry.log.Warn("stream stalled", "request", r.incoming.ID, "bound_ms", timeout)
+		r.entry.log.Warn("stream stalled", "request", r.incoming.ID, "endpoint", g.Endpoint, "bound_ms", timeout)
 		resp.Abort()
 	})
 	defer stall.Stop()
@@ -135,8 +144,8 @@
 		}
 		if len(batch.New) > 0 {
 			r.bind(g)
-			if err := out.writeEvents(resp, batch.New, ids.Received()); err != nil {
-				r.entry.log.Info("events not forwarded", "request", r.incoming.ID, "err", err)
+			if err := out.writeEvents(g.Endpoint, resp, batch, ids.Received()); err != nil {
+				r.record.err = err
 				return order.Abandoned
 			}
 		}
@@ -148,44 +157,45 @@
 		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0 && ids.Received() == event.None:
 			return r.recordGarbage(g, resp, out, nil, errNoEvents)
 		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0:
-			out.startStream(resp)
+			out.startStream(g.Endpoint, resp)
 			out.finished = true
 			return order.Served
 		case readErr != nil:
-			return r.classifyError(ctx, readErr)
+			return r.breakOff(ctx, fmt.Errorf("read events, %d bytes into the next one: %w", len(batch.Rest), readErr))
 		}
 		raw = append(raw[:0], batch.Rest...)
 	}
 }
 
 // startStream writes the header of a stream, unless an earlier attempt has.
-func (o *answerWriter) startStream(resp *pipe.Response) {
+func (o *answerWriter) startStream(from core.EndpointID, resp *pipe.Response) {
 	if o.started {
 		return
 	}
 	// A later attempt may go on in the same answer, so that its length is not known.
 	resp.Header.Del("Content-Length")
-	o.writeHeader(resp.Status, resp.Header)
+	o.writeHeader(from, resp.Status, resp.Header)
 }
 
-// writeEvents writes whole events, the last of which has the given id. They leave the HTTP server's buffers at once: an answer that is cut
+// writeEvents writes the new events of a batch, the last of which has the given id. They leave the HTTP server's buffers at once: an answer that is cut
 // later would lose a part of them.
-func (o *answerWriter) writeEvents(resp *pipe.Response, events []byte, last int64) error {
-	o.startStream(resp)
-	if _, err := o.w.Write(events); err != nil {
+func (o *answerWriter) writeEvents(from core.EndpointID, resp *pipe.Response, b event.Batch, last int64) error {
+	o.startStream(from, resp)
+	if _, err := o.w.Write(b.New); err != nil {
 		return fmt.Errorf("write events: %w", err)
 	}
 	if err := http.NewResponseController(o.w).Flush(); err != nil {
 		return fmt.Errorf("flush events: %w", err)
 	}
-	o.lastEvent = last
+	o.lastEvent, o.events, o.bytes = last, o.events+b.Added, o.bytes+int64(len(b.New))
 	return nil
 }
 
 // recordGarbage logs and counts an answer that is not the one that is due, or bytes of a stream that are not its next event, and returns
 // the outcome of the attempt.
 func (r *request) recordGarbage(g *order.Grant, resp *pipe.Response, out *answerWriter, raw []byte, why error) order.AttemptOutcome {
-	r.entry.log.Warn("endpoint sent garbage", append(r.answerAttrs(g, resp),
+	r.record.logged = true
+	r.entry.log.Warn("endpoint sent garbage", append(append(r.grantAttrs(g, r.attempts), r.responseAttrs(resp)...),
 		"after", out.lastEvent, "bytes", len(raw), "begins", strconv.Quote(string(raw[:min(len(raw), loggedGarbageBytes)])), "err", why)...)
 	r.entry.meter.Count("endpoint_garbage_total", 1, "service", r.service)
 	return order.Garbled
