Cut texts that are too long for a log line

One malformed head of an endpoint, which may have 64 KiB, stands in the error of 'endpoint failed' and is quoted once more in the line. In JSON such a line was longer than the whole budget of a burst, so that it was dropped: the one line that shows what came was the one that is missing; shorter ones pushed out the lines of other requests.

--- a/setup/logger.go
+++ b/setup/logger.go
@@ -23,7 +23,7 @@
 }
 
 func newHandler(w io.Writer, s LogSettings) slog.Handler {
-	o := &slog.HandlerOptions{Level: logLevels[s.Level]}
+	o := &slog.HandlerOptions{Level: logLevels[s.Level], ReplaceAttr: logs.LimitValue}
 	if s.Format == formatJSON {
 		return slog.NewJSONHandler(w, o)
 	}
