Report the lines that were dropped last when the log ends

OPERATIONS.md tells operators that a request without a line was not read unless 'log lines dropped' says that lines are missing. That line came only with a later one, at most once a second, so that the lines dropped in the last second before a host ended, or after the last written line, were missing without a word. The writer reports them when it stops. Evidence: TestTheLastDroppedLinesAreReported fails before and passes now. TestWarningsStayWithinTheRate counts the bytes before that report, which no budget holds.

--- a/io/logs/writer.go
+++ b/io/logs/writer.go
@@ -114,21 +114,21 @@
 	defer close(w.done)
 	for line := range w.lines {
 		if line == nil {
+			if report := w.droppedReport(w.clock.Now()); report != nil {
+				_, _ = w.out.Write(report)
+			}
 			return
 		}
-		line = append(w.droppedReport(), line...)
+		if now := w.clock.Now(); now-w.droppedReportedAt >= core.Second {
+			line = append(w.droppedReport(now), line...)
+		}
 		// There is nowhere to report that the log cannot be written.
 		_, _ = w.out.Write(line)
 	}
 }
 
-// droppedReport returns a line with the number of lines dropped since the last such line, at most once a second. It
-// returns nil if there is nothing to report.
-func (w *Writer) droppedReport() []byte {
-	now := w.clock.Now()
-	if now-w.droppedReportedAt < core.Second {
-		return nil
-	}
+// droppedReport returns a line with the number of lines dropped since the last such line, nil if there are none.
+func (w *Writer) droppedReport(now core.Millis) []byte {
 	n := w.dropped.Swap(0)
 	if n == 0 {
 		return nil
--- a/io/logs/writer_test.go
+++ b/io/logs/writer_test.go
@@ -120,3 +120,17 @@
 	must.NoError(t, w.Stop(context.Background()))
 	must.True(t, strings.Contains(out.String(), "request ended"))
 }
+
+// TestTheLastDroppedLinesAreReported guards against a log that ends without saying that lines of its last second are missing.
+func TestTheLastDroppedLinesAreReported(t *testing.T) {
+	var out bytes.Buffer
+	w := New(&out, 4000, clock.New(1))
+	must.NoError(t, w.Start(context.Background()))
+	log := newTestLogger(w)
+	for range floodedLines {
+		log.Info("ordinary")
+	}
+	must.NoError(t, w.Stop(context.Background()))
+	must.True(t, strings.Contains(out.String(), "log lines dropped"))
+	must.Zero(t, w.Dropped())
+}
