Take no reset for the end of an answer, while its request is being written

Cause: a reset is reported to one side of a connection only, to the write or to the read; the other one sees an orderly end, which ends an answer without a length. Such an end counts only if the request is known to have been written completely. An answer of HTTP/1.0 is refused as well: its chunks were taken for the bytes of a body, as the library ignores their framing there.

--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -18,6 +18,9 @@
 // ErrStrayAnswers means that the connection delivered more late answers to other requests than the client skips.
 var ErrStrayAnswers = errors.New("the connection delivered too many answers to other requests")
 
+// ErrOldProtocol means that an endpoint answered by a version of HTTP before 1.1.
+var ErrOldProtocol = errors.New("the answer is not HTTP/1.1")
+
 // Response is an endpoint's answer. The caller must call Close.
 type Response struct {
 	Status int
@@ -30,6 +33,9 @@
 	body            io.ReadCloser
 	client          *Client
 	conn            *conn
+	// writeEnd gets the result of writing the request, and untilClose means that the body ends with the connection.
+	writeEnd   chan error
+	untilClose bool
 	// unwatchContext ends the watch that closes the connection when the request's context ends.
 	unwatchContext func() bool
 	// readToEnd means that the body was read to its end, and reusable that the connection may then serve another
@@ -70,17 +76,12 @@
 	}
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Reused: x.used, body: resp.Body, client: c, conn: x, unwatchContext: unwatch,
+		Reused: x.used, body: resp.Body, client: c, conn: x, unwatchContext: unwatch, writeEnd: written,
+		untilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 	}
 	x.used = true
-	select {
-	case err := <-written:
-		out.Written = err == nil
-		out.reusable = out.Written && !resp.Close
-	default:
-		// The request is not written completely: the endpoint would read the rest of its body as the next request.
-		out.reusable = false
-	}
+	// If the request is not written completely, the endpoint would read the rest of its body as the next request.
+	out.reusable = out.isWritten() && !resp.Close
 	x.idleLimit = idleLimitFrom(resp.Header)
 	return out, nil
 }
@@ -109,6 +110,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if !resp.ProtoAtLeast(1, 1) {
+			// net/http ignores the framing of such an answer if it comes in chunks.
+			return nil, fmt.Errorf("%w: %s", ErrOldProtocol, resp.Proto)
+		}
 		if resp.StatusCode < http.StatusOK {
 			if interimCount++; interimCount > maxInterimAnswers {
 				return nil, fmt.Errorf("%w: too many interim answers", ErrAnswerTooLarge)
@@ -166,12 +171,27 @@
 // Read reads from the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.readToEnd = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if r.untilClose && !r.isWritten() {
+		// A reset of the connection is reported once, to the writer or to the reader: the other one sees an orderly end.
+		return n, fmt.Errorf("%w: the connection ended before the request was written", io.ErrUnexpectedEOF)
 	}
+	r.readToEnd = true
 	return n, err
 }
 
+// isWritten reports whether the request is known to have been written completely.
+func (r *Response) isWritten() bool {
+	select {
+	case err := <-r.writeEnd:
+		r.Written = err == nil
+	default:
+	}
+	return r.Written
+}
+
 // ReadAll returns the whole body, or an error if the connection broke or the body is longer than limit.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	raw, whole, err := r.ReadUpTo(limit)
--- /dev/null
+++ b/io/pipe/reset_test.go
@@ -0,0 +1,62 @@
+package pipe
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"cyclamenford/io/wall"
+)
+
+const (
+	// resetTries is the number of answers that are reset: which side of a connection learns of a reset is a race.
+	resetTries = 60
+	// resetBodyBytes is the length of a request that the sockets don't hold.
+	resetBodyBytes = 8 << 20
+)
+
+// TestAResetWhileARequestIsWrittenIsNoEndOfItsAnswer guards against half an answer that looks whole, as the write of a long request has
+// learnt of the reset in place of the read.
+func TestAResetWhileARequestIsWrittenIsNoEndOfItsAnswer(t *testing.T) {
+	address := serve(t, func(c net.Conn) {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(earlyReadBuffer)
+			_ = tcp.SetLinger(0)
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
+		time.Sleep(2 * time.Millisecond)
+	})
+	client := New(Options{Clock: wall.New()})
+	defer func() { must.NoError(t, client.Stop(context.Background())) }()
+	body := []byte(strings.Repeat("x", resetBodyBytes))
+	for range resetTries {
+		resp, err := client.Do(context.Background(), Request{
+			Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Body: body,
+			IsAnswer: func(r *http.Response) bool { return r.Header.Get("Id") == "a" },
+		})
+		if err != nil {
+			continue
+		}
+		raw, err := resp.ReadAll(1 << 20)
+		resp.Close()
+		must.Error(t, err, must.Sprintf("%q looks whole", raw))
+	}
+}
+
+// TestAnOldProtocolIsNoAnswer guards against chunks that are taken for the bytes of a body.
+func TestAnOldProtocolIsNoAnswer(t *testing.T) {
+	address := endpoint(t, []string{"HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n<close>"})
+	client := New(Options{Clock: wall.New()})
+	defer func() { must.NoError(t, client.Stop(context.Background())) }()
+	must.Eq(t, "error", ask(client, address, "a"))
+}
