Refuse a failure that would promise that a request has not run, where nothing proves it

Clients of requests that may run only once got an endpoint's own 408, 429 or 503 though the request had run (REFUSED). Cause: a failure with a signature was forwarded whatever its status said, and these statuses promise clients that the request has not run and never will. Such an answer ends its attempt as Garbled now, and the client gets a 502, which promises nothing and has no signature. Requests that may be repeated get the endpoint's status as before.

--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
@@ -248,8 +249,15 @@
 	return reply.Body
 }
 
-// errUnnamed means that an answer that an endpoint has made does not name its request.
-var errUnnamed = errors.New("the answer names no request")
+var (
+	// errUnnamed means that an answer that an endpoint has made does not name its request.
+	errUnnamed = errors.New("the answer names no request")
+	// errUnproven means that the status of an answer would tell the client that its request has not run, which the answer does not prove.
+	errUnproven = errors.New("the answer does not prove that the request has not run")
+)
+
+// notRunStatuses are the statuses that promise clients that their request has not run and never will.
+var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // checkAnswer returns an error if an answer is neither a proof that the request has not run nor the endpoint's answer to it, of the kind
 // that is due.
@@ -259,6 +267,8 @@
 		return nil
 	case verdict.IsUnnamed():
 		return errUnnamed
+	case !r.repeatable() && slices.Contains(notRunStatuses, resp.Status):
+		return errUnproven
 	}
 	return r.due().Check(resp.Head())
 }
