--- a/io/dial/answer.go
+++ b/io/dial/answer.go
@@ -82,7 +82,7 @@
 
 // head returns what the head of an answer says of its body.
 func (a *answer) head() reply.Head {
-	return reply.Head{Status: a.StatusCode, Types: a.Header["Content-Type"], Encodings: a.Header["Content-Encoding"]}
+	return reply.Head{Status: a.StatusCode, Length: a.ContentLength, Types: a.Header["Content-Type"], Encodings: a.Header["Content-Encoding"]}
 }
 
 // check returns an error if the head of an answer shows that it is not due.
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -181,8 +181,8 @@
 	o.writeHeader(from, resp.Status, resp.Header)
 }
 
-// writeEvents writes the new events of a batch, the last of which has the given id. They leave the HTTP server's buffers at once: an answer that is cut
-// later would lose a part of them.
+// writeEvents writes the new events of a batch, the last of which has the given id. They leave the HTTP server's buffers at once: an
+// answer that is cut later would lose a part of them.
 func (o *answerWriter) writeEvents(from core.EndpointID, resp *pipe.Response, b event.Batch, last int64) error {
 	o.startStream(from, resp)
 	if _, err := o.w.Write(b.New); err != nil {
