--- a/io/pipe/early_test.go
+++ b/io/pipe/early_test.go
@@ -172,7 +172,9 @@
 	}
 	must.Eq(t, row.Want, got, must.Sprint(err))
 	for _, id := range []string{"b", "c"} {
-		must.Eq(t, "two", ask(client, address, id))
+		answered, err := askFor(client, address, id)
+		must.NoError(t, err)
+		must.Eq(t, "two", answered)
 	}
 	t.Logf("written %v, dials %d", written, client.Dials())
 	if row.Dials > 0 {
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -98,25 +98,33 @@
 
 // ask sends a request with an ID and returns the body of its answer, or "error".
 func ask(c *Client, address, id string) string {
+	body, err := askFor(c, address, id)
+	if err != nil {
+		return "error"
+	}
+	return body
+}
+
+// askFor sends a request with an ID and returns the body of its answer.
+func askFor(c *Client, address, id string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	resp, err := c.Do(ctx, Request{
-		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Name:      id,
+		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Name: id, Header: http.Header{"Id": {id}}, Body: []byte("body"),
 		IsAnswer:  func(r *http.Response) bool { return r.Header.Get("Id") == id },
 		NamesNone: func(r *http.Response) bool { return r.Header.Get("Id") == "" },
 	})
 	if err != nil {
-		return "error"
+		return "", err
 	}
 	defer resp.Close()
 	body, err := resp.ReadAll(1 << 20)
 	if err != nil {
-		return "error"
+		return "", err
 	}
 	// Bytes that the endpoint sends after its answer take a moment to arrive.
 	time.Sleep(20 * time.Millisecond)
-	return string(body)
+	return string(body), nil
 }
 
 // TestAHeadThatBreaksOffIsNoAnswer guards against passing on an empty or short answer as a whole one. The endpoint closes the connection at each
