Send nothing to an omitted endpoint whose address a later incarnation has

After a change of the leading keeper, callers of plain services got 503 (RetryBudgetSpent, EndpointRefused) seconds after an endpoint had started again: a host keeps endpoints that the new leader's roll omits for a grace period, chose the ended one, got 421 from its successor at the same address, and the budget for retries was spent.

The scheduler drops an endpoint whose address another one announces, but only of those that it knows. Now the host does so with those that it keeps by itself, if the incarnation at the address is later.

--- a/core/door/door.go
+++ b/core/door/door.go
@@ -169,6 +169,24 @@
 	if p.Whole {
 		d.removeUnlisted(now, p)
 	}
+	d.removeReplaced(p)
+}
+
+// removeReplaced removes endpoints that the scheduler's roll omits and whose address a later incarnation of the page has. The
+// scheduler knows only of those that have announced themselves to it, so that it can't tell that they are gone.
+func (d *Selector) removeReplaced(p roll.Page) {
+	latest := map[string]core.Incarnation{}
+	for _, l := range p.Listed {
+		latest[l.Address] = max(latest[l.Address], l.Incarnation)
+	}
+	if len(latest) == 0 {
+		return
+	}
+	for id, e := range d.endpoints {
+		if e.keepUntil > 0 && e.Incarnation < latest[e.Address] {
+			d.remove(id)
+		}
+	}
 }
 
 func (d *Selector) removeUnlisted(now core.Millis, p roll.Page) {
