Don't reuse a connection on which a request is not received whole

A request on a reused connection to an endpoint that had answered its predecessor early, and never read the rest of it, got no answer until the system ended the connection after 1.7 s. The sockets had held the whole request (4 MiB), so that it counted as written.

A connection is reused only if the endpoint's system has acknowledged all that was written on it.

--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -269,7 +269,8 @@
 	}
 }
 
-// isQuiet reports whether the connection is open and has no unread bytes.
+// isQuiet reports whether the connection is open, has no unread bytes, and the endpoint has received all that was written. An endpoint
+// that has answered early may never read the rest of its request, which the sockets hold, nor the next request behind it.
 func (x *conn) isQuiet() bool {
 	if x.reader.Buffered() > 0 {
 		return false
@@ -287,6 +288,9 @@
 		var one [1]byte
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = errors.Is(err, unix.EAGAIN)
+		// Where the system does not tell what is unacknowledged, the connection is used as if all had been received.
+		unacknowledged, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		quiet = quiet && (err != nil || unacknowledged == 0)
 		return true
 	})
 	return err == nil && quiet
