Wait for the write of a long request before its answer counts as broken

Callers saw whole answers without a length fail: requests over 4 KiB are written beside the reading of their answers, and at the end of such an answer it was only asked whether the result of the write was there already. Where it was not, the answer counted as broken off, though the endpoint had read the whole request: a plain answer or a stream that may not go on was cut, others were run again.

Now the write is ended at that point, and its result decides: a write of which all has been taken succeeds, and one that still waits for its endpoint fails, as before.

--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"cyclamenford/core"
 	"cyclamenford/core/reply"
@@ -33,8 +34,10 @@
 	body            io.ReadCloser
 	client          *Client
 	conn            *conn
-	// writeEnd gets the result of writing the request, and untilClose means that the body ends with the connection.
+	// writeEnd gets the result of writing the request, and writeKnown means that it was taken from there. untilClose means that the body
+	// ends with the connection.
 	writeEnd   chan error
+	writeKnown bool
 	untilClose bool
 	// unwatchContext ends the watch that closes the connection when the request's context ends.
 	unwatchContext func() bool
@@ -174,7 +177,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if r.untilClose && !r.isWritten() {
+	if r.untilClose && !r.endWriting() {
 		// A reset of the connection is reported once, to the writer or to the reader: the other one sees an orderly end.
 		return n, fmt.Errorf("%w: the connection ended before the request was written", io.ErrUnexpectedEOF)
 	}
@@ -186,12 +189,23 @@
 func (r *Response) isWritten() bool {
 	select {
 	case err := <-r.writeEnd:
-		r.Written = err == nil
+		r.Written, r.writeKnown = err == nil, true
 	default:
 	}
 	return r.Written
 }
 
+// endWriting ends the writing of the request, if it is still in progress, and reports whether all of it had been written.
+func (r *Response) endWriting() bool {
+	if r.isWritten() || r.writeKnown {
+		return r.Written
+	}
+	// A write that the endpoint does not take any more would not end. The connection is not used again.
+	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
+	r.Written, r.writeKnown = <-r.writeEnd == nil, true
+	return r.Written
+}
+
 // ReadAll returns the whole body, or an error if the connection broke or the body is longer than limit.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	raw, whole, err := r.ReadUpTo(limit)
--- a/io/pipe/reset_test.go
+++ b/io/pipe/reset_test.go
@@ -20,6 +20,10 @@
 	resetTries = 60
 	// resetBodyBytes is the length of a request that the sockets don't hold.
 	resetBodyBytes = 8 << 20
+	// writtenTries is the number of whole answers: whether their end or that of the request's write is known first is a race.
+	writtenTries = 2000
+	// writtenBodyBytes is the length of a request that is written beside the reading of its answer.
+	writtenBodyBytes = 110_000
 )
 
 // TestAResetWhileARequestIsWrittenIsNoEndOfItsAnswer guards against half an answer that looks whole, as the write has learnt of its reset.
@@ -52,6 +56,37 @@
 	}
 }
 
+// TestAWholeAnswerToALongRequestIsNotBroken guards against an answer without a length that counts as broken, as the end of its request's write is not known yet.
+func TestAWholeAnswerToALongRequestIsNotBroken(t *testing.T) {
+	address := serve(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole")
+	})
+	client := New(Options{Clock: wall.New()})
+	defer func() { must.NoError(t, client.Stop(context.Background())) }()
+	body := []byte(strings.Repeat("x", writtenBodyBytes))
+	broken := 0
+	for range writtenTries {
+		resp, err := client.Do(context.Background(), Request{
+			Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Body: body,
+			IsAnswer: func(r *http.Response) bool { return r.Header.Get("Id") == "a" },
+		})
+		must.NoError(t, err)
+		_, err = resp.ReadAll(1 << 20)
+		resp.Close()
+		if err != nil {
+			broken++
+		}
+	}
+	must.Zero(t, broken)
+}
+
 // TestAnOldProtocolIsNoAnswer guards against chunks that are taken for the bytes of a body.
 func TestAnOldProtocolIsNoAnswer(t *testing.T) {
 	address := endpoint(t, []string{"HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n<close>"})
