Take no stream for whole that ends before an event its client has

Callers saw a stream end as whole that lacked its last events: an attempt may repeat events that the client has, and one that ended among them, in chunks or with its connection, counted as the rest of the stream, of which nothing was left.

The client's last event shows that the run has made more, so that such an answer can't be whole. The attempt ends as garbage now, and the stream goes on elsewhere if it may. An attempt that brings no event still counts as one of which nothing is left.

--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -48,6 +48,8 @@
 		IDs, New []int64
 		// Bad means that the last id is refused.
 		Bad bool
+		// Behind means that the stream can't end there.
+		Behind bool
 	}
 	must.NoError(t, strict.Decode(raw, &rows))
 	for _, row := range rows {
@@ -67,6 +69,7 @@
 				o = next
 			}
 			must.Eq(t, row.New, added)
+			must.Eq(t, row.Behind, o.IsBehind())
 		})
 	}
 }
--- a/core/event/order.go
+++ b/core/event/order.go
@@ -29,3 +29,7 @@
 
 // Received returns the id of the last event that the client has after the events of the attempt, None if it has none.
 func (o Order) Received() int64 { return o.received }
+
+// IsBehind reports whether the last event of the attempt is one that the client has had before a later one, so that the attempt can't be
+// whole.
+func (o Order) IsBehind() bool { return o.previous != None && o.previous < o.received }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -118,8 +118,12 @@
 	return nil
 }
 
-// errNoEvents means that a new stream has ended without an event.
-var errNoEvents = errors.New("the stream ended without an event")
+var (
+	// errNoEvents means that a new stream has ended without an event.
+	errNoEvents = errors.New("the stream ended without an event")
+	// errBehind means that a stream has ended before an event that the client has.
+	errBehind = errors.New("the stream ended before an event that the client has")
+)
 
 // stream forwards the events that the client lacks, each one as soon as it is complete, and returns how the stream ended. At bytes that
 // are not the next event the attempt ends, and nothing of them is forwarded.
@@ -160,6 +164,8 @@
 			return r.recordGarbage(g, resp, out, batch.Rest, pipe.ErrAnswerTooLarge)
 		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0 && !out.started && !r.takesUp():
 			return r.recordGarbage(g, resp, out, nil, errNoEvents)
+		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0 && ids.IsBehind():
+			return r.recordGarbage(g, resp, out, nil, errBehind)
 		case errors.Is(readErr, io.EOF) && len(batch.Rest) == 0:
 			out.startStream(g.Endpoint, resp)
 			out.finished = true
