Take no body of an answer without a status for the answer

An answer with a status below 100 was skipped as an interim one. It may have a body, unlike those, and its body was then read as the next head: bytes of an endpoint's garbage could be taken for its answer.

Evidence: the row of TestAnswers gets "made up!" before, from the body of an answer with the status 099. Such an answer ends its connection now.

--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -22,6 +22,9 @@
 // ErrOldProtocol means that an endpoint answered by a version of HTTP before 1.1.
 var ErrOldProtocol = errors.New("the answer is not HTTP/1.1")
 
+// ErrNoStatus means that an endpoint answered with a status that HTTP does not have.
+var ErrNoStatus = errors.New("the status is none of HTTP")
+
 // Response is an endpoint's answer. The caller must call Close.
 type Response struct {
 	Status int
@@ -117,6 +120,10 @@
 			// net/http ignores the framing of such an answer if it comes in chunks.
 			return nil, fmt.Errorf("%w: %s", ErrOldProtocol, resp.Proto)
 		}
+		if resp.StatusCode < http.StatusContinue {
+			// Unlike an interim answer it may have a body, which would be read as the next head.
+			return nil, fmt.Errorf("%w: %d", ErrNoStatus, resp.StatusCode)
+		}
 		if resp.StatusCode < http.StatusOK {
 			if interimCount++; interimCount > maxInterimAnswers {
 				return nil, fmt.Errorf("%w: too many interim answers", ErrAnswerTooLarge)
