Refuse an answer whose status HTTP does not have

An answer with a status of 600 or more counted as a failure of its endpoint, and its body reached clients of streams and of plain routes.

Evidence: three rows of TestCheck and the row of TestBytesThatAreNoEventReachNobody (status 700) fail before; a client of a stream got "garbage" under that status. It is no answer that anything is due now.

--- a/core/reply/reply.go
+++ b/core/reply/reply.go
@@ -53,6 +53,8 @@
 func (k Kind) Check(h Head) error {
 	named := mediaType(h.Types)
 	switch {
+	case h.Status > lastError:
+		return fmt.Errorf("%w: status %d", ErrNotDue, h.Status)
 	case k == None:
 		return nil
 	case h.Status/100 == 2:
