Keep the results of stages when an earlier attempt's beginning is told late

An endpoint of a request with stages could find its inputs gone (409), so that all stages were run again. Hosts tell the scheduler in batches of 5 ms that an endpoint has begun to answer, and ask for the next one at once: if an attempt breaks off or sends garbage right behind its head, the report of its beginning comes after the next grant, and freed the results that this one is to fetch.

It was found by reading; no run of hosts has shown it.

The report names its attempt now, and those of others are ignored. The new field is in the kept format of Again and Tell: the former files are read, as before, with the attempt 0, which means the present one, and a former scheduler ignores the field.

--- a/core/sched/home_test.go
+++ b/core/sched/home_test.go
@@ -26,7 +26,7 @@
 				list = append(list, a.Grant.Endpoint)
 			}
 		}
-		s.FirstByteReceived(now+100, key)
+		s.FirstByteReceived(now+100, key, 0)
 		s.AttemptEnded(now+200, key, order.Served, false)
 	}
 	return list
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -714,7 +714,7 @@
 		return
 	}
 	x.finished = true
-	sim.notify(func() { sim.scheduler.FirstByteReceived(sim.now, key) })
+	sim.notify(func() { sim.scheduler.FirstByteReceived(sim.now, key, 0) })
 	c := sim.load.Classes[x.class]
 	t := sim.tally[c.Name]
 	if x.poisoned {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -234,11 +234,12 @@
 	}
 }
 
-// FirstByteReceived records that the first byte of a request's answer has arrived from its endpoint.
-func (s *Scheduler) FirstByteReceived(now core.Millis, key order.Key) {
+// FirstByteReceived records that the first byte of a request's answer has arrived from the endpoint of an attempt, 0 for the present one.
+// The report of an earlier attempt may come after its end.
+func (s *Scheduler) FirstByteReceived(now core.Millis, key order.Key, attempt int) {
 	s.now = now
 	r, ok := s.requests[key]
-	if !ok || r.endpoint == nil || r.firstByteSeen {
+	if !ok || r.endpoint == nil || r.firstByteSeen || attempt > 0 && attempt != r.attempts {
 		return
 	}
 	r.firstByteSeen = true
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -30,9 +30,11 @@
 	Results  []order.ItemResult
 	How      order.AttemptOutcome
 	Again    bool
-	Life     core.Incarnation
-	Held     []order.HeldResults
-	Running  []order.RunningCall
+	// Attempt is the attempt whose answer has begun, 0 for the present one.
+	Attempt int
+	Life    core.Incarnation
+	Held    []order.HeldResults
+	Running []order.RunningCall
 	// Suspects are the suspicions against the pieces of one stage of the requests with the given contents.
 	Suspects []struct {
 		Content poison.Content
@@ -84,7 +86,7 @@
 	case "CallDone":
 		s.CallDone(x.At, x.Call, x.Results, x.How)
 	case "Began":
-		s.FirstByteReceived(x.At, key)
+		s.FirstByteReceived(x.At, key, x.Attempt)
 	case "Ended":
 		s.AttemptEnded(x.At, key, x.How, x.Again)
 	case "Suspects":
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		if e.Began {
-			a.sched.FirstByteReceived(now, e.Key)
+			a.sched.FirstByteReceived(now, e.Key, e.Attempt)
 			continue
 		}
 		a.endWait(e.Key)
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -47,7 +47,9 @@
 	Key order.Key
 	// Began means that the first byte of the answer has arrived. Otherwise the attempt has ended as How says.
 	Began bool
-	How   order.AttemptOutcome
+	// Attempt is the number of the grant whose answer has begun, 0 if the host does not name it.
+	Attempt int
+	How     order.AttemptOutcome
 	// Notice, unless empty, is what the endpoint incarnation Life has reported to the host. Only Key.Host is used of
 	// the key then.
 	Life   core.Life
--- a/io/entry/events.go
+++ b/io/entry/events.go
@@ -55,8 +55,10 @@
 	return e
 }
 
-// addBegan queues that a request's endpoint has begun to answer.
-func (e *eventQueue) addBegan(key order.Key) { e.add(assign.RequestEvent{Key: key, Began: true}) }
+// addBegan queues that the endpoint of a request's attempt has begun to answer.
+func (e *eventQueue) addBegan(key order.Key, attempt int) {
+	e.add(assign.RequestEvent{Key: key, Began: true, Attempt: attempt})
+}
 
 // addEnded queues that a request has ended.
 func (e *eventQueue) addEnded(key order.Key, ending order.AttemptOutcome) {
--- a/io/entry/events_test.go
+++ b/io/entry/events_test.go
@@ -21,13 +21,13 @@
 // were not sent must precede those that were added meanwhile.
 func TestEventsThatWereNotToldComeFirstNextTime(t *testing.T) {
 	e := newEventQueue("", nil, nil, nil, nil)
-	e.addBegan(order.Key{Seq: 1})
+	e.addBegan(order.Key{Seq: 1}, 2)
 	unsent := e.queued
 	e.queued = nil
 	e.addEnded(order.Key{Seq: 1}, order.Served)
 	e.requeue(unsent, nil)
 	must.Eq(t, []assign.RequestEvent{
-		{Key: order.Key{Seq: 1}, Began: true}, {Key: order.Key{Seq: 1}, How: order.Served},
+		{Key: order.Key{Seq: 1}, Began: true, Attempt: 2}, {Key: order.Key{Seq: 1}, How: order.Served},
 	}, e.queued)
 }
 
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -38,9 +38,9 @@
 }
 
 // reportBegan reports to the scheduler that the endpoint has begun to answer. The scheduler does not track plain requests.
-func (r *request) reportBegan() {
+func (r *request) reportBegan(g *order.Grant) {
 	if !r.plain {
-		r.entry.events.addBegan(r.key)
+		r.entry.events.addBegan(r.key, g.Attempt)
 	}
 }
 
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -243,7 +243,7 @@
 	case !verdict.FromRunner:
 		return order.Broken, false
 	}
-	r.reportBegan()
+	r.reportBegan(g)
 	if r.due() == reply.Events && resp.Status == http.StatusOK {
 		ending := r.stream(ctx, g, resp, out)
 		return ending, ending == order.Served
