Don't replace a leader because the keepers stood still

When a machine gave all processes of a deployment no time for 0.4 to 0.9 s, callers got 503 (NoQuorum) for about a second after it: the leader took its own standstill for the silence of the others and stepped down, the others took theirs for the silence of the leader, and an election followed.

A member whose last tick is more than two heartbeats ago gives the others half an election timeout, once until it has heard them, before it steps down or asks for votes. It only delays elections and votes, so that leases stay as safe as they were.

--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -51,6 +51,10 @@
 	// member's own (pre-)election. randomTimeout is the randomized time after which the next pre-vote starts.
 	timerStart    core.Millis
 	randomTimeout core.Millis
+	// tickedAt is the time of the last tick. excused means that a standstill of this member has been excused since it last heard the
+	// leader or, on a leader, a majority, which has until excusedUntil to reply.
+	tickedAt, excusedUntil core.Millis
+	excused                bool
 	// heardLeader is when the last message of a leader arrived, 0 if none has since the start.
 	heardLeader core.Millis
 	// lastBroadcast is when the leader last broadcast a heartbeat.
@@ -85,7 +89,7 @@
 func New(now core.Millis, id Member, s Settings, hard HardState, snap Snapshot, entries []Entry, rng *rand.Rand) *Node {
 	n := &Node{
 		id: id, settings: s, rng: rng, now: now, hard: hard, reportedHard: hard, log: newLog(snap, entries),
-		commit: snap.Index, delivered: snap.Index, timerStart: now,
+		commit: snap.Index, delivered: snap.Index, timerStart: now, tickedAt: now,
 		mayCommitByCount: func(entryTerm, ownTerm uint64) bool { return entryTerm == ownTerm },
 	}
 	n.resetTimeout()
@@ -191,10 +195,17 @@
 	return o
 }
 
+// standstillHeartbeats is the time between two ticks, in heartbeats, above which a member has stood still.
+const standstillHeartbeats = 2
+
 // Tick advances the clock and runs the timers: heartbeats and the quorum check on a leader, the election timer on other
 // members.
 func (n *Node) Tick(now core.Millis) {
 	n.now = max(n.now, now)
+	if n.now-n.tickedAt > standstillHeartbeats*n.settings.Heartbeat && !n.excused {
+		n.excuseStandstill()
+	}
+	n.tickedAt = n.now
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -204,9 +215,20 @@
 	}
 }
 
+// excuseStandstill handles that this member has not run for a while, so that it can't tell whether the others were silent. They get half an
+// election timeout, once, to be heard. That never shortens the time for which a leader may hold its lease.
+func (n *Node) excuseStandstill() {
+	grace := n.settings.ElectionTimeout / 2
+	n.excused, n.excusedUntil = true, n.now+grace
+	n.timerStart = max(n.timerStart, n.now-grace)
+}
+
 // tickLeader steps down without a quorum of replies, and otherwise broadcasts a heartbeat when one is due.
 func (n *Node) tickLeader() {
-	if !n.quorumActive() {
+	switch {
+	case n.quorumActive():
+		n.excused = false
+	case !n.excused || n.now >= n.excusedUntil:
 		n.becomeFollower(n.hard.Term, "")
 		return
 	}
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -116,7 +116,7 @@
 	if n.role != Follower || n.leader != leader || n.preVoting {
 		n.becomeFollower(n.hard.Term, leader)
 	}
-	n.timerStart, n.heardLeader = n.now, n.now
+	n.timerStart, n.heardLeader, n.excused = n.now, n.now, false
 }
 
 // positionMatches reports whether the log agrees with the given position. Compacted positions always agree, since they
