Don't refuse a request because endpoints of its stage have ended

A request whose stage call reached more than four endpoints that had ended was refused with 503 (EndpointFailed) within milliseconds, with nearly all of its time left. Each answer that another endpoint has the address (421) counted as a failure of the stage, though it says that the call has not run.

Such an endpoint gets no further call, so that the number of calls does not grow: refused requests left the remaining ended endpoints to the next ones. Failures in which a call may have run, and unreachable endpoints, count as before.

Evidence: the script (five endpoints that have ended, a sixth that has too, then a new one) fails without the change.

--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -98,8 +98,10 @@
 	} else {
 		c.endpoint.FreeResults(c.bytes)
 		c.endpoint.RecordFailure(now, ending)
+		// An endpoint that has ended hasn't run the call and gets no other one.
+		counted := ending != order.Rejected && ending != order.OtherEndpoint
 		for _, i := range c.items {
-			s.requeuePiece(i, ending != order.Rejected)
+			s.requeuePiece(i, counted)
 		}
 	}
 	s.passDue = true
