Ask a found leader for an answer at once

A host refuses requests (NoQuorum) if no leader has answered for a second. After a lost call it found the leader, but its first call there could wait 300 ms for a change before it was answered.

The first call after a lost one does not wait. In a log, a leader began at 2.69 s, and all hosts followed it at 3.00 s. The test fails without the change (the call after the lost one may wait 300 ms).

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -56,6 +56,8 @@
 	// joinBegan is when this host began to look for a leader to join, and leader the address that it last followed.
 	joinBegan core.Millis
 	leader    string
+	// lost means that the last Follow call has failed.
+	lost bool
 }
 
 // New returns a follower for this host that finds the keepers through the given seed addresses.
@@ -188,9 +190,11 @@
 	args := keeper.FollowArgs{
 		Host: f.self.ID, Incarnation: f.self.Incarnation, Revision: f.image.Revision, WaitMs: longPollWait,
 	}
-	if f.clock.Now() >= f.leaseUntil {
+	if f.clock.Now() >= f.leaseUntil || f.lost {
+		// Requests are refused without a recent answer of a leader.
 		args.WaitMs = 0
 	}
+	f.lost = true
 	f.mu.Unlock()
 	sent := f.clock.Now()
 	address := f.locator.address()
@@ -205,6 +209,7 @@
 		return
 	}
 	f.locator.setLeader(address)
+	f.lost = false
 	if reply.Ended {
 		f.log.Error("another process runs as this host; this one stops taking work", "host", args.Host)
 		loop.Sleep(ctx, supersededPause)
--- a/io/follow/search_test.go
+++ b/io/follow/search_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"cyclamenford/core"
 	"cyclamenford/core/state"
 	"cyclamenford/io/keeper"
 	"cyclamenford/io/peer"
@@ -108,3 +109,34 @@
 	must.True(t, f.findLeader(context.Background()))
 	must.Eq(t, leader, f.LeaderAddress())
 }
+
+// polled is a leader stub that records how long each Follow call may wait, and does not lead at the second one.
+type polled struct{ waits chan core.Millis }
+
+// Locate reports that the stub leads.
+func (polled) Locate(_ keeper.LocateArgs, reply *keeper.Located) error {
+	reply.Leading = true
+	return nil
+}
+
+// Follow grants a lease.
+func (p polled) Follow(args keeper.FollowArgs, reply *keeper.FollowReply) error {
+	p.waits <- args.WaitMs
+	reply.Leading, reply.LeaseMs = len(p.waits) != 2, 60*core.Second
+	return nil
+}
+
+// TestAHostDoesNotWaitForAChangeAfterALeaderWasLost guards against requests that are refused although a leader has been found, because the
+// first call to it waits for a change.
+func TestAHostDoesNotWaitForAChangeAfterALeaderWasLost(t *testing.T) {
+	p := polled{waits: make(chan core.Millis, 4)}
+	leader := startControl(t, p)
+	client := peer.NewClient([]byte(testKey), nil, nil)
+	f := New(state.Host{ID: "h"}, []string{leader}, client, wall.New(), nil, slog.New(slog.DiscardHandler))
+	for range cap(p.waits) {
+		f.poll(context.Background())
+	}
+	for _, want := range []core.Millis{0, longPollWait, 0, longPollWait} {
+		must.Eq(t, want, <-p.waits)
+	}
+}
