--- /dev/null
+++ b/bench/runfolder/doc.go
@@ -0,0 +1,2 @@
+// Package runfolder gives tests folders that are kept when they fail.
+package runfolder
--- a/tests/scenario_test.go
+++ b/tests/scenario_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"cyclamenford/bench/drill"
+	"cyclamenford/bench/runfolder"
 	"cyclamenford/bench/strict"
 	"cyclamenford/bench/watch"
 )
@@ -76,7 +77,7 @@
 func runScenario(t *testing.T, s scenario) {
 	ctx, cancel := context.WithTimeout(context.Background(), scenarioTimeout)
 	defer cancel()
-	folder := t.TempDir()
+	folder := runfolder.New(t)
 	x, err := drill.New(s.Script, binary, folder)
 	must.NoError(t, err)
 	defer func() { must.NoError(t, x.Close()) }()
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"cyclamenford/bench/runfolder"
 	"cyclamenford/bench/site"
 	"cyclamenford/bench/soak"
 	"cyclamenford/bench/strict"
@@ -36,7 +37,7 @@
 			t.Parallel()
 			parallelScenarios <- struct{}{}
 			defer func() { <-parallelScenarios }()
-			folder := t.TempDir()
+			folder := runfolder.New(t)
 			r := soak.RunSeed(context.Background(), soak.Options{
 				Binary: binary, Folder: folder, Deployment: s.Deployment, Hosts: s.Hosts, RunMs: s.RunMs,
 			}, s.Seed)
