Run the network between a drill's hosts in a process of its own

Replayed beside 24 busy loops (load 45 to 65) with the hosts' logs: the urgent flood alone failed once of two with 10,028 refusals NoServingLease. The leader, whose own ticks came in time, had no replies from a majority for 600 ms and stepped down, before the scenario had cut anything off; three elections failed, and no host had heard a leader for 5.7 s.

Cause: the keepers' messages pass the proxy, which ran in the test's process with the load, the stand-ins and up to two further scenarios (4,000 to 5,000 goroutines). That process got about 0.6 of a processor, and bytes between hosts were forwarded up to 512 ms later than the link's delay; the election timeout is 600 ms and the leader's lease 450 ms.

The hosts' links now pass a child process (cyclamenford proxy, hidden) that has the same rules and does not wait for the load. Bounds, load and steps are unchanged. An address by which a keeper is founded or joined still bypasses the proxy, as before.

--- a/bench/drill/drill.go
+++ b/bench/drill/drill.go
@@ -68,8 +68,10 @@
 		Endpoints: x.endpointParties, SkipInapplicable: s.Overlapping,
 		OnKill: func(n int) { x.record.HostKilled(x.settings[n].Listeners.Callers) }, OnFail: x.record.HostFailed,
 	}
-	x.group.SetOneWay()
-	return x, x.prepareHosts(binary, folder)
+	if err := x.prepareHosts(binary, folder); err != nil {
+		return nil, errors.Join(err, x.group.Close())
+	}
+	return x, nil
 }
 
 func (x *Drill) endpointParties() []fault.Party {
@@ -92,13 +94,23 @@
 }
 
 func (x *Drill) prepareHosts(binary, folder string) error {
+	names := map[string]string{}
+	for n, h := range x.deployment.Hosts {
+		names[hostIP(n)] = string(h.ID)
+	}
+	child, err := proxy.StartChild(names, binary, "proxy")
+	if err != nil {
+		return err
+	}
+	x.group.Network.UseChild(child)
+	x.group.SetOneWay()
 	var all []site.Addresses
 	for n, h := range x.deployment.Hosts {
 		a, err := site.FreeAddresses(hostIP(n))
 		if err != nil {
 			return err
 		}
-		advertised, err := x.group.Network.Listen(string(h.ID), a.Peers)
+		advertised, err := x.group.Network.ListenApart(string(h.ID), a.Peers)
 		if err != nil {
 			return err
 		}
--- a/bench/fault/group.go
+++ b/bench/fault/group.go
@@ -105,26 +105,23 @@
 	"Tear": func(g *Group, _ Step, n int) error { return g.Hosts[n].appendPartialRecord() },
 	"Wipe": func(g *Group, _ Step, n int) error { return g.Hosts[n].removeData() },
 	"Isolate": func(g *Group, _ Step, n int) error {
-		g.Network.SetRule(proxy.Link{From: g.Hosts[n].Name}, proxy.Rule{Hold: true})
-		g.Network.SetRule(proxy.Link{To: g.Hosts[n].Name}, proxy.Rule{Hold: true})
+		g.Network.SetRule(proxy.Rule{Hold: true}, g.linksOf(n)...)
 		return nil
 	},
 	"IsolateOut": func(g *Group, _ Step, n int) error {
-		g.Network.SetRule(proxy.Link{From: g.Hosts[n].Name}, proxy.Rule{Hold: true})
+		g.Network.SetRule(proxy.Rule{Hold: true}, proxy.Link{From: g.Hosts[n].Name})
 		return nil
 	},
 	"IsolateIn": func(g *Group, _ Step, n int) error {
-		g.Network.SetRule(proxy.Link{To: g.Hosts[n].Name}, proxy.Rule{Hold: true})
+		g.Network.SetRule(proxy.Rule{Hold: true}, proxy.Link{To: g.Hosts[n].Name})
 		return nil
 	},
 	"Delay": func(g *Group, s Step, n int) error {
-		g.Network.SetRule(proxy.Link{From: g.Hosts[n].Name}, proxy.Rule{Delay: s.DelayMs.Duration()})
-		g.Network.SetRule(proxy.Link{To: g.Hosts[n].Name}, proxy.Rule{Delay: s.DelayMs.Duration()})
+		g.Network.SetRule(proxy.Rule{Delay: s.DelayMs.Duration()}, g.linksOf(n)...)
 		return nil
 	},
 	"Heal": func(g *Group, _ Step, n int) error {
-		g.Network.RemoveRule(proxy.Link{From: g.Hosts[n].Name})
-		g.Network.RemoveRule(proxy.Link{To: g.Hosts[n].Name})
+		g.Network.RemoveRule(g.linksOf(n)...)
 		return nil
 	},
 	"HealAll": func(g *Group, _ Step, _ int) error {
@@ -138,11 +135,11 @@
 		return nil
 	},
 	"IsolateDomain": func(g *Group, s Step, _ int) error {
-		g.visitBoundaryLinks(s.Domain, func(l proxy.Link) { g.Network.SetRule(l, proxy.Rule{Hold: true}) })
+		g.Network.SetRule(proxy.Rule{Hold: true}, g.boundaryLinks(s.Domain)...)
 		return nil
 	},
 	"HealDomain": func(g *Group, s Step, _ int) error {
-		g.visitBoundaryLinks(s.Domain, g.Network.RemoveRule)
+		g.Network.RemoveRule(g.boundaryLinks(s.Domain)...)
 		return nil
 	},
 	"CutHost": func(g *Group, _ Step, n int) error {
@@ -157,7 +154,7 @@
 
 // SetOneWay sets the delay of every link to OneWay.
 func (g *Group) SetOneWay() {
-	g.Network.SetRule(proxy.Link{}, proxy.Rule{Delay: g.OneWay})
+	g.Network.SetRule(proxy.Rule{Delay: g.OneWay}, proxy.Link{})
 }
 
 // Do executes a step that affects hosts or the network. It returns false for any other step.
@@ -247,8 +244,14 @@
 	return g.Hosts[n].Signal(syscall.SIGTERM)
 }
 
-// visitBoundaryLinks calls visit for each link between a party inside a failure domain and one outside, in both directions.
-func (g *Group) visitBoundaryLinks(domain core.FailureDomain, visit func(proxy.Link)) {
+// linksOf returns the links from and to a host.
+func (g *Group) linksOf(n int) []proxy.Link {
+	return []proxy.Link{{From: g.Hosts[n].Name}, {To: g.Hosts[n].Name}}
+}
+
+// boundaryLinks returns the links between the parties inside a failure domain and those outside, in both directions.
+func (g *Group) boundaryLinks(domain core.FailureDomain) []proxy.Link {
+	var links []proxy.Link
 	parties := g.Endpoints()
 	for _, h := range g.Hosts {
 		parties = append(parties, h.Party)
@@ -256,9 +259,9 @@
 	for _, a := range parties {
 		for _, b := range parties {
 			if a.Domain == domain && b.Domain != domain {
-				visit(proxy.Link{From: a.Name, To: b.Name})
-				visit(proxy.Link{From: b.Name, To: a.Name})
+				links = append(links, proxy.Link{From: a.Name, To: b.Name}, proxy.Link{From: b.Name, To: a.Name})
 			}
 		}
 	}
+	return links
 }
--- a/bench/proxy/proxy.go
+++ b/bench/proxy/proxy.go
@@ -33,6 +33,8 @@
 type Network struct {
 	// nameOf returns the name of the party that uses a source IP address.
 	nameOf func(ip string) string
+	// child is the process for the listeners of ListenApart, nil if there is none. It has the same rules.
+	child *Child
 
 	mu    sync.Mutex
 	rules map[Link]Rule
@@ -64,6 +66,14 @@
 	return &Network{nameOf: nameOf, rules: map[Link]Rule{}, conns: map[*connection]struct{}{}, sent: map[string]origin{}, stop: make(chan struct{})}
 }
 
+// UseChild makes a child process serve the listeners of ListenApart. It must be called before any other method.
+func (n *Network) UseChild(c *Child) { n.child = c }
+
+// ListenApart is Listen in the child process. Origin and SentAt do not know what it forwards.
+func (n *Network) ListenApart(party, target string) (string, error) {
+	return n.child.listen(Target{party, target})
+}
+
 // Listen starts a proxy on a free local port that forwards to a party's target address, and returns the proxy's address.
 func (n *Network) Listen(party, target string) (string, error) {
 	return n.ListenAt("127.0.0.1:0", party, target)
@@ -82,22 +92,29 @@
 	return l.Addr().String(), nil
 }
 
-// SetRule sets the rule of a link and replaces any earlier one.
-func (n *Network) SetRule(l Link, r Rule) {
+// SetRule sets the rule of links and replaces any earlier one.
+func (n *Network) SetRule(r Rule, links ...Link) {
+	n.child.call("SetRule", LinkRule{r, links})
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.rules[l] = r
+	for _, l := range links {
+		n.rules[l] = r
+	}
 }
 
-// RemoveRule removes a link's rule.
-func (n *Network) RemoveRule(l Link) {
+// RemoveRule removes the rules of links.
+func (n *Network) RemoveRule(links ...Link) {
+	n.child.call("RemoveRule", links)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.rules, l)
+	for _, l := range links {
+		delete(n.rules, l)
+	}
 }
 
 // RemoveAllRules removes every rule.
 func (n *Network) RemoveAllRules() {
+	n.child.call("RemoveAllRules", struct{}{})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.rules)
@@ -105,6 +122,7 @@
 
 // CloseConnections closes the connections between two parties, whichever side opened them. An empty name matches every party.
 func (n *Network) CloseConnections(a, b string) {
+	n.child.call("CloseConnections", Link{a, b})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for p := range n.conns {
@@ -125,6 +143,8 @@
 		_ = l.Close()
 	}
 	n.CloseConnections("", "")
+	// Ignores the error: a child that ended too early has made a call above panic.
+	_ = n.child.close()
 	n.wg.Wait()
 }
 
--- a/cmds/equip/equipment.go
+++ b/cmds/equip/equipment.go
@@ -13,6 +13,7 @@
 
 	"cyclamenford/cmds/term"
 
+	"cyclamenford/bench/proxy"
 	"cyclamenford/bench/site"
 	"cyclamenford/bench/stand"
 )
@@ -22,7 +23,7 @@
 
 // Commands returns the subcommands of the test equipment.
 func Commands() []*cli.Command {
-	return []*cli.Command{standinCommand(), exampleCommand(), loadCommand(), slopeCommand()}
+	return []*cli.Command{standinCommand(), exampleCommand(), loadCommand(), slopeCommand(), proxyCommand()}
 }
 
 func standinCommand() *cli.Command {
@@ -46,6 +47,15 @@
 	}
 }
 
+func proxyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "proxy", Usage: "run the network between the hosts of a test that starts it (test equipment)", Hidden: true,
+		Action: func(_ context.Context, c *cli.Command) error {
+			return proxy.ServeChild(c.Args().First(), os.Stdin, os.Stdout)
+		},
+	}
+}
+
 // runStandIns runs the stand-in endpoints of the list, or the one that --Only names, until ctx is cancelled.
 func runStandIns(ctx context.Context, c *cli.Command, list []stand.Options) error {
 	var servers []*stand.Server
