--- a/bench/fault/group.go
+++ b/bench/fault/group.go
@@ -105,19 +105,19 @@
 	"Tear": func(g *Group, _ Step, n int) error { return g.Hosts[n].appendPartialRecord() },
 	"Wipe": func(g *Group, _ Step, n int) error { return g.Hosts[n].removeData() },
 	"Isolate": func(g *Group, _ Step, n int) error {
-		g.Network.SetRule(proxy.Rule{Hold: true}, g.linksOf(n)...)
+		g.Network.SetRules(proxy.Rule{Hold: true}, g.linksOf(n)...)
 		return nil
 	},
 	"IsolateOut": func(g *Group, _ Step, n int) error {
-		g.Network.SetRule(proxy.Rule{Hold: true}, proxy.Link{From: g.Hosts[n].Name})
+		g.Network.SetRules(proxy.Rule{Hold: true}, proxy.Link{From: g.Hosts[n].Name})
 		return nil
 	},
 	"IsolateIn": func(g *Group, _ Step, n int) error {
-		g.Network.SetRule(proxy.Rule{Hold: true}, proxy.Link{To: g.Hosts[n].Name})
+		g.Network.SetRules(proxy.Rule{Hold: true}, proxy.Link{To: g.Hosts[n].Name})
 		return nil
 	},
 	"Delay": func(g *Group, s Step, n int) error {
-		g.Network.SetRule(proxy.Rule{Delay: s.DelayMs.Duration()}, g.linksOf(n)...)
+		g.Network.SetRules(proxy.Rule{Delay: s.DelayMs.Duration()}, g.linksOf(n)...)
 		return nil
 	},
 	"Heal": func(g *Group, _ Step, n int) error {
@@ -135,7 +135,7 @@
 		return nil
 	},
 	"IsolateDomain": func(g *Group, s Step, _ int) error {
-		g.Network.SetRule(proxy.Rule{Hold: true}, g.boundaryLinks(s.Domain)...)
+		g.Network.SetRules(proxy.Rule{Hold: true}, g.boundaryLinks(s.Domain)...)
 		return nil
 	},
 	"HealDomain": func(g *Group, s Step, _ int) error {
@@ -154,7 +154,7 @@
 
 // SetOneWay sets the delay of every link to OneWay.
 func (g *Group) SetOneWay() {
-	g.Network.SetRule(proxy.Rule{Delay: g.OneWay}, proxy.Link{})
+	g.Network.SetRules(proxy.Rule{Delay: g.OneWay}, proxy.Link{})
 }
 
 // Do executes a step that affects hosts or the network. It returns false for any other step.
--- a/bench/proxy/child.go
+++ b/bench/proxy/child.go
@@ -84,9 +84,9 @@
 	return err
 }
 
-// SetRule is Network.SetRule.
-func (c *childCalls) SetRule(r LinkRule, _ *struct{}) error {
-	c.n.SetRule(r.Rule, r.Links...)
+// SetRules is Network.SetRules.
+func (c *childCalls) SetRules(r LinkRule, _ *struct{}) error {
+	c.n.SetRules(r.Rule, r.Links...)
 	return nil
 }
 
--- a/bench/proxy/child_test.go
+++ b/bench/proxy/child_test.go
@@ -60,14 +60,14 @@
 	receives("a")
 
 	links := []Link{{From: "host", To: "peer"}, {From: "peer", To: "host"}}
-	n.SetRule(Rule{Hold: true}, links...)
+	n.SetRules(Rule{Hold: true}, links...)
 	send("b")
 	_, err = read(200 * time.Millisecond)
 	must.ErrorIs(t, err, os.ErrDeadlineExceeded)
 	n.RemoveRule(links...)
 	receives("b")
 
-	n.SetRule(Rule{Hold: true}, Link{To: "peer"})
+	n.SetRules(Rule{Hold: true}, Link{To: "peer"})
 	send("c")
 	n.RemoveAllRules()
 	receives("c")
--- a/bench/proxy/proxy.go
+++ b/bench/proxy/proxy.go
@@ -92,9 +92,12 @@
 	return l.Addr().String(), nil
 }
 
-// SetRule sets the rule of links and replaces any earlier one.
-func (n *Network) SetRule(r Rule, links ...Link) {
-	n.child.call("SetRule", LinkRule{r, links})
+// SetRule sets the rule of a link and replaces any earlier one.
+func (n *Network) SetRule(l Link, r Rule) { n.SetRules(r, l) }
+
+// SetRules sets the rule of links and replaces any earlier one.
+func (n *Network) SetRules(r Rule, links ...Link) {
+	n.child.call("SetRules", LinkRule{r, links})
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range links {
--- a/bench/proxy/proxy_test.go
+++ b/bench/proxy/proxy_test.go
@@ -26,7 +26,7 @@
 	defer func() { must.NoError(t, server.Close()) }()
 
 	sentAt := func(hold time.Duration) time.Time {
-		n.SetRule(Rule{Hold: true}, Link{From: "host"})
+		n.SetRule(Link{From: "host"}, Rule{Hold: true})
 		_, err := client.Write([]byte("x"))
 		must.NoError(t, err)
 		time.Sleep(hold)
@@ -43,7 +43,7 @@
 	must.Greater(t, 150*time.Millisecond, second.Sub(first))
 
 	// SentAt must also work if the sender closes its connection before the proxy releases the data.
-	n.SetRule(Rule{Hold: true}, Link{From: "host"})
+	n.SetRule(Link{From: "host"}, Rule{Hold: true})
 	_, err = client.Write([]byte("x"))
 	must.NoError(t, err)
 	must.NoError(t, client.Close())
--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -127,7 +127,7 @@
 	d.record.note("cut of %s: %v", h.name, on)
 	for _, l := range []proxy.Link{{From: h.name}, {To: h.name}} {
 		if on {
-			d.network.SetRule(proxy.Rule{Hold: true}, l)
+			d.network.SetRule(l, proxy.Rule{Hold: true})
 			continue
 		}
 		d.network.RemoveRule(l)
