Judge an answer by the headers that its client gets

A client of a stream got an answer without the type of events, or without the runner's signature: an endpoint can name these headers in Connection, as for its connection only. The relay checked the answer with them and forwarded it without, and the HTTP server guessed a type from the first bytes.

The headers that Connection names are removed when the head is read, before anything is checked. The row of TestBytesThatAreNoEventReachNobody (a type that is for the connection only) fails before on both kinds of streams and on chats, as the answer counts as a sound stream.

TestBytesThatAreNoEventReachNobodyOnALaterAttempt checks again that the row is sent once, after the repeats of refused streams.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"cyclamenford/core"
@@ -54,19 +53,15 @@
 	return &answerWriter{w: w, clock: c, lastEvent: max(event.None, lastEvent)}
 }
 
-// hopByHop lists the hop-by-hop headers, which concern one connection only and are not forwarded.
+// hopByHop lists the hop-by-hop headers, which are not forwarded. Those that Connection names were removed before the answer was checked.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
 // writeHeader writes the status and the header of an endpoint's answer without its hop-by-hop headers.
 func (o *answerWriter) writeHeader(from core.EndpointID, status int, h http.Header) {
-	dropped := slices.Clone(hopByHop)
-	for _, name := range strings.Split(strings.Join(h["Connection"], ","), ",") {
-		dropped = append(dropped, http.CanonicalHeaderKey(strings.TrimSpace(name)))
-	}
 	for name, values := range h {
-		if !slices.Contains(dropped, name) {
+		if !slices.Contains(hopByHop, name) {
 			o.w.Header()[name] = values
 		}
 	}
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -130,6 +130,7 @@
 			}
 			continue
 		}
+		dropConnectionHeaders(resp.Header)
 		if x.isAnswer(r, resp) {
 			x.limit.remaining = noLimit
 			return resp, nil
@@ -144,6 +145,16 @@
 	return nil, ErrStrayAnswers
 }
 
+// dropConnectionHeaders removes the headers that the header Connection names, which are not forwarded, so that an answer is judged by the
+// headers that its client gets. Keep-Alive is for this end of the connection.
+func dropConnectionHeaders(h http.Header) {
+	for _, name := range strings.Split(strings.Join(h["Connection"], ","), ",") {
+		if name = strings.TrimSpace(name); !strings.EqualFold(name, "Keep-Alive") {
+			h.Del(name)
+		}
+	}
+}
+
 // isAnswer reports whether a response on the connection answers the request that was sent last.
 func (x *conn) isAnswer(r Request, resp *http.Response) bool {
 	if r.IsAnswer == nil {
