Read the cold bounds of services, and name the load report of an answer

The configuration's cold-start-s and cold-per-s were not read. conf.Service holds and checks them; nothing decides by them yet. order.LoadReport is the form in which answers' load reports will reach the scheduler, so that the parts that follow agree on it.

--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -15,6 +15,7 @@
 	services := map[string]bool{}
 	for _, s := range c.Services {
 		services[s.Name] = true
+		errs = append(errs, s.check()...)
 	}
 	routeAt := map[string]string{}
 	for _, r := range c.Routes {
@@ -37,6 +38,24 @@
 	return errors.Join(errs...)
 }
 
+// maxColdTime and maxColdPerSecond bound what a service may say of its cold endpoints. Values above them are mistakes.
+const (
+	maxColdTime      = 24 * 60 * 60 * core.Second
+	maxColdPerSecond = 1e6
+)
+
+func (s Service) check() []error {
+	var errs []error
+	if s.ColdTime < 0 || s.ColdTime > maxColdTime {
+		errs = append(errs, core.NewFieldError("service "+s.Name+" cold time", s.ColdTime, fmt.Sprint("0 to ", maxColdTime, " ms")))
+	}
+	// NaN fails both comparisons.
+	if !(s.ColdPerSecond >= 0 && s.ColdPerSecond <= maxColdPerSecond) {
+		errs = append(errs, core.NewFieldError("service "+s.Name+" cold rate", s.ColdPerSecond, fmt.Sprint("0 to ", maxColdPerSecond)))
+	}
+	return errs
+}
+
 func (r Route) check(services map[string]bool) []error {
 	var errs []error
 	addError := func(field string, found, expected any) {
--- a/core/conf/types.go
+++ b/core/conf/types.go
@@ -71,6 +71,10 @@
 	HealthPath string
 	// MaxConnections limits the connections to one endpoint, summed over all hosts.
 	MaxConnections int
+	// ColdTime is how long an endpoint is cold after its start, and ColdPerSecond the number of requests per second that a
+	// cold endpoint can bear. There is no such bound if either is 0.
+	ColdTime      core.Millis
+	ColdPerSecond float64
 	// Engine is set for services that generate tokens, and Pieces for services that prepare inputs. Both are nil for
 	// plain services.
 	Engine *Engine
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -93,6 +93,16 @@
 	Cold core.Millis
 }
 
+// LoadReport is what an endpoint says of its load in an answer, as of the moment of the answer.
+type LoadReport struct {
+	// Stated is false if the answer says nothing, or nothing that can be read.
+	Stated bool
+	// Running and Waiting count the endpoint's requests, Slots those that it runs at the same time.
+	Running, Waiting, Slots int
+	// Slowness is how long work takes at this moment relative to usual, 1 for as usual, or 0 if the endpoint does not say.
+	Slowness float64
+}
+
 // AttemptOutcome is the outcome of an attempt at an endpoint.
 type AttemptOutcome string
 
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -54,6 +54,8 @@
 	// the key then.
 	Life   core.Life
 	Notice notice.Notice
+	// Load is what the answer says of the endpoint's load, if the event is about an answer.
+	Load order.LoadReport
 }
 
 // EventsArgs carries events in the order in which they occurred, and what endpoints have said about their limits to Host.
--- a/io/relay.go
+++ b/io/relay.go
@@ -78,6 +78,8 @@
 	Notice notice.Notice
 	// Limit is what the answer says about the rate of requests that the endpoint accepts.
 	Limit limit.Statement
+	// Load is what the answer says of the endpoint's load.
+	Load order.LoadReport
 	// HeaderError describes a header that could not be parsed and is therefore ignored.
 	HeaderError string
 }
