Count the requests of an earlier scheduler at their engines

A new scheduler knew announcements and results of stages, but not the requests that run at engines, and counted full engines as empty. The tests of core/sched and core/fleet pass.

--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -52,6 +52,8 @@
 	unreadTokens int
 	heldTokens   int
 	cache        *promptCache
+	// inheritedTokens is the part of heldTokens that belongs to requests which an earlier scheduler granted.
+	inheritedTokens int
 	// slowdown is the ratio of observed to expected call time. failureRate is the share of failed attempts.
 	slowdown     estimate
 	failureRate  estimate
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -192,6 +192,11 @@
 	ResultsMade *HeldResults
 	CallBegan   *RunningCall
 	CallEnded   uint64
+	// RequestRuns is a request that was granted an engine, RequestBegan the key of one whose first byte has arrived, and RequestEnded
+	// that of one that has left its engine.
+	RequestRuns  *RunningRequest
+	RequestBegan *Key
+	RequestEnded *Key
 }
 
 // StageKey identifies a stage of a request.
--- a/core/sched/host.go
+++ b/core/sched/host.go
@@ -15,6 +15,7 @@
 // partitioned from the scheduler.
 func (s *Scheduler) HostLost(now core.Millis, host core.HostID) {
 	s.now = now
+	s.stopAwaiting(host)
 	if s.dropMatching(func(r *request) bool { return r.Key.Host == host && r.endpoint == nil }) {
 		s.passDue = true
 	}
@@ -26,6 +27,7 @@
 		return false
 	}
 	s.incarnations[host] = life
+	s.endFormerLives(host, life)
 	return s.dropMatching(func(r *request) bool { return r.Key.Host == host && r.Key.Life < life })
 }
 
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -96,7 +96,7 @@
 
 // canTake reports whether an endpoint can be granted to a request now.
 func (s *Scheduler) canTake(e *fleet.Endpoint, r *request) bool {
-	return e.Usable(s.now) && s.pausedUntil(e, r) == 0 && !slices.Contains(r.tried, e.ID) && e.Fits(r.Prompt) && s.permitFree(e) &&
+	return e.Usable(s.now) && s.pausedUntil(e, r) == 0 && !slices.Contains(r.tried, e.ID) && e.Fits(r.Prompt) && s.fitsKnown(e, r.Prompt) && s.permitFree(e) &&
 		(!r.Bound || e.Version == r.Version)
 }
 
@@ -121,6 +121,7 @@
 		Permitted: s.takePermit(e), Key: r.Key, ID: r.ID, Endpoint: e.ID, Life: e.Incarnation, Version: e.Version, Address: e.Address, Inputs: r.inputHandles(r.finalStages()),
 		Attempt: r.attempts, Waited: s.now - r.arrivedAt, Expected: core.Millis(cost), Cached: cached,
 	}})
+	s.recordRuns(r)
 }
 
 // leaveEndpoint releases the load that a request occupies at its endpoint.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -56,6 +56,8 @@
 	trials   map[poison.Content]uint64
 	// pauses holds the ends of the pauses that endpoints have asked hosts for.
 	pauses map[pauseKey]core.Millis
+	// former holds the requests that an earlier scheduler granted.
+	former formerRequests
 	limits Limits
 	// limitsInUse is set while an endpoint may have a limit set by updateLimits.
 	limitsInUse bool
@@ -121,7 +123,7 @@
 		retries: r, fleet: fleet.New(), services: map[string]*service{},
 		requests: map[order.Key]*request{}, incarnations: map[core.HostID]core.Incarnation{}, calls: map[uint64]*call{}, pendingFrees: map[uint64]pendingFree{},
 		inherited: map[order.Key][]order.HeldResults{}, trials: map[poison.Content]uint64{},
-		pauses: map[pauseKey]core.Millis{}, limits: limit.NewIssuer(),
+		pauses: map[pauseKey]core.Millis{}, limits: limit.NewIssuer(), former: newFormerRequests(),
 	}
 }
 
@@ -165,6 +167,7 @@
 func (s *Scheduler) SetEndpoint(now core.Millis, e order.Endpoint, leaving bool) {
 	s.now = now
 	s.fleet.Upsert(now, e, leaving)
+	s.attachFormer()
 	s.passDue = true
 }
 
@@ -172,6 +175,7 @@
 func (s *Scheduler) RemoveEndpoint(now core.Millis, id core.EndpointID) {
 	s.now = now
 	s.fleet.Remove(id)
+	s.detachFormer(id)
 }
 
 // AddRequest adds a request. The decision follows as a Grant or a Refusal.
@@ -181,6 +185,8 @@
 		return
 	}
 	s.recordIncarnation(a.Key.Host, a.Key.Life)
+	// The host has not used a grant of an earlier scheduler if it places the request again.
+	s.endFormer(a.Former)
 	r := &request{PlacementRequest: a, arrivedAt: now, aimAt: now + a.Aim, deadlineAt: now + a.Left, attempts: a.Attempts}
 	r.stages = make([]stageState, len(a.Stages))
 	for i, ask := range a.Stages {
@@ -239,10 +245,15 @@
 func (s *Scheduler) FirstByteReceived(now core.Millis, key order.Key, attempt int) {
 	s.now = now
 	r, ok := s.requests[key]
-	if !ok || r.endpoint == nil || r.firstByteSeen || attempt > 0 && attempt != r.attempts {
+	if !ok {
+		s.beginFormer(key)
+		return
+	}
+	if r.endpoint == nil || r.firstByteSeen || attempt > 0 && attempt != r.attempts {
 		return
 	}
 	r.firstByteSeen = true
+	s.recordBegan(r)
 	r.endpoint.RecordFirstByte(r.load, s.now-r.grantedAt)
 	s.freeAllResults(r)
 	s.passDue = true
@@ -253,10 +264,12 @@
 	s.now = now
 	r, ok := s.requests[key]
 	if !ok {
+		s.recordFormerEnding(key, ending)
 		return
 	}
 	if r.endpoint != nil {
 		r.endpoint.RecordEnding(s.now, ending)
+		s.recordLeft(r)
 		r.leaveEndpoint()
 		s.updateDue(r)
 	}
@@ -297,6 +310,7 @@
 	s.restartOverdueCalls()
 	s.freeFetchedInputs()
 	s.expireInheritedCalls()
+	s.expireFormer()
 	s.freeUnclaimed()
 	s.removeExpiredPauses()
 	s.updateLimits()
@@ -391,6 +405,7 @@
 
 // drop removes a request and releases everything that it holds.
 func (s *Scheduler) drop(r *request) {
+	s.recordLeft(r)
 	r.leaveEndpoint()
 	s.freeAllResults(r)
 	s.dequeue(r)
