Tell a new leader which requests run at engines

Keepers now copy the grants, first bytes and ends of requests at engines with the events about results, or all of them if they have not copied before. Entry hosts list their requests once to each leader and term, before their events. What a scheduler observed of its endpoints is copied as well.

--- a/core/order/running.go
+++ b/core/order/running.go
@@ -1,6 +1,10 @@
 package order
 
-import "cyclamenford/core"
+import (
+	"cmp"
+
+	"cyclamenford/core"
+)
 
 // RunningRequest describes a request that was granted an engine and whose end is not known yet. It lets a later scheduler count what the
 // engine holds.
@@ -19,6 +23,11 @@
 	Parts []Part
 }
 
+// Compare orders keys by host, incarnation and sequence number.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Host, other.Host), cmp.Compare(k.Life, other.Life), cmp.Compare(k.Seq, other.Seq))
+}
+
 // Observation is what a scheduler has observed of an endpoint.
 type Observation struct {
 	// Slowdown is the ratio of observed to expected call time, 0 if the observation is not stated.
--- a/core/sched/former.go
+++ b/core/sched/former.go
@@ -285,7 +285,7 @@
 	}
 	return order.RunningRequest{
 		Key: r.Key, Endpoint: r.endpoint.ID, Life: r.endpoint.Incarnation, HeldTokens: r.load.HeldTokens, UnreadTokens: r.load.UnreadTokens,
-		Began: r.firstByteSeen, Till: r.deadlineAt + hostReportGrace, Parts: r.Prompt.Parts,
+		Began: r.firstByteSeen, Till: r.deadlineAt + HostReportGrace, Parts: r.Prompt.Parts,
 	}, true
 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
 
 	"cyclamenford/core"
@@ -16,9 +15,9 @@
 // time, since calls may be faster than expected.
 const onTimeShare = 0.8
 
-// hostReportGrace is how long after its deadline a running request is dropped if its host has not reported the end of
+// HostReportGrace is how long after its deadline a running request is dropped if its host has not reported the end of
 // the attempt.
-const hostReportGrace = 2 * core.Second
+const HostReportGrace = 2 * core.Second
 
 // maxFreeUnreachable is how many unreachable endpoints a request may meet before they count as attempts.
 const maxFreeUnreachable = 3
@@ -318,7 +317,7 @@
 	for _, r := range s.sortedRequests() {
 		if r.endpoint != nil {
 			// The host ends the request by its deadline unless the host itself has ended.
-			if now > r.deadlineAt+hostReportGrace {
+			if now > r.deadlineAt+HostReportGrace {
 				s.drop(r)
 			}
 			continue
@@ -363,7 +362,7 @@
 }
 
 func compareKeys(a, b order.Key) int {
-	return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Life, b.Life), cmp.Compare(a.Seq, b.Seq))
+	return a.Compare(b)
 }
 
 // advance queues the stages whose inputs are ready, or the request itself once all stages are done.
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -125,8 +125,12 @@
 	// in the roll.
 	permits         *permit.Issuer
 	publishedLimits uint64
-	// heldEvents records the latest events about held results, for keepers that copy them.
+	// heldEvents records the latest events about held results and requests at engines, for keepers that copy them.
 	heldEvents eventLog
+	// inheritedAt is when the scheduler was given the requests of the former one, and settledLogged means that it was logged that all are
+	// known.
+	inheritedAt   core.Millis
+	settledLogged bool
 	// publisher publishes the roll to entry hosts.
 	publisher publisher
 	activity  activity
@@ -228,8 +232,12 @@
 	a.log.Info("assigner stopped: this keeper no longer leads", "term", a.term)
 	// The lease may still be renewed in the same term. The assigner then continues from the endpoints and results that it knew itself.
 	a.standby.endpoints, a.standby.copiedAt = a.roster.list(now), now
+	a.addObservations(now, a.standby.endpoints)
 	a.standby.results = resultsCopy{}
-	a.standby.results.apply(now, HeldReply{Term: a.term, Next: a.heldEvents.nextNumber, Events: a.heldEvents.events, Now: now})
+	known := HeldReply{Term: a.term, Next: a.heldEvents.nextNumber, Events: a.heldEvents.events, Now: now}
+	known.Unsettled = !a.sched.FormerStatus(now).Settled
+	a.setWhole(&known)
+	a.standby.results.apply(now, known)
 	a.term = 0
 	a.endSuspension()
 	a.reset()
@@ -325,6 +333,7 @@
 	}
 	a.publishLimits()
 	a.settleVersions(now)
+	a.logSettled(now)
 	a.sched.Tick(now)
 	a.executeActions()
 	a.logActivity(now)
@@ -401,7 +410,9 @@
 // waiter is a placement call that waits for a decision. Its channel is closed if none will come.
 type waiter struct {
 	decision chan order.Action
-	service  string
+	// term is the term in which the call waits.
+	term    uint64
+	service string
 	order.Continuation
 }
 
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -46,6 +46,11 @@
 		c.assigner.applyNotice(c.assigner.clock.Now(), *args.Notice)
 	}
 	reply.Unknown = leading && !c.assigner.sched.HasRequest(args.Key)
+	if reply.Unknown {
+		// An earlier scheduler granted the attempt, which still takes up room at its engine.
+		c.assigner.sched.AttemptEnded(c.assigner.clock.Now(), args.Key, args.How, false)
+		c.assigner.executeActions()
+	}
 	c.assigner.mu.Unlock()
 	if reply.Unknown {
 		reply.Leading = true
@@ -100,7 +105,7 @@
 		reply.Leading, reply.NotTaken = false, true
 		return nil
 	}
-	w.decision = make(chan order.Action, 1)
+	w.decision, w.term = make(chan order.Action, 1), a.term
 	a.waiters[key] = w
 	submit(a.clock.Now())
 	a.executeActions()
@@ -110,7 +115,7 @@
 		reply.Located = a.successor()
 		return nil
 	}
-	reply.Leading = true
+	reply.Leading, reply.Term = true, w.term
 	reply.Grant, reply.Refuse = action.Grant, action.Refuse
 	return nil
 }
@@ -208,7 +213,9 @@
 		reply.Leading = false
 		return nil
 	}
-	reply.Known = a.roster.list(a.clock.Now())
+	now := a.clock.Now()
+	reply.Known = a.roster.list(now)
+	a.addObservations(now, reply.Known)
 	reply.Limits = a.permits.Reports()
 	return nil
 }
@@ -229,6 +236,10 @@
 	}
 	reply.Term, reply.Next, reply.Now = a.term, a.heldEvents.nextNumber, a.clock.Now()
 	reply.Events = a.heldEvents.since(from)
+	reply.Unsettled = !a.sched.FormerStatus(reply.Now).Settled
+	if args.Term != a.term || !a.heldEvents.has(from) {
+		a.setWhole(reply)
+	}
 	return nil
 }
 
--- a/io/assign/ledger.go
+++ b/io/assign/ledger.go
@@ -10,9 +10,9 @@
 
 // eventLogSize is the minimum number of recent events that are kept for keepers that copy them. It covers a few
 // seconds in a large deployment.
-const eventLogSize = 1 << 13
+const eventLogSize = 1 << 14
 
-// eventLog holds the latest events about results that endpoints of stages hold, in order.
+// eventLog holds the latest events about results that endpoints of stages hold and about requests at engines, in order.
 type eventLog struct {
 	// nextNumber is the number of the next event.
 	nextNumber uint64
@@ -37,9 +37,10 @@
 	return l.events[max(first, from)-first:]
 }
 
-// addAction records a scheduler action if it concerns held results or stage calls in progress.
+// addAction records a scheduler action if it concerns held results, stage calls in progress or requests at engines.
 func (l *eventLog) addAction(action order.Action) {
 	switch {
+	case l.addRunning(action):
 	case action.ResultsMade != nil:
 		l.add(ResultEvent{Made: action.ResultsMade})
 	case action.CallBegan != nil:
@@ -53,20 +54,29 @@
 	}
 }
 
-// resultsCopy is a non-leading keeper's copy of the held results and stage calls of the leader's scheduler.
+// resultsCopy is a non-leading keeper's copy of the held results, stage calls and requests at engines of the leader's scheduler.
 type resultsCopy struct {
 	// term is the leader's term in which the events were recorded, and nextNumber the number of the next event to copy.
 	term, nextNumber uint64
 	results          map[order.Key][]order.HeldResults
 	calls            map[uint64]order.RunningCall
+	running          map[order.Key]order.RunningRequest
+	// whole means that running was complete once in this term, unsettled that the leader did not know all requests itself, and copiedAt is
+	// when the latest events were copied.
+	whole, unsettled bool
+	copiedAt         core.Millis
 }
 
 // apply updates the copy with the events of a reply and drops expired results and calls. Times of the leader's clock
 // are converted to this keeper's clock, which shows now.
 func (c *resultsCopy) apply(now core.Millis, reply HeldReply) {
 	if c.results == nil || reply.Term != c.term {
-		*c = resultsCopy{term: reply.Term, results: map[order.Key][]order.HeldResults{}, calls: map[uint64]order.RunningCall{}}
+		*c = resultsCopy{
+			term: reply.Term, results: map[order.Key][]order.HeldResults{}, calls: map[uint64]order.RunningCall{},
+			running: map[order.Key]order.RunningRequest{},
+		}
 	}
+	c.applyRunning(now, reply)
 	for _, e := range reply.Events {
 		if e.Made != nil {
 			h := *e.Made
@@ -85,6 +95,9 @@
 			delete(c.calls, e.Over)
 			continue
 		}
+		if e.Runs != nil || e.FirstByte != nil || e.Left != nil {
+			continue
+		}
 		kept := c.results[e.Key][:0]
 		for _, h := range c.results[e.Key] {
 			if h.Stage != e.Stage || e.Holder != "" && h.Endpoint != e.Holder {
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -121,6 +121,7 @@
 	list := make([]KnownEndpoint, 0, len(a.standby.endpoints))
 	for _, k := range a.standby.endpoints {
 		k.Age += copyAge
+		k.Observed.Age += copyAge
 		list = append(list, k)
 	}
 	restored := a.roster.restore(now, list, a.leader.Image().Retired)
@@ -133,11 +134,18 @@
 		a.sched.SetEndpoint(now, announcement.Endpoint, announcement.Leaving)
 		a.publisher.put(announcement)
 	}
+	for _, k := range list {
+		e := k.Announcement.Endpoint
+		a.sched.InheritObservation(now, core.Life{Endpoint: e.ID, Incarnation: e.Incarnation}, k.Observed)
+	}
 	results := a.standby.results.heldResults()
 	calls := a.standby.results.runningCalls()
 	a.sched.Inherit(now, results, calls)
+	running := a.inheritRunning(now)
+	resultsAge, copied := now-a.standby.results.copiedAt, a.standby.results.whole
 	a.standby.results = resultsCopy{}
-	a.log.Info("endpoints taken over", "endpoints", len(restored), "copied", len(list), "age_ms", copyAge, "held_results", len(results), "running_calls", len(calls))
+	a.log.Info("endpoints taken over", "endpoints", len(restored), "copied", len(list), "age_ms", copyAge, "held_results", len(results), "running_calls", len(calls),
+		"running_requests", running, "running_copied", copied, "running_age_ms", resultsAge, "hosts_awaited", a.sched.FormerStatus(now).Missing)
 }
 
 var _ Leader = (*keeper.Keeper)(nil)
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -40,6 +40,8 @@
 	Unknown bool
 	// NotTaken means that no scheduler of the answering keeper has got to know the request.
 	NotTaken bool
+	// Term is the term of the leader that decided.
+	Term uint64
 }
 
 // RequestEvent reports the progress of a request, or a notice of an endpoint, from an entry host. It needs no reply.
@@ -129,7 +131,8 @@
 // HeldArgs requests the events about held results from number From of Term on.
 type HeldArgs struct{ Term, From uint64 }
 
-// ResultEvent is one event about results that endpoints of stages hold, or about stage calls. One kind of event is set.
+// ResultEvent is one event about results that endpoints of stages hold, about stage calls, or about requests at engines. One kind of event
+// is set.
 type ResultEvent struct {
 	// Made are new results, Began is a call that began, and Over is the number of a call that is no longer in
 	// progress. If none of them is set, the results of the request Key for the stage Stage at Holder are freed; without a
@@ -140,6 +143,10 @@
 	Key    order.Key
 	Stage  int
 	Holder core.EndpointID
+	// Runs is a request that was granted an engine, FirstByte the key of one whose answer has begun, and Left that of one that has left its
+	// engine.
+	Runs            *order.RunningRequest
+	FirstByte, Left *order.Key
 }
 
 // HeldReply carries events in the order in which they occurred.
@@ -150,6 +157,11 @@
 	Events     []ResultEvent
 	// Now is the time of the leader's clock, to which the times in the events refer.
 	Now core.Millis
+	// Whole means that Running lists all requests at engines as of the last event.
+	Whole   bool
+	Running []order.RunningRequest
+	// Unsettled means that the leader itself may not know all requests at engines yet.
+	Unsettled bool
 }
 
 // CopyArgs asks a keeper that may lead next to copy what the leader knows at once.
@@ -167,4 +179,6 @@
 	Announcement Announcement
 	// Age is the time since the announcement arrived.
 	Age core.Millis
+	// Observed is what the leader's scheduler has observed of the endpoint.
+	Observed order.Observation
 }
--- a/io/entry/door.go
+++ b/io/entry/door.go
@@ -98,6 +98,7 @@
 	c.door.ApplyPage(now, reply.Page)
 	if reply.Page.Term != term {
 		c.events.addLimits(now, c.door.LimitReports(now))
+		c.events.running.noteTerm(reply.Page.Term)
 	}
 	c.warned = false
 	if reply.Page.Whole || len(reply.Page.Listed)+len(reply.Page.Gone) > 0 {
--- a/io/entry/events.go
+++ b/io/entry/events.go
@@ -36,6 +36,8 @@
 	peers   *peer.Client
 	clock   core.Clock
 	log     *slog.Logger
+	// running holds the requests at engines, which a new leader is told before any event.
+	running *runningList
 
 	mu     sync.Mutex
 	queued []assign.RequestEvent
@@ -50,18 +52,20 @@
 }
 
 func newEventQueue(host core.HostID, c Control, p *peer.Client, clock core.Clock, log *slog.Logger) *eventQueue {
-	e := &eventQueue{host: host, control: c, peers: p, clock: clock, log: log, limits: map[core.Life]heardLimit{}}
+	e := &eventQueue{host: host, control: c, peers: p, clock: clock, log: log, running: newRunningList(), limits: map[core.Life]heardLimit{}}
 	e.Loop = loop.New(flushInterval, e.flush)
 	return e
 }
 
 // addBegan queues that the endpoint of a request's attempt has begun to answer.
 func (e *eventQueue) addBegan(key order.Key, attempt int) {
+	e.running.begin(key)
 	e.add(assign.RequestEvent{Key: key, Began: true, Attempt: attempt})
 }
 
 // addEnded queues that a request has ended.
 func (e *eventQueue) addEnded(key order.Key, ending order.AttemptOutcome) {
+	e.running.remove(key)
 	e.add(assign.RequestEvent{Key: key, How: ending})
 }
 
@@ -97,6 +101,10 @@
 
 // flush sends the queued events to the leader, and queues them again if that fails or if the called keeper does not lead.
 func (e *eventQueue) flush(ctx context.Context) {
+	if !e.tellRunning(ctx) {
+		loop.Sleep(ctx, notLeadingPause)
+		return
+	}
 	e.mu.Lock()
 	batch, limits := e.queued, e.limits
 	e.queued, e.limits = nil, map[core.Life]heardLimit{}
--- a/io/entry/events_test.go
+++ b/io/entry/events_test.go
@@ -10,6 +10,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/clock"
+	"cyclamenford/core/ledger"
 	"cyclamenford/core/notice"
 	"cyclamenford/core/order"
 	"cyclamenford/io/assign"
@@ -66,6 +67,7 @@
 }
 
 func (l leaderAt) LeaderAddress() string { return l.address }
+func (l leaderAt) Holder() ledger.Holder { return ledger.Holder{Host: "h", Incarnation: 1} }
 
 // TestEventsToldToAFormerLeaderAreToldAgain guards against notices of endpoints that are lost when the leader hands over.
 func TestEventsToldToAFormerLeaderAreToldAgain(t *testing.T) {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -243,6 +243,7 @@
 	if r.plain {
 		return r.choose(r.attempts > 0)
 	}
+	r.entry.events.running.remove(r.key)
 	grant, problem := r.callScheduler(ctx, assign.Service+".Again", func() any {
 		if ending == order.NotSent {
 			return r.replacementArgs(former)
@@ -280,6 +281,7 @@
 		case err != nil:
 			return nil, r.noLeaderProblem(err)
 		case reply.Grant != nil:
+			r.recordGrant(reply.Grant, reply.Term, address)
 			return reply.Grant, nil
 		case reply.Refuse != nil:
 			return nil, r.refusedProblem(*reply.Refuse)
