--- a/core/sched/former.go
+++ b/core/sched/former.go
@@ -18,8 +18,7 @@
 	missedPerSecond = 0.35
 	// missedRequests is how many of the largest known requests the copy may have missed at one engine at least.
 	missedRequests = 2
-	// unevenFactor is how much more of an engine's memory a host may use than its share. In a simulation of 8 hosts without a copy, a
-	// factor of 1 let 3 requests exceed the memory of an engine in 90 s; 3 let none.
+	// unevenFactor is how much more of what the copy missed may belong to a host than its share.
 	unevenFactor = 3
 )
 
@@ -149,14 +148,16 @@
 }
 
 // unknownTokens returns the number of tokens at an engine that requests of an earlier scheduler may take up which this one does not know:
-// less, the more hosts have listed theirs, and at least missedRequests.
+// less, the more hosts have listed theirs, but at least missedRequests. Without a copy it is all that the earlier scheduler planned for.
 func (f *formerRequests) unknownTokens(e *fleet.Endpoint) int {
 	most := e.PlannedMemory()
-	if f.copied {
-		missed := int(missedPerSecond * f.copyAge.Duration().Seconds() * float64(e.Memory()))
-		most = min(most, max(missed, missedRequests*f.largest))
+	if !f.copied {
+		return most
 	}
-	return min(most, max(unevenFactor*most*len(f.missing)/max(1, f.hosts), missedRequests*f.largest))
+	missed := int(missedPerSecond * f.copyAge.Duration().Seconds() * float64(e.Memory()))
+	requests := missedRequests * f.largest
+	most = min(most, max(missed, requests))
+	return min(most, max(unevenFactor*most*len(f.missing)/max(1, f.hosts), requests))
 }
 
 // addFormer counts a request of an earlier scheduler at its engine, unless this scheduler has the request itself or it has ended.
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -267,7 +267,7 @@
 func simulate(l load) *simulation {
 	sim := &simulation{
 		engines: newEngineRequests(), running: map[uint64]order.RunningCall{},
-		load:    l, rng: rand.New(rand.NewPCG(l.Seed, 1)), now: 1, waiting: map[order.Key]*clientRequest{}, held: map[order.Key][]order.HeldResults{}, requests: map[order.Key]*clientRequest{}, domains: map[core.EndpointID]int{}, tally: map[string]*tally{},
+		load: l, rng: rand.New(rand.NewPCG(l.Seed, 1)), now: 1, waiting: map[order.Key]*clientRequest{}, held: map[order.Key][]order.HeldResults{}, requests: map[order.Key]*clientRequest{}, domains: map[core.EndpointID]int{}, tally: map[string]*tally{},
 		handleExpiry: map[string]core.Millis{}, handleBytes: map[string]int64{}, usedRoom: map[string]int64{},
 		issuer: limit.NewIssuer(), sentToLimited: map[core.EndpointID][]core.Millis{}, quarantine: poison.New(), recoversAt: map[core.EndpointID]core.Millis{}, incarnations: map[core.HostID]core.Incarnation{}, busyUntil: map[core.EndpointID]core.Millis{}, cachedParts: map[core.EndpointID]map[string]bool{},
 	}
