List running requests again under a new incarnation of a host

A leader drops the requests of a host that has lost its lease and joined again, although the host still has them. The host now lists them again, those that the former leader granted count on.

--- a/core/sched/former.go
+++ b/core/sched/former.go
@@ -83,12 +83,14 @@
 	}
 	f.hosts = len(f.missing)
 	for _, r := range t.Requests {
-		s.addFormer(r)
+		if r.Key.Life >= s.incarnations[r.Key.Host] {
+			s.addFormer(r)
+		}
 	}
 }
 
 // HostRunning takes in a host's list of the requests that it has in progress at engines and that an earlier scheduler granted. Requests of
-// the host that it does not list have ended.
+// the host that it does not list have ended. A host that has lost its lease lists requests of an earlier life that it still has.
 func (s *Scheduler) HostRunning(now core.Millis, host core.HostID, life core.Incarnation, list []order.RunningRequest) {
 	s.now = now
 	s.recordIncarnation(host, life)
@@ -101,7 +103,7 @@
 	}
 	s.endFormers(func(r *formerRequest) bool { return r.Key.Host == host && !listed[r.Key] })
 	for _, r := range list {
-		if r.Key.Host != host || r.Key.Life != life {
+		if r.Key.Host != host || r.Key.Life > life {
 			continue
 		}
 		known, ok := s.former.requests[r.Key]
@@ -164,7 +166,7 @@
 func (s *Scheduler) addFormer(r order.RunningRequest) {
 	_, own := s.requests[r.Key]
 	_, known := s.former.requests[r.Key]
-	if own || known || s.now >= r.Till || r.Key.Life < s.incarnations[r.Key.Host] || r.HeldTokens < 0 {
+	if own || known || s.now >= r.Till || r.HeldTokens < 0 {
 		return
 	}
 	x := &formerRequest{RunningRequest: r}
--- a/core/sched/former_test.go
+++ b/core/sched/former_test.go
@@ -138,9 +138,14 @@
 	listed.announce(120, 1)
 	must.False(t, listed.place(120, 3, 101, order.Key{}))
 	must.True(t, listed.place(120, 4, 100, order.Key{}))
+	// The host has lost its lease and joined again, and still has both.
+	listed.HostStarted(125, "h", 2)
+	must.MapEmpty(t, listed.former.requests)
+	listed.HostRunning(126, "h", 2, []order.RunningRequest{running(1, 500), running(2, 300)})
 	// The engine is forgotten and announced again while it still runs them.
 	listed.RemoveEndpoint(130, "e")
 	listed.announce(140, 1)
+	listed.add(140, order.Key{Host: "h", Life: 2, Seq: 5}, 101, order.Key{})
 	must.Eq(t, 0, listed.granted(140))
 	must.Eq(t, 2, len(listed.former.requests))
 }
--- a/io/entry/running.go
+++ b/io/entry/running.go
@@ -20,6 +20,8 @@
 	// toldLeader and toldTerm are the leader that was told last and its term, and newestTerm is the highest term heard of.
 	toldLeader           string
 	toldTerm, newestTerm uint64
+	// toldLife is the incarnation of this host in the last list. A leader drops the requests of earlier ones when it hears of a new one.
+	toldLife core.Incarnation
 	// outdated means that a grant of another leader has arrived since the last list was made.
 	outdated bool
 }
@@ -67,15 +69,15 @@
 	l.newestTerm = max(l.newestTerm, term)
 }
 
-// makeList returns the requests in progress ordered by key if the leader at an address has not been told, and the newest term at that
-// moment.
-func (l *runningList) makeList(now core.Millis, leader string) (list []assign.HostRequest, term uint64, due bool) {
+// makeList returns the requests in progress ordered by key if the leader at an address has not been told by this incarnation of the host,
+// and the newest term at that moment.
+func (l *runningList) makeList(now core.Millis, leader string, life core.Incarnation) (list []assign.HostRequest, term uint64, due bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if leader == "" || leader == l.toldLeader && l.newestTerm <= l.toldTerm && !l.outdated {
+	if leader == "" || leader == l.toldLeader && life == l.toldLife && l.newestTerm <= l.toldTerm && !l.outdated {
 		return nil, 0, false
 	}
-	l.outdated = false
+	l.outdated, l.toldLife = false, life
 	for _, x := range l.requests {
 		x.Left = x.end - now
 		list = append(list, x.HostRequest)
@@ -103,13 +105,14 @@
 // not received them.
 func (e *eventQueue) tellRunning(ctx context.Context) bool {
 	leader := e.control.LeaderAddress()
-	list, term, due := e.running.makeList(e.clock.Now(), leader)
+	life := e.control.Holder().Incarnation
+	list, term, due := e.running.makeList(e.clock.Now(), leader, life)
 	if !due {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	args := assign.RunningArgs{Host: e.host, Life: e.control.Holder().Incarnation, Requests: list}
+	args := assign.RunningArgs{Host: e.host, Life: life, Requests: list}
 	var reply assign.RunningReply
 	err := e.peers.Call(ctx, leader, assign.Service+".Running", args, &reply)
 	var refused rpc.ServerError
--- a/io/entry/running_test.go
+++ b/io/entry/running_test.go
@@ -27,9 +27,10 @@
 	}
 	l.begin(key(1))
 	l.remove(key(2))
+	life := core.Incarnation(1)
 	expect := func(leader string, due bool, want ...order.Key) {
 		t.Helper()
-		list, term, isDue := l.makeList(100, leader)
+		list, term, isDue := l.makeList(100, leader, life)
 		must.Eq(t, due, isDue)
 		var got []order.Key
 		for _, x := range list {
@@ -51,6 +52,8 @@
 	l.noteTerm(5)
 	expect("second", true, key(0), key(1), key(3))
 	expect("second", false)
+	life = 2 // the host has lost its lease and joined again
+	expect("second", true, key(0), key(1), key(3))
 	l.setUntold()
 	expect("second", true, key(0), key(1), key(3))
 }
