Estimate the speed of endpoints from what they state of it

All engines were assumed to read 33 prompt tokens per millisecond, and admission used the mean time to the first byte of a service. core/speed estimates the slowdown of an endpoint now and usually, and fits the read time of a service to first bytes. core/fleet uses it for endpoints that have stated a slowdown; no answer states one to the scheduler yet.

--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"cyclamenford/core"
 	"cyclamenford/core/order"
+	"cyclamenford/core/speed"
 )
 
 const (
@@ -52,8 +53,9 @@
 	unreadTokens int
 	heldTokens   int
 	cache        *promptCache
-	// slowdown is the ratio of observed to expected call time. failureRate is the share of failed attempts.
+	// slowdown is the ratio of observed to expected call time. speed is what the endpoint states of its slowdown. failureRate is the share of failed attempts.
 	slowdown     estimate
+	speed        speed.Endpoint
 	failureRate  estimate
 	backoff      core.Millis
 	backoffUntil core.Millis
@@ -89,9 +91,6 @@
 	return !e.leaving && now >= e.backoffUntil && !e.Paused(now)
 }
 
-// Slowdown returns the ratio of observed to expected call time: 2 means that calls take twice as long as expected.
-func (e *Endpoint) Slowdown() float64 { return e.slowdown.value }
-
 // RecordFailure records an attempt that did not succeed and starts a backoff, which grows with each failure in a row. An
 // attempt that was rejected, abandoned or lacked an input is no failure and leads only to rejectedBackoff.
 func (e *Endpoint) RecordFailure(now core.Millis, ending order.AttemptOutcome) {
@@ -114,5 +113,5 @@
 
 // Slow reports whether the endpoint exceeds the allowed slowdown relative to the fastest endpoint of its service.
 func (e *Endpoint) Slow(now core.Millis) bool {
-	return e.slowdown.value > SlowFactor*e.service.leastSlowdown(now)
+	return e.SlowdownAt(now) > e.slowBound(now)
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
 	"cyclamenford/core/order"
+	"cyclamenford/core/speed"
 )
 
 // Fleet holds the configured services and the announced endpoints.
@@ -25,7 +26,7 @@
 func (f *Fleet) Configure(c conf.Service) *Service {
 	s, ok := f.services[c.Name]
 	if !ok {
-		s = &Service{firstByte: estimate{value: initialFirstByte}, holders: holders{}}
+		s = &Service{speed: speed.NewService(), firstByte: estimate{value: initialFirstByte}, holders: holders{}}
 		f.services[c.Name] = s
 	}
 	s.Service = c
--- a/core/fleet/serve.go
+++ b/core/fleet/serve.go
@@ -7,7 +7,7 @@
 
 const (
 	// tokenTime is the assumed time to read one prompt token in milliseconds, without the endpoint's slowdown: 33
-	// tokens a millisecond.
+	// tokens a millisecond. It holds for endpoints that do not state their slowdown.
 	tokenTime = 0.03
 	// failurePenalty is added to the start cost of an endpoint in proportion to its failure rate, in milliseconds.
 	failurePenalty = 1000.0
@@ -22,8 +22,8 @@
 )
 
 // Load is what one request takes up at an endpoint: the prompt tokens still to be read, and the tokens of the prompt
-// and its output.
-type Load struct{ UnreadTokens, HeldTokens int }
+// and its output. AheadTokens are those of earlier requests that the endpoint still had to read at the grant.
+type Load struct{ UnreadTokens, HeldTokens, AheadTokens int }
 
 // Fits reports whether the endpoint has a free slot and, if it is an engine, enough memory for the prompt and its
 // output. An idle engine accepts a prompt of any size.
@@ -45,20 +45,18 @@
 		cost += loadPenalty
 	}
 	if e.service.Engine == nil {
-		cost += loadPenalty * e.slowdown.value * (1 + float64(e.running)/float64(max(1, e.Slots)))
+		cost += loadPenalty * e.SlowdownAt(now) * (1 + float64(e.running)/float64(max(1, e.Slots)))
 		if e.FailureDomain != domain {
 			cost++
 		}
 		return cost
 	}
 	unread := p.Tokens - cached
-	return cost + e.slowdown.value*tokenTime*float64(e.unreadTokens+unread) + runningPenalty*float64(e.running)
+	return cost + e.readTimeAt(now, e.unreadTokens+unread) + runningPenalty*float64(e.running)
 }
 
 // ReadTime returns the predicted time in milliseconds that the engine takes to read a number of prompt tokens.
-func (e *Endpoint) ReadTime(tokens int) float64 {
-	return e.slowdown.value * tokenTime * float64(tokens)
-}
+func (e *Endpoint) ReadTime(now core.Millis, tokens int) float64 { return e.readTimeAt(now, tokens) }
 
 // CachedTokens returns the estimated number of prompt tokens that the endpoint's cache holds.
 func (e *Endpoint) CachedTokens(c PrefixChain) int { return e.cache.cachedTokens(c) }
@@ -76,7 +74,7 @@
 			e.service.holders.remove(prefix, e)
 		}
 	}
-	l = Load{UnreadTokens: p.Tokens - cached, HeldTokens: p.Tokens + p.Output}
+	l = Load{UnreadTokens: p.Tokens - cached, HeldTokens: p.Tokens + p.Output, AheadTokens: e.unreadTokens}
 	e.running++
 	e.unreadTokens += l.UnreadTokens
 	e.heldTokens += l.HeldTokens
--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -3,6 +3,7 @@
 import (
 	"cyclamenford/core"
 	"cyclamenford/core/conf"
+	"cyclamenford/core/speed"
 )
 
 const (
@@ -25,6 +26,8 @@
 	endpoints []*Endpoint
 	holders   holders
 	firstByte estimate
+	// speed is learned from the endpoints that state their slowdown.
+	speed     *speed.Service
 	budget    RetryBudget
 	// footprint is the average space-time product of a result: its size times how long it is held, in byte
 	// milliseconds.
@@ -55,7 +58,7 @@
 	full := s.Pieces.CallTime + float64(s.Pieces.Batch)*s.Pieces.ItemTime
 	for _, e := range s.endpoints {
 		if e.Usable(now) {
-			rate := float64(max(1, s.Pieces.Batch)*max(1, s.Pieces.Slots)) / (full * max(minSlowdown, e.slowdown.value))
+			rate := float64(max(1, s.Pieces.Batch)*max(1, s.Pieces.Slots)) / (full * max(minSlowdown, e.slowdownOver(now, full)))
 			if s.footprint.value > 0 && s.Pieces.Room > 0 {
 				rate = min(rate, usableRoomShare*float64(s.Pieces.Room)/s.footprint.value)
 			}
@@ -92,8 +95,11 @@
 	}
 	least := 0.0
 	for _, e := range s.endpoints {
-		if e.Usable(now) && (least == 0 || e.slowdown.value < least) {
-			least = e.slowdown.value
+		if !e.Usable(now) {
+			continue
+		}
+		if slowdown := e.SlowdownAt(now); least == 0 || slowdown < least {
+			least = slowdown
 		}
 	}
 	s.leastSlowdownAt, s.cachedLeastSlowdown = now, max(minSlowdown, least)
--- /dev/null
+++ b/core/fleet/speed.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"math"
+
+	"cyclamenford/core"
+	"cyclamenford/core/order"
+	"cyclamenford/core/speed"
+)
+
+// RecordLoad records what the endpoint incarnation states of its load now, and reports whether that was used. Reports of
+// another incarnation, and those that state no slowdown, change nothing.
+func (f *Fleet) RecordLoad(now core.Millis, l core.Life, r order.LoadReport) bool {
+	e, ok := f.endpoints[l.Endpoint]
+	if !ok || e.Incarnation != l.Incarnation || e.service == nil {
+		return false
+	}
+	first := !e.ReportsSpeed()
+	if !e.speed.Record(now, r, e.service.speed) {
+		return false
+	}
+	if first {
+		// What was observed before includes the slowdown that is stated from now on.
+		e.slowdown.value = 1
+	}
+	return true
+}
+
+// ReportsSpeed reports whether this incarnation of the endpoint has stated a slowdown.
+func (e *Endpoint) ReportsSpeed() bool { return e.speed.Stated() }
+
+// ReportAge returns the time since the endpoint last stated its slowdown, 0 if it never has.
+func (e *Endpoint) ReportAge(now core.Millis) core.Millis { return e.speed.Age(now) }
+
+// Observed returns the estimate of the endpoint's slowdown for a copy at another keeper.
+func (e *Endpoint) Observed(now core.Millis) speed.Observation { return e.speed.Observation(now) }
+
+// RestoreObserved takes over the copy of an estimate that an earlier keeper made of this incarnation.
+func (e *Endpoint) RestoreObserved(now core.Millis, o speed.Observation) { e.speed.Restore(now, o) }
+
+// Speed returns the estimate of the speed that the service's endpoints share.
+func (s *Service) Speed() *speed.Service { return s.speed }
+
+// SlowdownAt returns the expected ratio of the time of work that starts now to the usual one. For an endpoint that states its
+// slowdown, that is the stated one times the observed ratio to it.
+func (e *Endpoint) SlowdownAt(now core.Millis) float64 { return e.slowdownOver(now, 0) }
+
+// slowdownOver returns the mean slowdown that is expected from now on for a time in milliseconds.
+func (e *Endpoint) slowdownOver(now core.Millis, span float64) float64 {
+	if !e.ReportsSpeed() {
+		return e.slowdown.value
+	}
+	return e.slowdown.value * e.speed.Over(now, span, e.service.speed)
+}
+
+// CallSlowdown returns the expected slowdown of a stage call that starts now and usually takes the given time in
+// milliseconds.
+func (e *Endpoint) CallSlowdown(now core.Millis, usual float64) float64 {
+	return e.slowdownOver(now, usual)
+}
+
+// slowBound returns the slowdown above which an endpoint counts as slow. Endpoints that state their slowdown are compared
+// with the usual slowdown of the service instead of with the fastest endpoint: their usual values may differ by more than
+// SlowFactor, and all of them are worth using.
+func (e *Endpoint) slowBound(now core.Millis) float64 {
+	bound := e.service.leastSlowdown(now)
+	if e.ReportsSpeed() {
+		bound = max(bound, e.service.speed.Usual())
+	}
+	return SlowFactor * bound
+}
+
+// readTimeAt returns the predicted time in milliseconds to read a number of prompt tokens from now on.
+func (e *Endpoint) readTimeAt(now core.Millis, tokens int) float64 {
+	if !e.ReportsSpeed() {
+		return e.slowdown.value * tokenTime * float64(tokens)
+	}
+	perToken := e.service.speed.TokenTime()
+	span := perToken * float64(tokens) * e.speed.Usual(now, e.service.speed)
+	return e.slowdownOver(now, span) * perToken * float64(tokens)
+}
+
+// LearnReadTime learns how fast the service reads prompts from the first byte of a request's answer, elapsed milliseconds
+// after its grant. Only an answer that states the endpoint's slowdown teaches something.
+func (e *Endpoint) LearnReadTime(now core.Millis, l Load, elapsed core.Millis) {
+	if e.service == nil || e.service.Engine == nil {
+		return
+	}
+	if slowdown, ok := e.speed.Latest(now); ok {
+		e.service.speed.RecordFirstByte(l.AheadTokens+l.UnreadTokens, slowdown, elapsed)
+	}
+}
+
+// BestFirstByte returns the shortest predicted time from a grant to the first byte of a prompt's answer, over the engines
+// that can take the prompt now, in milliseconds. It reports false if no such engine states its slowdown.
+func (s *Service) BestFirstByte(now core.Millis, p order.Prompt, c PrefixChain) (float64, bool) {
+	if s.Engine == nil {
+		return 0, false
+	}
+	best := math.Inf(1)
+	for _, e := range s.endpoints {
+		if e.ReportsSpeed() && e.Usable(now) && e.Fits(p) {
+			best = min(best, e.readTimeAt(now, e.unreadTokens+p.Tokens-e.CachedTokens(c)))
+		}
+	}
+	return best + s.speed.BaseTime(), !math.IsInf(best, 1)
+}
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -58,6 +58,12 @@
 	}
 	factor := float64(took) / float64(expected)
 	e.slowdown.add(e.slowdown.value * factor)
+	if e.ReportsSpeed() {
+		if e.Slow(now) {
+			e.probeAt = now + slowProbeInterval
+		}
+		return
+	}
 	if e.slowdown.value > SlowFactor {
 		// A faster call lowers the slowdown at once, so that a recovered endpoint is used again without delay.
 		e.slowdown.value = min(e.slowdown.value, max(1, e.slowdown.value*factor))
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -45,10 +45,11 @@
 func (s *Scheduler) startCall(svc *service, e *fleet.Endpoint, items []order.Item, bytes int64) {
 	s.lastCall++
 	usualTime := svc.Pieces.CallTime + float64(len(items))*svc.Pieces.ItemTime
-	expected := core.Millis(e.Slowdown() * usualTime)
+	slowdown := e.CallSlowdown(s.now, usualTime)
+	expected := core.Millis(slowdown * usualTime)
 	c := &call{number: s.lastCall, endpoint: e, items: items, startedAt: s.now, expectedTime: expected, bytes: bytes}
 	room := e.FreeBytes()
-	c.overdueAt = s.now + core.Millis(overdueFactor*usualTime*min(fleet.SlowFactor, e.Slowdown())) + overdueSlack
+	c.overdueAt = s.now + core.Millis(overdueFactor*usualTime*min(fleet.SlowFactor, slowdown)) + overdueSlack
 	c.fetchedAt = s.estimateFetched(svc, items)
 	s.calls[c.number] = c
 	owners := s.owners(items)
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -123,7 +123,7 @@
 		}
 		candidates := slices.DeleteFunc(slices.Clone(idle), func(e *fleet.Endpoint) bool { return s.waitsForCloser(svc, g, e) })
 		if len(candidates) > 0 {
-			return cheapestEndpoint(candidates, g, s.nextCallBytes(svc, keys))
+			return cheapestEndpoint(s.now, candidates, g, s.nextCallBytes(svc, keys))
 		}
 	}
 	return nil
@@ -186,10 +186,10 @@
 
 // cheapestEndpoint returns the endpoint with the lowest cost for a group: its speed, the transfers to another failure
 // domain and the room that it lacks for a full call.
-func cheapestEndpoint(idle []*fleet.Endpoint, g *group, wantedBytes int64) *fleet.Endpoint {
+func cheapestEndpoint(now core.Millis, idle []*fleet.Endpoint, g *group, wantedBytes int64) *fleet.Endpoint {
 	cost := func(e *fleet.Endpoint) float64 {
 		lackingShare := max(0, 1-float64(e.FreeBytes())/float64(wantedBytes))
-		return speedWeight*(e.Slowdown()+lackingShare) + g.crossDomainCost(e)
+		return speedWeight*(e.SlowdownAt(now)+lackingShare) + g.crossDomainCost(e)
 	}
 	return slices.MinFunc(idle, func(a, b *fleet.Endpoint) int { return cmp.Compare(cost(a), cost(b)) })
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -88,7 +88,7 @@
 		return best, lowest
 	}
 	cost := home.StartCost(s.now, r.Prompt, home.CachedTokens(r.chain), r.FailureDomain) + r.crossDomainCost(home)
-	if cost-homeWeight*home.ReadTime(shared) < lowest {
+	if cost-homeWeight*home.ReadTime(s.now, shared) < lowest {
 		return home, cost
 	}
 	return best, lowest
--- a/core/sched/predict.go
+++ b/core/sched/predict.go
@@ -107,7 +107,7 @@
 // expectedFirstByte returns the expected time from the grant of a request to the first byte of its answer.
 func (s *Scheduler) expectedFirstByte(r *request) core.Millis {
 	if svc, ok := s.services[r.Service]; ok {
-		return core.Millis(svc.FirstByteTime())
+		return s.predictFirstByte(svc, r)
 	}
 	return 0
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -113,6 +113,8 @@
 	results []madeResult
 	// freed is set when the inputs were freed, for example at the first byte.
 	freed bool
+	// firstByte is the predicted time to the first byte.
+	firstByte firstBytePrediction
 }
 
 // New returns a scheduler without services and endpoints.
@@ -243,6 +245,7 @@
 		return
 	}
 	r.firstByteSeen = true
+	r.endpoint.LearnReadTime(s.now, r.load, s.now-r.grantedAt)
 	r.endpoint.RecordFirstByte(r.load, s.now-r.grantedAt)
 	s.freeAllResults(r)
 	s.passDue = true
