--- a/core/door/door.go
+++ b/core/door/door.go
@@ -12,6 +12,7 @@
 	"cyclamenford/core/notice"
 	"cyclamenford/core/order"
 	"cyclamenford/core/roll"
+	"cyclamenford/core/speed"
 	"cyclamenford/core/state"
 )
 
@@ -84,6 +85,8 @@
 	budget    fleet.RetryBudget
 	// callTime is the moving average of the service's call time over all its endpoints, in milliseconds.
 	callTime float64
+	// speed is learned from the endpoints that state their slowdown.
+	speed *speed.Service
 }
 
 // New returns a selector without endpoints.
@@ -244,7 +247,7 @@
 func (d *Selector) service(name string) *service {
 	s, ok := d.services[name]
 	if !ok {
-		s = &service{callTime: initialCallTime}
+		s = &service{callTime: initialCallTime, speed: speed.NewService()}
 		d.services[name] = s
 	}
 	return s
@@ -313,7 +316,7 @@
 	total := 0.0
 	weights := make([]float64, len(candidates))
 	for i, e := range candidates {
-		weights[i] = e.weight(now)
+		weights[i] = e.weight(now, s)
 		total += weights[i]
 	}
 	point := d.rng.Float64() * total
--- a/core/door/endpoint.go
+++ b/core/door/endpoint.go
@@ -56,6 +56,7 @@
 	// backoffUntil is when the backoff after a failure ends. backoff is its length, which grows with each failure in a
 	// row.
 	backoffUntil, backoff core.Millis
+	reported              reported
 	// heldUntil is when the next permit of an endpoint that names a limit is expected to be free.
 	heldUntil core.Millis
 }
@@ -65,8 +66,8 @@
 }
 
 // weight returns the endpoint's relative probability of being selected.
-func (e *endpoint) weight(now core.Millis) float64 {
-	slow := 1 + e.excessLatency.valueAt(now) + float64(e.running)/float64(max(1, e.Slots))
+func (e *endpoint) weight(now core.Millis, s *service) float64 {
+	slow := e.relativeSlowdown(now, s) + e.excessLatency.valueAt(now) + e.loadShare(now)
 	if now < e.coldUntil {
 		slow += coldPenalty
 	}
@@ -76,8 +77,10 @@
 func (e *endpoint) observe(now core.Millis, ending order.AttemptOutcome, took core.Millis, s *service) {
 	switch ending {
 	case order.Served:
-		s.callTime += callTimeWeight * (float64(took) - s.callTime)
-		e.excessLatency.add(now, max(0, float64(took)/max(1, s.callTime)-1))
+		// What the endpoint states of its slowdown is no excess.
+		stated := e.relativeSlowdown(now, s)
+		s.callTime += callTimeWeight * (float64(took)/stated - s.callTime)
+		e.excessLatency.add(now, max(0, float64(took)/stated/max(1, s.callTime)-1))
 		e.failureRate.add(now, 0)
 		e.backoff = 0
 	case order.Erred:
--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -27,8 +27,8 @@
 	holders   holders
 	firstByte estimate
 	// speed is learned from the endpoints that state their slowdown.
-	speed     *speed.Service
-	budget    RetryBudget
+	speed  *speed.Service
+	budget RetryBudget
 	// footprint is the average space-time product of a result: its size times how long it is held, in byte
 	// milliseconds.
 	footprint estimate
--- a/core/fleet/speed.go
+++ b/core/fleet/speed.go
@@ -32,12 +32,6 @@
 // ReportAge returns the time since the endpoint last stated its slowdown, 0 if it never has.
 func (e *Endpoint) ReportAge(now core.Millis) core.Millis { return e.speed.Age(now) }
 
-// Observed returns the estimate of the endpoint's slowdown for a copy at another keeper.
-func (e *Endpoint) Observed(now core.Millis) speed.Observation { return e.speed.Observation(now) }
-
-// RestoreObserved takes over the copy of an estimate that an earlier keeper made of this incarnation.
-func (e *Endpoint) RestoreObserved(now core.Millis, o speed.Observation) { e.speed.Restore(now, o) }
-
 // Speed returns the estimate of the speed that the service's endpoints share.
 func (s *Service) Speed() *speed.Service { return s.speed }
 
@@ -105,3 +99,37 @@
 	}
 	return best + s.speed.BaseTime(), !math.IsInf(best, 1)
 }
+
+// AssumedSpeed returns the slowdown that is assumed of an endpoint now, and the age of its last report in milliseconds. Both
+// are 0 for an endpoint that states no slowdown.
+func (f *Fleet) AssumedSpeed(now core.Millis, id core.EndpointID) (slowdown float64, age core.Millis) {
+	e, ok := f.endpoints[id]
+	if !ok || e.service == nil || !e.ReportsSpeed() {
+		return 0, 0
+	}
+	return e.SlowdownAt(now), e.ReportAge(now)
+}
+
+// EndpointSpeed is the estimate of an endpoint incarnation in the form in which another keeper may copy it.
+type EndpointSpeed struct {
+	Life core.Life
+	speed.Observation
+}
+
+// EndpointSpeeds returns the estimates of the service's endpoints that state their slowdown, ordered by ID.
+func (s *Service) EndpointSpeeds(now core.Millis) []EndpointSpeed {
+	var list []EndpointSpeed
+	for _, e := range s.endpoints {
+		if e.ReportsSpeed() {
+			list = append(list, EndpointSpeed{Life: e.Life(), Observation: e.speed.Observation(now)})
+		}
+	}
+	return list
+}
+
+// RestoreSpeed takes over a copied estimate, unless the endpoint has another incarnation now or a later report.
+func (f *Fleet) RestoreSpeed(now core.Millis, x EndpointSpeed) {
+	if e, ok := f.endpoints[x.Life.Endpoint]; ok && e.Incarnation == x.Life.Incarnation {
+		e.speed.Restore(now, x.Observation)
+	}
+}
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -29,14 +29,9 @@
 	Seconds float64
 	Seed    uint64
 	// A client comes back once after a refusal, at the time that the refusal states.
-	Services []struct {
-		conf.Service
-		Endpoints int
-		// TokensPerMs is the speed at which engines read prompts, and WorkMs the duration of a plain call.
-		TokensPerMs, WorkMs float64
-	}
-	Classes []class
-	Bursts  []struct {
+	Services []simulatedService
+	Classes  []class
+	Bursts   []struct {
 		Class       string
 		At, Seconds float64
 		Times       float64
@@ -102,6 +97,16 @@
 	MostForeign float64
 }
 
+// simulatedService describes a service of a load and its endpoints.
+type simulatedService struct {
+	conf.Service
+	Endpoints int
+	// TokensPerMs is the speed at which engines read prompts, and WorkMs the duration of a plain call.
+	TokensPerMs, WorkMs float64
+	// Speed describes endpoints of different and changing speed.
+	Speed endpointSpeed
+}
+
 // class describes one kind of request of a load.
 type class struct {
 	Name      string
@@ -200,6 +205,8 @@
 	tickWaits          bool
 	coreTime, coreUsed float64
 	cachedParts        map[core.EndpointID]map[string]bool
+	// slowPeriods holds the slow periods of each endpoint that has some.
+	slowPeriods map[core.EndpointID][]period
 }
 
 // clientRequest is a simulated request. A client may send it a second time after a refusal.
@@ -215,6 +222,8 @@
 	finished bool
 	worth    float64
 	work     []float64
+	// granted is the endpoint of the last grant.
+	granted core.Life
 }
 
 // scheduleAt adds an event.
@@ -233,7 +242,7 @@
 			}
 		}
 	}
-	return x
+	return x * sim.slownessAt(service, e, sim.now)
 }
 
 func endpointName(service string, i int) core.EndpointID {
@@ -275,6 +284,7 @@
 		handleExpiry: map[string]core.Millis{}, handleBytes: map[string]int64{}, usedRoom: map[string]int64{},
 		issuer: limit.NewIssuer(), sentToLimited: map[core.EndpointID][]core.Millis{}, quarantine: poison.New(), recoversAt: map[core.EndpointID]core.Millis{}, incarnations: map[core.HostID]core.Incarnation{}, busyUntil: map[core.EndpointID]core.Millis{}, cachedParts: map[core.EndpointID]map[string]bool{},
 	}
+	sim.drawSlowPeriods()
 	sim.startScheduler()
 	for i := range l.Classes {
 		sim.tally[l.Classes[i].Name] = &tally{}
@@ -663,7 +673,8 @@
 		})
 		return
 	}
-	sim.recordSent(c.Service, core.Life{Endpoint: g.Endpoint, Incarnation: g.Life})
+	x.granted = core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}
+	sim.recordSent(c.Service, x.granted)
 	slowdown := sim.slowdown(c.Service, g.Endpoint)
 	if s.Engine == nil {
 		took := core.Millis(s.WorkMs * math.Exp(sim.rng.NormFloat64()*0.5-0.125) * slowdown)
@@ -686,7 +697,7 @@
 		cached[part.ID] = true
 	}
 	start := max(sim.busyUntil[g.Endpoint], sim.now)
-	end := start + core.Millis(float64(unread)/s.TokensPerMs*slowdown)
+	end := sim.readEnd(s.Name, g.Endpoint, start, float64(unread)/s.TokensPerMs, slowdown)
 	sim.busyUntil[g.Endpoint] = end
 	sim.scheduleAt(end+25, func() { sim.complete(g.Key, x) })
 }
@@ -714,8 +725,9 @@
 		return
 	}
 	x.finished = true
-	sim.notify(func() { sim.scheduler.FirstByteReceived(sim.now, key, 0) })
 	c := sim.load.Classes[x.class]
+	sim.reportLoad(c.Service, x.granted)
+	sim.notify(func() { sim.scheduler.FirstByteReceived(sim.now, key, 0) })
 	t := sim.tally[c.Name]
 	if x.poisoned {
 		t = &tally{}
@@ -881,6 +893,9 @@
 			sim.quarantine.EndTrial(c.Owners[0].Content, c.Endpoint, true)
 			sim.publishSuspects(sched)
 		}
+		if sched == sim.scheduler {
+			sim.reportLoad(c.Service, core.Life{Endpoint: c.Endpoint, Incarnation: c.Life})
+		}
 		sim.notify(func() { sched.CallDone(sim.now, c.Number, results, order.Served) })
 	})
 }
--- a/core/sched/status.go
+++ b/core/sched/status.go
@@ -13,6 +13,7 @@
 	RoomPercent int
 	// RepeatsLeft is how many more requests the retry budget now allows to be sent to a second endpoint.
 	RepeatsLeft int
+	Speed       SpeedStatus
 }
 
 // Status returns the current load of every service, ordered by name.
@@ -27,6 +28,7 @@
 		for _, g := range svc.groups {
 			x.Pieces += len(g.pieces)
 		}
+		x.Speed = s.speedStatus(svc, now)
 		var taken, room int64
 		for _, e := range svc.Endpoints() {
 			if !e.Usable(now) {
--- a/core/speed/endpoint.go
+++ b/core/speed/endpoint.go
@@ -22,6 +22,9 @@
 	// forgetTime is the time in milliseconds after which the usual slowdown of an endpoint without reports has decayed to
 	// that of its service by the factor 1/e.
 	forgetTime = 60_000.0
+	// firstGap and maxGap are the time in milliseconds that the first report of an endpoint speaks for, and the most that any
+	// later one does.
+	firstGap, maxGap = 100.0, 2000.0
 	// maxFactor bounds the usual slowdown of an endpoint, relative to that of its service, in both directions. A single
 	// wrong report must not exclude an endpoint for long.
 	maxFactor = 20.0
@@ -52,12 +55,21 @@
 	if e.reports <= firstReports {
 		weight = max(weight, firstWeight/float64(e.reports))
 	}
+	s.addUsual(sample, e.gap(now))
 	e.usual += weight * (sample - e.usual)
 	e.moment, e.reportedAt = sample, now
-	s.addUsual(sample)
 	return true
 }
 
+// gap returns the time in milliseconds that a report made now speaks for: that since the last one, but not longer than
+// maxGap.
+func (e *Endpoint) gap(now core.Millis) float64 {
+	if e.reports == 1 {
+		return firstGap
+	}
+	return min(maxGap, float64(max(0, now-e.reportedAt)))
+}
+
 func bounded(v, around float64) float64 {
 	return min(around*maxFactor, max(around/maxFactor, v))
 }
--- a/core/speed/service.go
+++ b/core/speed/service.go
@@ -13,10 +13,9 @@
 	initialBase   = 25.0
 	// keepShare is the share that the earlier observations keep with each new one, so that about the last 200 count.
 	keepShare = 0.995
-	// usualWeight is the weight of one report in the usual slowdown of a service, which follows about the last 500.
-	usualWeight = 0.002
-	// firstServiceReports is the number of reports whose plain mean is the usual slowdown at first.
-	firstServiceReports = 500
+	// usualSpan is the time in milliseconds, summed over the endpoints, that the usual slowdown of a service averages over:
+	// 10 s of a hundred endpoints.
+	usualSpan = 1e6
 )
 
 // Service is the estimated speed of the endpoints of one service that state their slowdown. The time from a grant to the
@@ -25,6 +24,8 @@
 type Service struct {
 	reports int
 	usual   float64
+	// span is the time in milliseconds that usual averages over.
+	span float64
 	// count, x, y, xx and xy are the decayed sums of the fit. x is tokens times slowdown, and y milliseconds.
 	count, x, y, xx, xy float64
 }
@@ -37,13 +38,14 @@
 	return s
 }
 
-func (s *Service) addUsual(sample float64) {
+// addUsual adds a report that speaks for a time in milliseconds. Fast endpoints answer more often, so that a mean over the
+// reports would be below the mean over the endpoints.
+func (s *Service) addUsual(sample, span float64) {
 	s.reports++
-	weight := usualWeight
-	if s.reports <= firstServiceReports {
-		weight = 1 / float64(s.reports)
+	s.span = min(usualSpan, s.span+span)
+	if s.span > 0 {
+		s.usual += span / s.span * (sample - s.usual)
 	}
-	s.usual += weight * (sample - s.usual)
 }
 
 // Usual returns the mean slowdown of the service's endpoints, 1 before the first report.
@@ -83,22 +85,22 @@
 // ServiceObservation is the estimate of a service in the form in which another keeper may copy it. It has no age, because it
 // changes with observations only.
 type ServiceObservation struct {
-	// Reports is the number of reports in Usual, the mean slowdown.
-	Reports int
-	Usual   float64
+	// Reports is the number of reports in Usual, the mean slowdown over Span milliseconds, summed over the endpoints.
+	Reports     int
+	Usual, Span float64
 	// Count, X, Y, XX and XY are the sums of the fit: X is tokens times slowdown, Y milliseconds.
 	Count, X, Y, XX, XY float64
 }
 
 // Observation returns the present estimate.
 func (s *Service) Observation() ServiceObservation {
-	return ServiceObservation{Reports: s.reports, Usual: s.usual, Count: s.count, X: s.x, Y: s.y, XX: s.xx, XY: s.xy}
+	return ServiceObservation{Reports: s.reports, Usual: s.usual, Span: s.span, Count: s.count, X: s.x, Y: s.y, XX: s.xx, XY: s.xy}
 }
 
 // Restore takes over an estimate that another keeper has made, unless this one has more reports or the values are invalid.
 func (s *Service) Restore(o ServiceObservation) {
-	if o.Reports <= s.reports || !valid(o.Usual) || !valid(o.Count) || !valid(o.X) || !valid(o.Y) || !valid(o.XX) || !valid(o.XY) {
+	if o.Reports <= s.reports || !valid(o.Usual) || !valid(o.Span) || !valid(o.Count) || !valid(o.X) || !valid(o.Y) || !valid(o.XX) || !valid(o.XY) {
 		return
 	}
-	*s = Service{reports: o.Reports, usual: o.Usual, count: o.Count, x: o.X, y: o.Y, xx: o.XX, xy: o.XY}
+	*s = Service{reports: o.Reports, usual: o.Usual, span: min(usualSpan, o.Span), count: o.Count, x: o.X, y: o.Y, xx: o.XX, xy: o.XY}
 }
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -24,6 +24,7 @@
 	"cyclamenford/io/keeper"
 	"cyclamenford/io/loop"
 	"cyclamenford/io/meter"
+	"cyclamenford/io/mute"
 	"cyclamenford/io/peer"
 	"cyclamenford/io/permit"
 	"cyclamenford/io/pipe"
@@ -142,13 +143,15 @@
 	stageCalls loop.WorkCounter
 	// answers knows the latest answers to stage calls, since not all name their call.
 	answers *copies.Filter
+	// headerWarnings bounds the log lines about unreadable headers.
+	headerWarnings *mute.Muter
 }
 
 // New returns an assigner that is not running yet.
 func New(o Options, l Leader, c Caller, d io.Dialect, p *pipe.Client, g *guard.Guard, permits *permit.Issuer, clock core.Clock, m *meter.Meter, log *slog.Logger) *Assigner {
 	a := &Assigner{
 		options: o, leader: l, caller: c, dialect: d, pipe: p, guard: g, clock: clock, meter: m, log: log, permits: permits, answers: copies.New(),
-		handedOver: make(chan struct{}),
+		handedOver: make(chan struct{}), headerWarnings: mute.New(headerWarnPeriod),
 	}
 	a.Loop = loop.New(tickInterval, a.tick)
 	a.reset()
@@ -360,8 +363,10 @@
 		a.heldEvents.addAction(action)
 		switch {
 		case action.Grant != nil:
+			slowdown, reportAge := a.sched.AssumedSpeed(a.clock.Now(), action.Grant.Endpoint)
 			a.log.Info("granted", "request", action.Grant.ID, "endpoint", action.Grant.Endpoint, "version", action.Grant.Version, "attempt", action.Grant.Attempt,
-				"waited_ms", action.Grant.Waited, "expected_ms", action.Grant.Expected, "cached_tokens", action.Grant.Cached, "config", a.configVersion)
+				"waited_ms", action.Grant.Waited, "expected_ms", action.Grant.Expected, "cached_tokens", action.Grant.Cached, "config", a.configVersion,
+				"slowdown", slowdown, "report_age_ms", reportAge)
 			a.meter.Observe("assign_wait_ms", int64(action.Grant.Waited))
 			if !a.recordBeginning(action) {
 				a.deliver(action.Grant.Key, action)
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -79,6 +79,7 @@
 			a.applyNotice(now, e)
 			continue
 		}
+		a.applyLoad(now, e.Life, e.Load)
 		if e.Began {
 			a.sched.FirstByteReceived(now, e.Key, e.Attempt)
 			continue
--- a/io/assign/notice.go
+++ b/io/assign/notice.go
@@ -6,9 +6,10 @@
 	relay "cyclamenford/io"
 )
 
-// applyNotice applies a notice that an endpoint sent to a host in an answer. Leaving applies to all hosts, a pause
+// applyNotice applies a notice and a load report that an endpoint sent to a host in an answer. Leaving applies to all hosts, a pause
 // only to the host that received it.
 func (a *Assigner) applyNotice(now core.Millis, e RequestEvent) {
+	a.applyLoad(now, e.Life, e.Load)
 	if e.Notice.Leaving {
 		a.markLeaving(now, e.Life, e.Key.Host)
 	}
@@ -40,10 +41,10 @@
 
 // applyStageNotice applies the notice in an endpoint's answer to a call of this keeper.
 func (a *Assigner) applyStageNotice(life core.Life, v relay.EndpointResponse) {
-	if v.HeaderError != "" {
+	if v.HeaderError != "" && a.headerWarnings.Allow(a.clock.Now(), string(life.Endpoint)) {
 		a.log.Warn("answer's header ignored", "endpoint", life.Endpoint, "err", v.HeaderError)
 	}
-	if v.Notice.Empty() {
+	if v.Notice.Empty() && !v.Load.Stated {
 		return
 	}
 	a.mu.Lock()
@@ -52,6 +53,7 @@
 		return
 	}
 	now := a.clock.Now()
+	a.applyLoad(now, life, v.Load)
 	if v.Notice.Leaving {
 		a.markLeaving(now, life, "")
 	}
--- a/io/assign/report.go
+++ b/io/assign/report.go
@@ -16,6 +16,7 @@
 		a.meter.SetGauge("service_waiting_pieces", int64(x.Pieces), "service", x.Service)
 		a.meter.SetGauge("service_waiting_requests", int64(x.Requests), "service", x.Service)
 		a.meter.SetGauge("service_room_taken_percent", int64(x.RoomPercent), "service", x.Service)
+		a.reportSpeed(x)
 		a.meter.SetGauge("service_repeats_left", int64(x.RepeatsLeft), "service", x.Service)
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 	"cyclamenford/io/listen"
 	"cyclamenford/io/loop"
 	"cyclamenford/io/meter"
+	"cyclamenford/io/mute"
 	"cyclamenford/io/peer"
 	"cyclamenford/io/pipe"
 )
@@ -74,25 +75,27 @@
 
 // Entry is the HTTP front end of one entry host.
 type Entry struct {
-	options       Options
-	control       Control
-	dialect       io.Dialect
-	pipe          *pipe.Client
-	peers         *peer.Client
-	clock         core.Clock
-	guard         *guard.Guard
-	meter         *meter.Meter
-	log           *slog.Logger
-	clientServer  *listen.Server
-	readyServer   *listen.Server
-	sweeper       *loop.Loop
-	events        *eventQueue
-	calls         *pendingCalls
-	chooser       *endpointChooser
-	leaderWatcher *loop.Loop
-	table         atomic.Pointer[conf.Table]
-	serving       servingLease
-	shutdown      *shutdown
+	options Options
+	control Control
+	dialect io.Dialect
+	pipe    *pipe.Client
+	peers   *peer.Client
+	clock   core.Clock
+	guard   *guard.Guard
+	meter   *meter.Meter
+	// headerWarnings bounds the log lines about unreadable headers.
+	headerWarnings *mute.Muter
+	log            *slog.Logger
+	clientServer   *listen.Server
+	readyServer    *listen.Server
+	sweeper        *loop.Loop
+	events         *eventQueue
+	calls          *pendingCalls
+	chooser        *endpointChooser
+	leaderWatcher  *loop.Loop
+	table          atomic.Pointer[conf.Table]
+	serving        servingLease
+	shutdown       *shutdown
 	// active is the number of client requests in progress.
 	active atomic.Int64
 	seq    atomic.Uint64
@@ -102,7 +105,7 @@
 
 // New returns an entry that does not listen yet.
 func New(o Options, c Control, d io.Dialect, p *pipe.Client, peers *peer.Client, g *guard.Guard, clock core.Clock, m *meter.Meter, log *slog.Logger) *Entry {
-	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, guard: g, clock: clock, meter: m, log: log}
+	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, guard: g, clock: clock, meter: m, log: log, headerWarnings: mute.New(headerWarnPeriod)}
 	e.events = newEventQueue(o.Host, c, peers, clock, log)
 	e.calls = newPendingCalls()
 	e.shutdown = newShutdown(clock)
--- a/io/entry/events.go
+++ b/io/entry/events.go
@@ -56,13 +56,13 @@
 }
 
 // addBegan queues that the endpoint of a request's attempt has begun to answer.
-func (e *eventQueue) addBegan(key order.Key, attempt int) {
-	e.add(assign.RequestEvent{Key: key, Began: true, Attempt: attempt})
+func (e *eventQueue) addBegan(key order.Key, attempt int, heard heardLoad) {
+	e.add(assign.RequestEvent{Key: key, Began: true, Attempt: attempt, Life: heard.life, Load: heard.report})
 }
 
 // addEnded queues that a request has ended.
-func (e *eventQueue) addEnded(key order.Key, ending order.AttemptOutcome) {
-	e.add(assign.RequestEvent{Key: key, How: ending})
+func (e *eventQueue) addEnded(key order.Key, ending order.AttemptOutcome, heard heardLoad) {
+	e.add(assign.RequestEvent{Key: key, How: ending, Life: heard.life, Load: heard.report})
 }
 
 // addNotice queues that an endpoint has announced to this host that it is leaving or pauses.
@@ -133,6 +133,10 @@
 			e.limits[life] = heard
 		}
 	}
+	// Load reports describe a moment that has passed by now, and events state no age.
+	for i := range batch {
+		batch[i].Load = order.LoadReport{}
+	}
 	if len(batch)+len(e.queued) < maxQueuedEvents {
 		e.queued = append(batch, e.queued...)
 	}
--- a/io/entry/events_test.go
+++ b/io/entry/events_test.go
@@ -21,10 +21,10 @@
 // were not sent must precede those that were added meanwhile.
 func TestEventsThatWereNotToldComeFirstNextTime(t *testing.T) {
 	e := newEventQueue("", nil, nil, nil, nil)
-	e.addBegan(order.Key{Seq: 1}, 2)
+	e.addBegan(order.Key{Seq: 1}, 2, heardLoad{})
 	unsent := e.queued
 	e.queued = nil
-	e.addEnded(order.Key{Seq: 1}, order.Served)
+	e.addEnded(order.Key{Seq: 1}, order.Served, heardLoad{})
 	e.requeue(unsent, nil)
 	must.Eq(t, []assign.RequestEvent{
 		{Key: order.Key{Seq: 1}, Began: true, Attempt: 2}, {Key: order.Key{Seq: 1}, How: order.Served},
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -19,7 +19,7 @@
 // others by way of the scheduler.
 func (r *request) recordNotice(g *order.Grant, verdict relay.EndpointResponse) {
 	e := r.entry
-	if verdict.HeaderError != "" {
+	if verdict.HeaderError != "" && e.headerWarnings.Allow(e.clock.Now(), string(g.Endpoint)) {
 		e.log.Warn("answer's header ignored", "request", r.incoming.ID, "endpoint", g.Endpoint, "err", verdict.HeaderError)
 	}
 	life := core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -31,8 +31,10 @@
 	}
 	r.tried = append(r.tried, choice.Endpoint)
 	r.sending.onlyLimited, r.sending.others = choice.Only, choice.Others
+	slowdown, reportAge := e.chooser.assumedSpeed(choice.Endpoint)
 	e.log.Info("chosen", "request", r.incoming.ID, "endpoint", choice.Endpoint, "attempt", r.attempts+1, "candidates", choice.Candidates,
-		"running", choice.Running, "roll_term", choice.RollTerm, "roll", choice.RollVersion, "roll_age_ms", choice.RollAge)
+		"running", choice.Running, "roll_term", choice.RollTerm, "roll", choice.RollVersion, "roll_age_ms", choice.RollAge,
+		"slowdown", slowdown, "report_age_ms", reportAge)
 	e.meter.Count("chosen_total", 1)
 	return &order.Grant{ID: r.incoming.ID, Endpoint: choice.Endpoint, Life: choice.Incarnation, Address: choice.Address, Attempt: r.attempts + 1}, nil
 }
@@ -40,14 +42,14 @@
 // reportBegan reports to the scheduler that the endpoint has begun to answer. The scheduler does not track plain requests.
 func (r *request) reportBegan(g *order.Grant) {
 	if !r.plain {
-		r.entry.events.addBegan(r.key, g.Attempt)
+		r.entry.events.addBegan(r.key, g.Attempt, r.takeLoad())
 	}
 }
 
 // reportEnded reports to the scheduler how the request ended, unless it is a plain one.
 func (r *request) reportEnded(ending order.AttemptOutcome) {
 	if !r.plain {
-		r.entry.events.addEnded(r.key, ending)
+		r.entry.events.addEnded(r.key, ending, r.takeLoad())
 	}
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -78,6 +78,7 @@
 	errorAnswer *answer
 	sending     sending
 	record      attemptRecord
+	heardLoad   heardLoad
 	// bound means that the client has received events of the stream, which may go on only at the software version version.
 	bound   bool
 	version string
@@ -243,11 +244,12 @@
 	if r.plain {
 		return r.choose(r.attempts > 0)
 	}
+	loadNotice := r.loadNotice()
 	grant, problem := r.callScheduler(ctx, assign.Service+".Again", func() any {
 		if ending == order.NotSent {
 			return r.replacementArgs(former)
 		}
-		return assign.AgainArgs{Key: r.key, How: ending, Service: r.service, Continuation: r.continuation()}
+		return assign.AgainArgs{Key: r.key, How: ending, Service: r.service, Continuation: r.continuation(), Notice: loadNotice}
 	})
 	if problem != nil && problem.Reason == core.ReasonNoQuorum && ctx.Err() == nil {
 		r.entry.log.Info("attempt placed anew", "request", r.incoming.ID, "why", problem.Detail)
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -233,6 +233,7 @@
 	}
 	r.recordNotice(g, verdict)
 	r.recordLimit(g, verdict.Limit, sentAt)
+	r.recordLoad(g, verdict.Load)
 	switch {
 	case verdict.OtherEndpoint:
 		return order.OtherEndpoint, false
