Treat endpoints that have not answered yet as usual, and test the ways of the reports

An endpoint that had not stated its speed counted as slower than those that had, and might have got no requests.

--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -54,8 +54,10 @@
 	heldTokens   int
 	cache        *promptCache
 	// slowdown is the ratio of observed to expected call time. speed is what the endpoint states of its slowdown. failureRate is the share of failed attempts.
-	slowdown     estimate
-	speed        speed.Endpoint
+	slowdown estimate
+	speed    speed.Endpoint
+	// silent means that the endpoint has answered and has not stated a slowdown.
+	silent       bool
 	failureRate  estimate
 	backoff      core.Millis
 	backoffUntil core.Millis
--- a/core/fleet/speed.go
+++ b/core/fleet/speed.go
@@ -29,6 +29,13 @@
 // ReportsSpeed reports whether this incarnation of the endpoint has stated a slowdown.
 func (e *Endpoint) ReportsSpeed() bool { return e.speed.Stated() }
 
+// hasSpeed reports whether the estimates of core/speed hold for the endpoint: it has stated a slowdown, or it has not answered yet and
+// others of its service have. If the latter counted as slower than those whose speed is known, they would get no requests and stay
+// unknown.
+func (e *Endpoint) hasSpeed() bool {
+	return e.ReportsSpeed() || !e.silent && e.service != nil && e.service.speed.Stated()
+}
+
 // ReportAge returns the time since the endpoint last stated its slowdown, 0 if it never has.
 func (e *Endpoint) ReportAge(now core.Millis) core.Millis { return e.speed.Age(now) }
 
@@ -41,7 +48,7 @@
 
 // slowdownOver returns the mean slowdown that is expected from now on for a time in milliseconds.
 func (e *Endpoint) slowdownOver(now core.Millis, span float64) float64 {
-	if !e.ReportsSpeed() {
+	if !e.hasSpeed() {
 		return e.slowdown.value
 	}
 	return e.slowdown.value * e.speed.Over(now, span, e.service.speed)
@@ -58,7 +65,7 @@
 // SlowFactor, and all of them are worth using.
 func (e *Endpoint) slowBound(now core.Millis) float64 {
 	bound := e.service.leastSlowdown(now)
-	if e.ReportsSpeed() {
+	if e.hasSpeed() {
 		bound = max(bound, e.service.speed.Usual())
 	}
 	return SlowFactor * bound
@@ -66,7 +73,7 @@
 
 // readTimeAt returns the predicted time in milliseconds to read a number of prompt tokens from now on.
 func (e *Endpoint) readTimeAt(now core.Millis, tokens int) float64 {
-	if !e.ReportsSpeed() {
+	if !e.hasSpeed() {
 		return e.slowdown.value * tokenTime * float64(tokens)
 	}
 	perToken := e.service.speed.TokenTime()
@@ -80,20 +87,21 @@
 	if e.service == nil || e.service.Engine == nil {
 		return
 	}
+	e.silent = !e.ReportsSpeed()
 	if slowdown, ok := e.speed.Latest(now); ok {
 		e.service.speed.RecordFirstByte(l.AheadTokens+l.UnreadTokens, slowdown, elapsed)
 	}
 }
 
 // BestFirstByte returns the shortest predicted time from a grant to the first byte of a prompt's answer, over the engines
-// that can take the prompt now, in milliseconds. It reports false if no such engine states its slowdown.
+// that can take the prompt now, in milliseconds. It reports false if there is no such engine whose speed is estimated.
 func (s *Service) BestFirstByte(now core.Millis, p order.Prompt, c PrefixChain) (float64, bool) {
 	if s.Engine == nil {
 		return 0, false
 	}
 	best := math.Inf(1)
 	for _, e := range s.endpoints {
-		if e.ReportsSpeed() && e.Usable(now) && e.Fits(p) {
+		if e.hasSpeed() && e.Usable(now) && e.Fits(p) {
 			best = min(best, e.readTimeAt(now, e.unreadTokens+p.Tokens-e.CachedTokens(c)))
 		}
 	}
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -53,6 +53,7 @@
 // RecordCall records a successful call with its actual and its expected time.
 func (e *Endpoint) RecordCall(now, took, expected core.Millis) {
 	e.recordSuccess()
+	e.silent = !e.ReportsSpeed()
 	if expected <= 0 {
 		return
 	}
--- a/core/speed/service.go
+++ b/core/speed/service.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// Stated reports whether an endpoint of the service has stated its slowdown.
+func (s *Service) Stated() bool { return s.reports > 0 }
+
 // Usual returns the mean slowdown of the service's endpoints, 1 before the first report.
 func (s *Service) Usual() float64 { return s.usual }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -75,32 +75,33 @@
 
 // Entry is the HTTP front end of one entry host.
 type Entry struct {
-	options Options
-	control Control
-	dialect io.Dialect
-	pipe    *pipe.Client
-	peers   *peer.Client
-	clock   core.Clock
-	guard   *guard.Guard
-	meter   *meter.Meter
-	// headerWarnings bounds the log lines about unreadable headers.
-	headerWarnings *mute.Muter
-	log            *slog.Logger
-	clientServer   *listen.Server
-	readyServer    *listen.Server
-	sweeper        *loop.Loop
-	events         *eventQueue
-	calls          *pendingCalls
-	chooser        *endpointChooser
-	leaderWatcher  *loop.Loop
-	table          atomic.Pointer[conf.Table]
-	serving        servingLease
-	shutdown       *shutdown
+	options       Options
+	control       Control
+	dialect       io.Dialect
+	pipe          *pipe.Client
+	peers         *peer.Client
+	clock         core.Clock
+	guard         *guard.Guard
+	meter         *meter.Meter
+	log           *slog.Logger
+	clientServer  *listen.Server
+	readyServer   *listen.Server
+	sweeper       *loop.Loop
+	events        *eventQueue
+	calls         *pendingCalls
+	chooser       *endpointChooser
+	leaderWatcher *loop.Loop
+	table         atomic.Pointer[conf.Table]
+	serving       servingLease
+	shutdown      *shutdown
 	// active is the number of client requests in progress.
 	active atomic.Int64
 	seq    atomic.Uint64
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	// headerWarnings bounds the log lines about unreadable headers.
+	headerWarnings *mute.Muter
 }
 
 // New returns an entry that does not listen yet.
--- a/io/entry/events_test.go
+++ b/io/entry/events_test.go
@@ -86,3 +86,17 @@
 	must.Len(t, 1, leader.taken)
 	must.Eq(t, life, leader.taken[0].Life)
 }
+
+// TestLoadReportsThatCouldNotBeToldAreDropped guards against a report that reaches a new leader seconds late and is taken for a
+// statement about the present. The event itself must still be told.
+func TestLoadReportsThatCouldNotBeToldAreDropped(t *testing.T) {
+	e := newEventQueue("", nil, nil, nil, nil)
+	life := core.Life{Endpoint: "e", Incarnation: 1}
+	heard := heardLoad{life: life, report: order.LoadReport{Stated: true, Slowness: 2.5}}
+	e.addBegan(order.Key{Seq: 1}, 2, heard)
+	must.Eq(t, heard.report, e.queued[0].Load)
+	unsent := e.queued
+	e.queued = nil
+	e.requeue(unsent, nil)
+	must.Eq(t, []assign.RequestEvent{{Key: order.Key{Seq: 1}, Began: true, Attempt: 2, Life: life}}, e.queued)
+}
