--- a/core/sched/play_speed_test.go
+++ b/core/sched/play_speed_test.go
@@ -104,8 +104,8 @@
 		with, without := simulate(l), simulate(l.withoutReports())
 		for _, c := range l.Classes {
 			x, y := with.tally[c.Name], without.tally[c.Name]
-			t.Logf("%-8s on time %d of %d with reports, %d of %d without; earned %.3f and %.3f",
-				c.Name, x.OnTime, x.Asked, y.OnTime, y.Asked, x.Earned/x.Owed, y.Earned/y.Owed)
+			t.Logf("%-8s on time %d of %d with reports, %d of %d without; earned %.3f and %.3f; 95 of 100 first bytes within %d and %d ms",
+				c.Name, x.OnTime, x.Asked, y.OnTime, y.Asked, x.Earned/x.Owed, y.Earned/y.Owed, quantile(x.times, 0.95), quantile(y.times, 0.95))
 			if len(c.Stages) > 0 {
 				test.Greater(t, y.Earned, x.Earned, test.Sprint(c.Name))
 			}
@@ -116,6 +116,15 @@
 	}
 }
 
+// quantile returns the value below which a share of times lies.
+func quantile(times []core.Millis, share float64) core.Millis {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(times))
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
 // withoutReports returns the load with endpoints that state nothing of their speed.
 func (l load) withoutReports() load {
 	l.Services = slices.Clone(l.Services)
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -157,6 +157,8 @@
 type tally struct {
 	Asked, OnTime, Late, Refused, RefusedLate int
 	Owed, Earned                              float64
+	// times holds the times from the arrival to the first byte.
+	times []core.Millis
 }
 
 // simulation runs a load in simulated time against a scheduler, with simulated hosts, endpoints and clients.
@@ -732,6 +734,7 @@
 	if x.poisoned {
 		t = &tally{}
 	}
+	t.times = append(t.times, sim.now-x.firstSentAt)
 	if sim.now-x.firstSentAt <= c.Aim {
 		t.OnTime++
 		t.Earned += x.worth
