--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -53,11 +53,18 @@
 // RecordCall records a successful call with its actual and its expected time.
 func (e *Endpoint) RecordCall(now, took, expected core.Millis) {
 	e.recordSuccess()
+	e.silent = !e.ReportsSpeed()
 	if expected <= 0 {
 		return
 	}
 	factor := float64(took) / float64(expected)
 	e.slowdown.add(e.slowdown.value * factor)
+	if e.ReportsSpeed() {
+		if e.Slow(now) {
+			e.probeAt = now + slowProbeInterval
+		}
+		return
+	}
 	if e.slowdown.value > SlowFactor {
 		// A faster call lowers the slowdown at once, so that a recovered endpoint is used again without delay.
 		e.slowdown.value = min(e.slowdown.value, max(1, e.slowdown.value*factor))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 	"cyclamenford/io/listen"
 	"cyclamenford/io/loop"
 	"cyclamenford/io/meter"
+	"cyclamenford/io/mute"
 	"cyclamenford/io/peer"
 	"cyclamenford/io/pipe"
 )
@@ -98,11 +99,14 @@
 	seq    atomic.Uint64
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	// headerWarnings bounds the log lines about unreadable headers.
+	headerWarnings *mute.Muter
 }
 
 // New returns an entry that does not listen yet.
 func New(o Options, c Control, d io.Dialect, p *pipe.Client, peers *peer.Client, g *guard.Guard, clock core.Clock, m *meter.Meter, log *slog.Logger) *Entry {
-	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, guard: g, clock: clock, meter: m, log: log}
+	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, guard: g, clock: clock, meter: m, log: log, headerWarnings: mute.New(headerWarnPeriod)}
 	e.events = newEventQueue(o.Host, c, peers, clock, log)
 	e.calls = newPendingCalls()
 	e.shutdown = newShutdown(clock)
--- a/io/entry/running_test.go
+++ b/io/entry/running_test.go
@@ -88,11 +88,11 @@
 	for seq := range uint64(2) {
 		e.running.add(assign.HostRequest{Key: order.Key{Host: "h", Seq: seq}}, 500, "former")
 	}
-	e.addEnded(order.Key{Host: "h", Seq: 0}, order.Served)
+	e.addEnded(order.Key{Host: "h", Seq: 0}, order.Served, heardLoad{})
 	for range 3 {
 		e.flush(context.Background())
 	}
-	e.addEnded(order.Key{Host: "h", Seq: 1}, order.Served)
+	e.addEnded(order.Key{Host: "h", Seq: 1}, order.Served, heardLoad{})
 	e.flush(context.Background())
 	must.NoError(t, server.Stop(context.Background()))
 	list := "list of 1 by h in life 1"
