--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -64,6 +64,8 @@
 	limit   float64
 	// probeAt is the earliest time at which a slow endpoint is probed again.
 	probeAt core.Millis
+	cold    coldState
+	paced   paced
 }
 
 // Life returns the endpoint's incarnation.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -39,6 +39,7 @@
 // one.
 func (f *Fleet) Upsert(now core.Millis, e order.Endpoint, leaving bool) {
 	existing, ok := f.endpoints[e.ID]
+	known := ok && existing.Incarnation == e.Incarnation
 	if ok && existing.Incarnation != e.Incarnation {
 		f.Remove(e.ID)
 		ok = false
@@ -50,7 +51,11 @@
 	existing.Endpoint = e
 	existing.leaving = leaving
 	existing.coldUntil = now + e.Cold
+	existing.cold.announced(now, e.Cold)
 	f.attach(existing)
+	if !known {
+		existing.seen(now)
+	}
 }
 
 // Endpoint returns the endpoint of a stage's service by ID. It reports false if a different incarnation was announced
--- /dev/null
+++ b/core/fleet/pace.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"cyclamenford/core"
+	"cyclamenford/core/order"
+	"cyclamenford/core/pace"
+)
+
+// paced holds the window of an endpoint that has started or recovered.
+type paced struct {
+	window pace.Window
+	// reportsSpeed means that the endpoint's answers state how long work takes there.
+	reportsSpeed bool
+}
+
+// ReportsSpeed reports whether the endpoint's answers state how long work takes there at present.
+func (e *Endpoint) ReportsSpeed() bool { return e.paced.reportsSpeed }
+
+// isPaced reports whether a window applies to the endpoint.
+func (e *Endpoint) isPaced() bool { return e.HasColdBound() && e.ReportsSpeed() }
+
+// hasPace reports whether the endpoint's window has room for one more request or call besides those in progress.
+func (e *Endpoint) hasPace(running int) bool {
+	return !e.isPaced() || e.paced.window.HasRoom(running, 0)
+}
+
+// Window returns the endpoint's window in requests, or false if none applies.
+func (e *Endpoint) Window() (float64, bool) {
+	size, active := e.paced.window.Limit()
+	return size, active && e.isPaced()
+}
+
+// slots returns how many requests or calls an endpoint has in progress at most.
+func (e *Endpoint) slots() int {
+	switch {
+	case e.service.Engine != nil:
+		return max(1, e.service.Engine.Slots)
+	case e.service.Pieces != nil:
+		return max(1, e.service.Pieces.Slots)
+	}
+	return max(1, e.Slots)
+}
+
+// paceStarted sets up the window of an incarnation that is seen for the first time and says that it has just started.
+//
+// While the scheduler learns of the endpoints of a service for the first time, during the service's cold time, there is no
+// window: all endpoints are new then, and windows at all of them would make a whole deployment slow. The cold bound holds
+// nevertheless.
+func (e *Endpoint) paceStarted(now core.Millis) {
+	if !e.HasColdBound() || e.Endpoint.Cold <= 0 {
+		return
+	}
+	if s := e.service; s.knownSince == 0 || now < s.knownSince+s.ColdTime {
+		return
+	}
+	e.paced.window.Started(now, 1)
+}
+
+// paceAnswered records the first byte of an answer, elapsed milliseconds after the request was sent, or a successful call.
+// usual is the usual time in milliseconds and running counts the requests in progress with this one.
+func (e *Endpoint) paceAnswered(now, elapsed core.Millis, usual float64, running int) {
+	if e.paced.window.Active() {
+		e.paced.window.Answered(now, elapsed, usual, running, float64(e.slots()), 1)
+	}
+}
+
+// paceEnded records the ending of an attempt or call that was sent at sentAt. A connection that failed means that the
+// endpoint may have crashed or been cut off, so that it begins anew.
+func (e *Endpoint) paceEnded(now, sentAt core.Millis, ending order.AttemptOutcome, running int) {
+	if !e.HasColdBound() {
+		return
+	}
+	switch ending {
+	case order.Unreachable:
+		e.paced.window.Started(now, 1)
+	case order.Broken, order.Garbled, order.Late:
+		e.paced.window.Recovering(now, sentAt, running, 1)
+	case order.Rejected:
+		e.paced.window.Failed(now, sentAt, 1)
+	}
+}
+
+// seen records that an incarnation has become known.
+func (e *Endpoint) seen(now core.Millis) {
+	if e.service == nil {
+		return
+	}
+	if e.service.knownSince == 0 {
+		e.service.knownSince = now
+	}
+	e.paceStarted(now)
+}
--- a/core/fleet/serve.go
+++ b/core/fleet/serve.go
@@ -29,6 +29,9 @@
 // output. An idle engine accepts a prompt of any size.
 func (e *Endpoint) Fits(p order.Prompt) bool {
 	engine := e.service.Engine
+	if !e.hasPace(e.running) {
+		return false
+	}
 	if engine == nil {
 		return e.running < max(1, e.Slots)
 	}
--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -32,6 +32,8 @@
 	// cachedLeastSlowdown is the result of leastSlowdown at the time leastSlowdownAt.
 	leastSlowdownAt     core.Millis
 	cachedLeastSlowdown float64
+	// knownSince is when the first endpoint of the service became known.
+	knownSince core.Millis
 }
 
 // Endpoints returns the service's endpoints sorted by ID. The caller must not modify the slice.
@@ -59,9 +61,7 @@
 			if s.footprint.value > 0 && s.Pieces.Room > 0 {
 				rate = min(rate, usableRoomShare*float64(s.Pieces.Room)/s.footprint.value)
 			}
-			if e.limited {
-				rate = min(rate, e.limit/float64(core.Second)*float64(max(1, s.Pieces.Batch)))
-			}
+			rate = min(rate, e.permittedPieces())
 			sum += rate
 		}
 	}
--- a/core/fleet/stage.go
+++ b/core/fleet/stage.go
@@ -18,7 +18,7 @@
 // CanStartCall reports whether a stage's endpoint can start another call now. A slow endpoint can only when
 // its next probe is due.
 func (e *Endpoint) CanStartCall(now core.Millis) bool {
-	if e.calls >= max(1, e.service.Pieces.Slots) || !e.Usable(now) || e.FreeBytes() <= 0 {
+	if e.calls >= max(1, e.service.Pieces.Slots) || !e.Usable(now) || e.FreeBytes() <= 0 || !e.hasPace(e.calls) {
 		return false
 	}
 	return !e.Slow(now) || now >= e.probeAt
--- a/core/limit/issuer.go
+++ b/core/limit/issuer.go
@@ -52,6 +52,8 @@
 	Limited bool
 	// RetryAfter is set without a permit: the time until a permit is expected to be free.
 	RetryAfter core.Millis
+	// IssuedAt is when a permit was issued.
+	IssuedAt core.Millis
 }
 
 // Issuer issues the permits for requests to endpoints that name a limit. A single issuer serves all hosts, so that they
@@ -232,7 +234,7 @@
 		switch {
 		case wait == 0 && len(kept) == 0:
 			b.take(now)
-			i.answers = append(i.answers, Answer{Number: a.Number, Permitted: true, Limited: true})
+			i.answers = append(i.answers, Answer{Number: a.Number, Permitted: true, Limited: true, IssuedAt: now})
 		case now+wait > a.Deadline:
 			i.answers = append(i.answers, Answer{Number: a.Number, Limited: true, RetryAfter: b.retryAfter(now, wait, a.Final)})
 		default:
--- /dev/null
+++ b/core/pace/window_test.go
@@ -0,0 +1,59 @@
+package pace
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestWindowFollowsTheAnswers guards against a window that overloads an endpoint, that many failures of one moment close
+// altogether, or that stays after the endpoint has recovered.
+func TestWindowFollowsTheAnswers(t *testing.T) {
+	var w Window
+	must.True(t, w.HasRoom(1000, 0))
+	w.Started(1000, 1)
+	must.True(t, w.HasRoom(1, 0))
+	must.False(t, w.HasRoom(2, 0))
+	// The answer to a request that was sent before the start says nothing.
+	w.Answered(1010, 100, 100, 2, 16, 1)
+	// Two rounds in time.
+	for range 2 {
+		w.Answered(1200, 100, 100, 2, 16, 1)
+	}
+	limit, _ := w.Limit()
+	must.Eq(t, 4, limit)
+	// Nothing is learnt from an almost idle endpoint.
+	w.Answered(1200, 100, 100, 1, 16, 1)
+	must.False(t, w.HasRoom(4, 0))
+	// Four late answers of one round shrink it once.
+	for range 4 {
+		w.Answered(1500, 250, 100, 4, 16, 1)
+	}
+	must.True(t, w.HasRoom(1, 0))
+	must.False(t, w.HasRoom(2, 0))
+	for range 10 {
+		w.Failed(1600, 1600, 1)
+	}
+	must.True(t, w.HasRoom(0, 0))
+	for range 100 {
+		w.Answered(2000, 100, 100, 16, 16, 1)
+	}
+	for range 200 {
+		w.Answered(3000, 100, 100, 16, 16, 1)
+	}
+	must.False(t, w.Active())
+}
+
+// TestWindowsOfManyHostsAddUpToOne guards against an endpoint that has started and gets a whole window from each host.
+func TestWindowsOfManyHostsAddUpToOne(t *testing.T) {
+	const hosts = 300
+	admitted := 0
+	for h := range hosts {
+		var w Window
+		w.Started(0, 1.0/hosts)
+		if w.HasRoom(0, (float64(h)+0.5)/hosts) {
+			admitted++
+		}
+	}
+	must.LessEq(t, int(initialLimit)+1, admitted)
+}
--- a/io/permit/calls.go
+++ b/io/permit/calls.go
@@ -21,6 +21,12 @@
 	}
 	reply.Leading = true
 	i.record(args.Report, args.Host)
+	if i.lacksBound(args) {
+		i.mu.Unlock()
+		reply.Life, reply.Limited, reply.Bounded, reply.RetryAfter = args.Report.Life, true, true, NoIssuerHold
+		i.meter.Count("permits_total", 1, "outcome", "bound_unknown")
+		return nil
+	}
 	now := i.clock.Now()
 	ask := limit.Ask{Life: i.issuer.First(now, append(args.Others, args.Report.Life)), Priority: args.Priority, Due: now + args.Aim, Deadline: now, Final: args.Wait}
 	if args.Wait {
@@ -30,6 +36,7 @@
 	ask.Number = i.lastAsk
 	waiter := make(chan limit.Answer, 1)
 	i.waiters[ask.Number] = waiter
+	reply.Bounded = i.issuer.Bounded(ask.Life)
 	i.issuer.Ask(now, ask)
 	i.deliver()
 	i.mu.Unlock()
@@ -39,6 +46,7 @@
 		return nil
 	}
 	reply.Life = ask.Life
+	reply.Waited = max(0, answer.IssuedAt-now)
 	reply.Permitted, reply.Limited, reply.RetryAfter = answer.Permitted, answer.Limited, answer.RetryAfter
 	i.logAnswer(args, ask.Life, answer, i.clock.Now()-now)
 	return nil
--- a/io/permit/wire.go
+++ b/io/permit/wire.go
@@ -25,6 +25,8 @@
 	// Wait means that the host has no other endpoint for the request: the call waits for a permit until Left has passed.
 	// Otherwise it returns at once.
 	Wait bool
+	// Bounded means that the host knows of a bound of the endpoints, so that none of them may be sent to without a permit.
+	Bounded bool
 }
 
 // TakeReply answers a call for a permit.
@@ -37,4 +39,8 @@
 	Limited bool
 	// RetryAfter is set without a permit: the time until a permit is expected to be free.
 	RetryAfter core.Millis
+	// Waited is the time from the arrival of the call to the issue of the permit, and Bounded means that the endpoint has a
+	// bound, so that the permit is valid for BoundValidity only.
+	Waited  core.Millis
+	Bounded bool
 }
