Bound requests to endpoints that are cold or may be

The scheduler gives the issuer of permits a bound for each endpoint of a service with ColdTime and ColdPerSecond, from its first announcement on, and counts endpoints as cold when a domain returns, a connection fails, an announcement is missing or the scheduler is replaced. Each piece of a stage call takes a permit of its own.

go test ./core/sched passes.

--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -56,17 +56,23 @@
 	e.paced.window.Started(now, 1)
 }
 
-// paceAnswered records the first byte of an answer, elapsed milliseconds after the request was sent, or a successful call.
-// usual is the usual time in milliseconds and running counts the requests in progress with this one.
-func (e *Endpoint) paceAnswered(now, elapsed core.Millis, usual float64, running int) {
-	if e.paced.window.Active() {
+// RecordPace records the first byte of an answer, elapsed milliseconds after the request was sent, or a successful call.
+// usual is the usual time in milliseconds and running counts the requests or calls in progress with this one.
+func (e *Endpoint) RecordPace(now, elapsed core.Millis, usual float64, running int) {
+	if e.paced.window.Active() && e.service != nil {
 		e.paced.window.Answered(now, elapsed, usual, running, float64(e.slots()), 1)
 	}
 }
 
-// paceEnded records the ending of an attempt or call that was sent at sentAt. A connection that failed means that the
+// Running returns the number of granted requests in progress.
+func (e *Endpoint) Running() int { return e.running }
+
+// Calls returns the number of stage calls in progress.
+func (e *Endpoint) Calls() int { return e.calls }
+
+// RecordPaceEnding records the ending of an attempt or call that was sent at sentAt. A connection that failed means that the
 // endpoint may have crashed or been cut off, so that it begins anew.
-func (e *Endpoint) paceEnded(now, sentAt core.Millis, ending order.AttemptOutcome, running int) {
+func (e *Endpoint) RecordPaceEnding(now, sentAt core.Millis, ending order.AttemptOutcome, running int) {
 	if !e.HasColdBound() {
 		return
 	}
--- a/core/limit/bound.go
+++ b/core/limit/bound.go
@@ -14,6 +14,8 @@
 	// coldSaved is what the bucket of an endpoint that is known to be cold can save up: one permit, so that requests follow
 	// each other at the bound's rate.
 	coldSaved = 1.0
+	// removedRetryAfter is the retry time of asks whose endpoint is known no more.
+	removedRetryAfter = 100 * core.Millis(1)
 )
 
 // Bound is a request rate that the system sets for an endpoint, whatever the endpoint names itself. The zero value is no
@@ -56,7 +58,8 @@
 	i.serve(now, b)
 }
 
-// RemoveBound removes the bound of an incarnation, such as one that has ended. Asks that waited for it alone are permitted.
+// RemoveBound removes the bound of an incarnation, such as one that is known no more. Asks that waited for it alone are
+// refused, since the endpoint may run nevertheless.
 func (i *Issuer) RemoveBound(now core.Millis, l core.Life) {
 	b, ok := i.buckets[l]
 	if !ok || b.bound == (Bound{}) {
@@ -66,7 +69,10 @@
 	b.fill(now)
 	b.bound = Bound{}
 	if b.named == 0 {
-		i.lift(l, b)
+		for _, a := range b.queue {
+			i.answers = append(i.answers, Answer{Number: a.Number, Limited: true, RetryAfter: removedRetryAfter})
+		}
+		delete(i.buckets, l)
 		return
 	}
 	i.serve(now, b)
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -229,8 +229,10 @@
 	Waited, Expected core.Millis
 	// Cached is the number of prompt tokens that the endpoint is assumed to have cached.
 	Cached int
-	// Permitted means that the endpoint names a limit and that the grant contains a permit to send one request.
+	// Permitted means that the endpoint names a limit or has a bound and that the grant contains a permit to send one request.
 	Permitted bool
+	// Bounded means that the endpoint has a bound: nothing may be sent without a permit, which is valid for a short time only.
+	Bounded bool
 }
 
 // Refusal rejects a request.
@@ -271,8 +273,11 @@
 	Owners []Owner
 	// Alone is set if the call runs the pieces of one suspected request alone.
 	Alone bool
-	// Permitted means that the endpoint names a limit and that the order contains a permit to send one request.
+	// Permitted means that the endpoint names a limit and that the order contains a permit to send one request, or that it has
+	// a bound and that the order contains one for each item.
 	Permitted bool
+	// Bounded means that the endpoint has a bound: nothing may be sent without a permit, which is valid for a short time only.
+	Bounded bool
 }
 
 // Owner identifies a request that has pieces of one stage in a call.
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -61,7 +61,7 @@
 	e.BeginCall(bytes)
 	s.actions = append(s.actions, order.Action{Call: &order.Call{
 		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected, Bytes: bytes, Room: room,
-		Life: e.Incarnation, Owners: owners, Alone: alone, Permitted: s.takePermit(e),
+		Life: e.Incarnation, Owners: owners, Alone: alone, Permitted: s.takePermits(e, len(items)), Bounded: e.Bounded(),
 	}}, order.Action{CallBegan: &order.RunningCall{
 		Number: c.number, Endpoint: e.ID, Life: e.Incarnation, Bytes: bytes, EndsAt: s.now + expected, Till: s.now + expected + svc.Pieces.Keep,
 	}})
@@ -85,6 +85,7 @@
 		s.adjustRunning(c, -1)
 	}
 	if ending == order.Served && len(results) == len(c.items) {
+		c.endpoint.RecordPace(s.now, s.now-c.startedAt, float64(c.expectedTime), c.endpoint.Calls()+1)
 		c.endpoint.RecordCall(s.now, s.now-c.startedAt, c.expectedTime)
 		// Result sizes are approximate, so a few pieces may find no room. If many do, the endpoint holds results that
 		// this scheduler has no record of.
@@ -97,6 +98,7 @@
 		s.reportResults(c, results)
 	} else {
 		c.endpoint.FreeResults(c.bytes)
+		s.recordEnding(c.endpoint, c.startedAt, ending, c.endpoint.Calls()+1)
 		c.endpoint.RecordFailure(now, ending)
 		// An endpoint that has ended hasn't run the call and gets no other one.
 		counted := ending != order.Rejected && ending != order.OtherEndpoint
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -249,7 +249,7 @@
 	slices.SortStableFunc(svc.groups, func(a, b *group) int {
 		return cmp.Compare(keys[a]+a.crossDomainCost(e), keys[b]+b.crossDomainCost(e))
 	})
-	maxItems := max(1, svc.Pieces.Batch)
+	maxItems := s.maxPermittedPieces(e, max(1, svc.Pieces.Batch))
 	if e.Slow(s.now) {
 		// A probe of a slow endpoint must not delay urgent work, so it gets a single piece of the least urgent group.
 		maxItems = 1
--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -5,6 +5,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/fleet"
+	"cyclamenford/core/limit"
 	"cyclamenford/core/order"
 )
 
@@ -24,6 +25,11 @@
 	Budget(now core.Millis, l core.Life) (free, perSecond float64, limited bool)
 	// Take takes a permit and reports whether one was free or none is needed.
 	Take(now core.Millis, l core.Life) bool
+	// TakeMany takes several permits or none.
+	TakeMany(now core.Millis, l core.Life, n int) bool
+	// SetBound and RemoveBound set and remove a bound of the system besides the limit that an endpoint names.
+	SetBound(now core.Millis, l core.Life, x limit.Bound)
+	RemoveBound(now core.Millis, l core.Life)
 }
 
 // SetLimits replaces the issuer of permits. Without one, the scheduler knows of no limits.
@@ -51,12 +57,17 @@
 	s.limitsInUse = s.limits.Any()
 	for _, svc := range s.services {
 		for _, e := range svc.Endpoints() {
-			_, perSecond, limited := s.limits.Budget(s.now, e.Life())
-			e.SetLimit(limited, perSecond)
+			s.updateLimit(e)
 		}
 	}
 }
 
+// updateLimit gives an endpoint its present limit, which it names itself or which is its bound.
+func (s *Scheduler) updateLimit(e *fleet.Endpoint) {
+	_, perSecond, limited := s.limits.Budget(s.now, e.Life())
+	e.SetLimit(limited, perSecond)
+}
+
 // budget is how many permits of an endpoint are free, and how many become free in a millisecond.
 type budget struct{ free, rate float64 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -60,9 +60,10 @@
 	// limitsInUse is set while an endpoint may have a limit set by updateLimits.
 	limitsInUse bool
 	// passDue is set by events after which the queues must be looked at.
-	passDue bool
-	totals  Totals
-	actions []order.Action
+	passDue   bool
+	coldWatch coldWatch
+	totals    Totals
+	actions   []order.Action
 }
 
 // service holds the queues of one service.
@@ -77,6 +78,8 @@
 	missing, ahead int
 	// returnsAt is when the client is expected back that was refused last because all endpoints name a limit.
 	returnsAt core.Millis
+	// wasBounded means that the service had a cold bound when bounds were last applied.
+	wasBounded bool
 }
 
 // request is one attempt of a client, from its arrival to the end of its last attempt at an endpoint.
@@ -122,6 +125,7 @@
 		requests: map[order.Key]*request{}, incarnations: map[core.HostID]core.Incarnation{}, calls: map[uint64]*call{}, pendingFrees: map[uint64]pendingFree{},
 		inherited: map[order.Key][]order.HeldResults{}, trials: map[poison.Content]uint64{},
 		pauses: map[pauseKey]core.Millis{}, limits: limit.NewIssuer(),
+		coldWatch: coldWatch{cold: map[core.EndpointID]core.Incarnation{}, counts: map[fleet.ColdReason]int{}},
 	}
 }
 
@@ -158,19 +162,25 @@
 			s.services[c.Name] = &service{Service: f}
 		}
 	}
+	s.applyBounds()
 	s.passDue = true
 }
 
 // SetEndpoint adds or updates an endpoint. A leaving endpoint gets no new work.
 func (s *Scheduler) SetEndpoint(now core.Millis, e order.Endpoint, leaving bool) {
 	s.now = now
+	former := s.known(e.ID)
 	s.fleet.Upsert(now, e, leaving)
+	s.endpointAnnounced(former, e.ID)
 	s.passDue = true
 }
 
 // RemoveEndpoint removes an endpoint that has ended.
 func (s *Scheduler) RemoveEndpoint(now core.Millis, id core.EndpointID) {
 	s.now = now
+	if e := s.known(id); e != nil {
+		s.endBound(e)
+	}
 	s.fleet.Remove(id)
 }
 
@@ -243,6 +253,7 @@
 		return
 	}
 	r.firstByteSeen = true
+	r.endpoint.RecordPace(s.now, s.now-r.grantedAt, s.services[r.Service].FirstByteTime(), r.endpoint.Running())
 	r.endpoint.RecordFirstByte(r.load, s.now-r.grantedAt)
 	s.freeAllResults(r)
 	s.passDue = true
@@ -256,6 +267,7 @@
 		return
 	}
 	if r.endpoint != nil {
+		s.recordEnding(r.endpoint, r.grantedAt, ending, r.endpoint.Running())
 		r.endpoint.RecordEnding(s.now, ending)
 		r.leaveEndpoint()
 		s.updateDue(r)
@@ -299,6 +311,7 @@
 	s.expireInheritedCalls()
 	s.freeUnclaimed()
 	s.removeExpiredPauses()
+	s.applyBounds()
 	s.updateLimits()
 	s.sendLimitedFrees()
 	for _, r := range s.sortedRequests() {
