Carry the bounds of cold endpoints to hosts and stage calls

The scheduler decides under bounds, but a grant could be sent a second later, and a host that chooses by itself knew nothing of them. An issuer that does not know the bound yet, as in the first moments of a term, gives no permit.

go test ./core/sched ./core/door ./core/roll ./io/entry ./io/pipe pass.

--- a/core/door/door.go
+++ b/core/door/door.go
@@ -130,6 +130,12 @@
 	return d.limits.Limited(l) || ok && e.Incarnation == l.Incarnation && e.Limited
 }
 
+// Bounded reports whether requests to an incarnation need a permit because the system bounds their rate.
+func (d *Selector) Bounded(l core.Life) bool {
+	e, ok := d.endpoints[l.Endpoint]
+	return ok && e.Incarnation == l.Incarnation && e.Listed.Bounded
+}
+
 // CallTime returns the usual time of a service's answer.
 func (d *Selector) CallTime(service string) core.Millis {
 	return core.Millis(d.service(service).callTime)
--- a/core/roll/roll.go
+++ b/core/roll/roll.go
@@ -20,6 +20,8 @@
 	Leaving bool
 	// Limited endpoints get only requests with a permit.
 	Limited bool
+	// Bounded means that the endpoint is limited by a bound of the system, so that its permits are valid for a short time.
+	Bounded bool
 }
 
 // Page contains the changes of a roll after a version, or the whole roll.
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -184,6 +184,7 @@
 	if !e.Bounded() {
 		return s.takePermit(e)
 	}
+	s.services[e.Endpoint.Service].budgetsAt = 0
 	return s.limits.TakeMany(s.now, e.Life(), pieces)
 }
 
--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -44,13 +44,20 @@
 	return !limited || free >= 1
 }
 
-// takePermit takes the permit for a request to an endpoint and reports whether the endpoint names a limit.
+// takePermit takes the permit for a request to an endpoint and reports whether the endpoint needs one.
 func (s *Scheduler) takePermit(e *fleet.Endpoint) bool {
-	return e.Limited() && s.limits.Take(s.now, e.Life())
+	if !e.Limited() {
+		return false
+	}
+	if svc := s.services[e.Endpoint.Service]; svc != nil {
+		svc.budgetsAt = 0
+	}
+	return s.limits.Take(s.now, e.Life())
 }
 
 // updateLimits gives the endpoints the limits that they name.
 func (s *Scheduler) updateLimits() {
+	s.dropBudgets()
 	if !s.limits.Any() && !s.limitsInUse {
 		return
 	}
@@ -74,38 +81,52 @@
 // limitWait returns when a service whose endpoints all name a limit has a permit for a request, after the given number of
 // others, at most maxLimitRetryAfter. It reports false if a usable endpoint names no limit, or if none is usable.
 func (s *Scheduler) limitWait(svc *service, ahead int) (core.Millis, bool) {
-	if svc == nil {
+	budgets := s.budgets(svc)
+	if len(budgets) == 0 {
 		return 0, false
 	}
-	var budgets []budget
+	wait := sort.Search(int(maxLimitRetryAfter), func(wait int) bool { return permitsAfter(budgets, core.Millis(wait)) > ahead })
+	return core.Millis(wait), true
+}
+
+// permitsAfter returns how many permits are free after a time.
+func permitsAfter(budgets []budget, wait core.Millis) int {
+	permits := 0
+	for _, b := range budgets {
+		permits += int(b.free + b.rate*float64(wait) + permitRounding)
+	}
+	return permits
+}
+
+// budgets returns the budgets of a service's usable endpoints, or none if one of them needs no permit. They are kept for one
+// millisecond, or until a permit is taken, because they are needed for each waiting request.
+func (s *Scheduler) budgets(svc *service) []budget {
+	if svc == nil {
+		return nil
+	}
+	if svc.budgetsAt == s.now && s.now > 0 {
+		return svc.cachedBudgets
+	}
+	svc.budgetsAt, svc.cachedBudgets = s.now, svc.cachedBudgets[:0]
 	for _, e := range svc.Endpoints() {
 		if !e.Usable(s.now) {
 			continue
 		}
 		if !e.Limited() {
-			return 0, false
+			svc.cachedBudgets = svc.cachedBudgets[:0]
+			break
 		}
 		free, perSecond, _ := s.limits.Budget(s.now, e.Life())
-		budgets = append(budgets, budget{free: free, rate: perSecond / float64(core.Second)})
-	}
-	if len(budgets) == 0 {
-		return 0, false
+		svc.cachedBudgets = append(svc.cachedBudgets, budget{free: free, rate: perSecond / float64(core.Second)})
 	}
-	wait := sort.Search(int(maxLimitRetryAfter), func(wait int) bool {
-		permits := 0
-		for _, b := range budgets {
-			permits += int(b.free + b.rate*float64(wait) + permitRounding)
-		}
-		return permits > ahead
-	})
-	return core.Millis(wait), true
+	return svc.cachedBudgets
 }
 
 // predictLimitWait returns when a request is expected to get a permit if all endpoints of its service name a limit: after
 // the requests of the same or more urgent priorities that have no endpoint yet.
 func (s *Scheduler) predictLimitWait(r *request) core.Millis {
 	svc := s.services[r.Service]
-	if _, limited := s.limitWait(svc, 0); !limited {
+	if len(s.budgets(svc)) == 0 {
 		return 0
 	}
 	ahead := 0
@@ -120,8 +141,9 @@
 
 // exceedsLimit reports whether a waiting request can get no permit before its deadline, after the given number of others.
 func (s *Scheduler) exceedsLimit(svc *service, r *request, ahead int, remaining core.Millis) bool {
-	wait, limited := s.limitWait(svc, ahead)
-	return limited && s.now+wait+remaining > r.deadlineAt
+	budgets := s.budgets(svc)
+	return len(budgets) > 0 && (s.now+remaining > r.deadlineAt ||
+		permitsAfter(budgets, min(maxLimitRetryAfter-1, r.deadlineAt-s.now-remaining)) <= ahead)
 }
 
 // refuseLimited emits the refusal of a request that gets no permit in time. The refused clients are asked to return one
@@ -136,3 +158,10 @@
 		Key: r.Key, ID: r.ID, Reason: core.ReasonEndpointsLimited, RetryAfter: after, Expected: wait, Left: r.deadlineAt - s.now,
 	}})
 }
+
+// dropBudgets forgets the kept budgets after a change of endpoints or of what they may get.
+func (s *Scheduler) dropBudgets() {
+	for _, svc := range s.services {
+		svc.budgetsAt = 0
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -78,6 +78,9 @@
 	missing, ahead int
 	// returnsAt is when the client is expected back that was refused last because all endpoints name a limit.
 	returnsAt core.Millis
+	// cachedBudgets holds the budgets of the endpoints at the time budgetsAt.
+	cachedBudgets []budget
+	budgetsAt     core.Millis
 	// wasBounded means that the service had a cold bound when bounds were last applied.
 	wasBounded bool
 }
@@ -172,6 +175,7 @@
 	former := s.known(e.ID)
 	s.fleet.Upsert(now, e, leaving)
 	s.endpointAnnounced(former, e.ID)
+	s.dropBudgets()
 	s.passDue = true
 }
 
@@ -182,6 +186,7 @@
 		s.endBound(e)
 	}
 	s.fleet.Remove(id)
+	s.dropBudgets()
 }
 
 // AddRequest adds a request. The decision follows as a Grant or a Refusal.
@@ -267,6 +272,7 @@
 		return
 	}
 	if r.endpoint != nil {
+		s.dropBudgets()
 		s.recordEnding(r.endpoint, r.grantedAt, ending, r.endpoint.Running())
 		r.endpoint.RecordEnding(s.now, ending)
 		r.leaveEndpoint()
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -130,6 +130,7 @@
 	// publisher publishes the roll to entry hosts.
 	publisher publisher
 	activity  activity
+	pace      paceLog
 	// nextPass is when the scheduler may pass over its queues again, and passPending is set while events wait for that.
 	nextPass    time.Time
 	passPending bool
@@ -168,7 +169,9 @@
 func (a *Assigner) reset() {
 	a.sched = sched.New(a.options.Retries)
 	a.activity = activity{}
+	a.permits.RemoveBounds()
 	a.sched.SetLimits(a.permits)
+	a.sched.SetAnnounceEvery(a.options.AnnounceEvery)
 	a.roster = newRoster(MaxSilence(a.options.AnnounceEvery))
 	for _, w := range a.waiters {
 		close(w.decision)
@@ -178,7 +181,7 @@
 	a.pendingCuts = poison.NewCuts(a.options.AnnounceEvery)
 	// Event numbers continue, so that a keeper that copies events within one term misses none.
 	a.heldEvents = eventLog{nextNumber: a.heldEvents.nextNumber}
-	a.publisher.reset(a.term, a.permits.Limited)
+	a.publisher.reset(a.term, a.permits.Limited, a.permits.Bounded)
 }
 
 // checkLeadership reports whether this keeper leads. It starts a new scheduler at the start of each term, discards it when
@@ -328,6 +331,7 @@
 	a.sched.Tick(now)
 	a.executeActions()
 	a.logActivity(now)
+	a.logPace(now)
 }
 
 // executeActions lets the scheduler decide and carries out its decisions, now or once the former pass has had its time, unless the
--- a/io/assign/limit.go
+++ b/io/assign/limit.go
@@ -16,10 +16,23 @@
 // mayCall reports whether this keeper may send a call of the given kind to an endpoint: the call has a permit or needs
 // none. A permit is taken now if the endpoint has named its limit since the call was decided.
 func (a *Assigner) mayCall(life core.Life, permitted bool, kind string) bool {
-	if !a.permits.Limited(life) {
+	return a.mayCallMany(life, permitted, false, 1, kind)
+}
+
+// mayCallMany is mayCall for a call with a number of pieces. Each of them takes a permit if the endpoint has or had a bound.
+func (a *Assigner) mayCallMany(life core.Life, permitted, bounded bool, pieces int, kind string) bool {
+	if !a.permits.Limited(life) && (permitted || !bounded) {
 		return true
 	}
-	if !permitted && !a.permits.Take(a.clock.Now(), life) {
+	if !a.permits.Bounded(life) {
+		pieces = 1
+		// An issuer that does not know the bound any more is not the one that gave the permit.
+		if bounded && !permitted {
+			a.log.Info("no permit", "endpoint", life.Endpoint, "kind", kind)
+			return false
+		}
+	}
+	if !permitted && !a.permits.TakeMany(a.clock.Now(), life, pieces) {
 		a.log.Info("no permit", "endpoint", life.Endpoint, "kind", kind)
 		return false
 	}
--- a/io/assign/publisher.go
+++ b/io/assign/publisher.go
@@ -18,15 +18,17 @@
 	changed chan struct{}
 	// limited reports whether an endpoint names a limit.
 	limited func(core.Life) bool
+	// bounded reports whether an endpoint has a bound.
+	bounded func(core.Life) bool
 }
 
 // reset starts an empty roll for a term, without published services. Its version is above that of the previous roll.
-func (p *publisher) reset(term uint64, limited func(core.Life) bool) {
+func (p *publisher) reset(term uint64, limited, bounded func(core.Life) bool) {
 	version := uint64(0)
 	if p.roll != nil {
 		version = p.roll.Version() + 1
 	}
-	p.limited = limited
+	p.limited, p.bounded = limited, bounded
 	p.roll, p.published = roll.New(term, version), map[string]bool{}
 	p.notifyWaiters()
 }
@@ -62,7 +64,7 @@
 		return
 	}
 	life := core.Life{Endpoint: a.Endpoint.ID, Incarnation: a.Endpoint.Incarnation}
-	if p.roll.Put(roll.Listed{Endpoint: a.Endpoint, Leaving: a.Leaving, Limited: p.limited(life)}) {
+	if p.roll.Put(roll.Listed{Endpoint: a.Endpoint, Leaving: a.Leaving, Limited: p.limited(life), Bounded: p.bounded(life)}) {
 		p.notifyWaiters()
 	}
 }
--- a/io/assign/stage_call.go
+++ b/io/assign/stage_call.go
@@ -36,11 +36,22 @@
 	life := core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}
 	sentAt := a.clock.Now()
 	// A call of a suspected request may have waited for its trial.
-	permitted := c.Permitted && sentAt-decidedAt < permit.Validity
-	if !a.mayCall(life, permitted, "stage call") {
+	permitted := c.Permitted && sentAt-decidedAt < permit.ValidityOf(c.Bounded)
+	if !a.mayCallMany(life, permitted, c.Bounded, len(c.Items), "stage call") {
 		return nil, order.Rejected, nil
 	}
-	resp, err := a.pipe.Do(ctx, a.newPipeRequest(c.Address, "", call))
+	request := a.newPipeRequest(c.Address, "", call)
+	if c.Bounded || a.permits.Bounded(life) {
+		issuedAt := sentAt
+		if permitted {
+			issuedAt = decidedAt
+		}
+		request.SendBy = issuedAt + permit.BoundSendLimit
+	}
+	resp, err := a.pipe.Do(ctx, request)
+	if errors.Is(err, pipe.ErrSentTooLate) {
+		return nil, order.Rejected, err
+	}
 	if err != nil {
 		return nil, outcomeOfSendError(err), err
 	}
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -133,6 +133,7 @@
 		a.sched.SetEndpoint(now, announcement.Endpoint, announcement.Leaving)
 		a.publisher.put(announcement)
 	}
+	a.sched.AssumeAllCold(now)
 	results := a.standby.results.heldResults()
 	calls := a.standby.results.runningCalls()
 	a.sched.Inherit(now, results, calls)
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -22,6 +22,9 @@
 	others      []core.Life
 	// permitted means that the attempt has a permit.
 	permitted bool
+	// placedAt is when the scheduler was last asked to place the request, and sendBy when the request may be sent at the
+	// latest under a permit of an endpoint with a bound, 0 without one.
+	placedAt, sendBy core.Millis
 }
 
 // takePermit asks for a permit if the endpoint of a grant names a limit and the grant contains none. It reports false if
@@ -29,15 +32,15 @@
 func (r *request) takePermit(ctx context.Context, g *order.Grant, trial bool) (bool, *core.Problem) {
 	e := r.entry
 	life := core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}
-	r.sending.permitted = g.Permitted
-	if g.Permitted && e.clock.Now()-r.sending.grantedAt < permit.Validity || !g.Permitted && !e.chooser.needsPermit(life) {
+	r.sending.permitted, r.sending.sendBy = g.Permitted, 0
+	if g.Permitted && r.isPermitValid(g) || !g.Permitted && !g.Bounded && !e.chooser.needsPermit(life) {
 		return true, nil
 	}
 	if trial {
 		// The trial is at this endpoint.
 		r.sending.others = nil
 	}
-	reply, err := r.askPermit(ctx, life)
+	reply, err := r.askPermit(ctx, life, g.Bounded || e.chooser.isBounded(life))
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return false, nil
@@ -81,14 +84,14 @@
 
 // askPermit asks the leading keeper for a permit. If the leader is lost meanwhile, it asks the next one, as long as there
 // is time.
-func (r *request) askPermit(ctx context.Context, life core.Life) (permit.TakeReply, error) {
+func (r *request) askPermit(ctx context.Context, life core.Life, bounded bool) (permit.TakeReply, error) {
 	e := r.entry
 	for {
 		now := e.clock.Now()
 		answerTime := e.chooser.callTime(r.service)
 		args := permit.TakeArgs{
 			Report: e.chooser.limitReport(life), Host: e.options.Host, Request: r.incoming.ID, Priority: r.priority(),
-			Aim: r.arrived + r.route.Aim - now - answerTime, Left: r.end() - now - answerTime, Others: r.sending.others, Wait: r.sending.onlyLimited,
+			Aim: r.arrived + r.route.Aim - now - answerTime, Left: r.end() - now - answerTime, Others: r.sending.others, Wait: r.sending.onlyLimited, Bounded: bounded,
 		}
 		leader := e.control.LeaderAddress()
 		callCtx, cancel := context.WithCancel(ctx)
@@ -96,6 +99,9 @@
 		reply, err := permit.Take(callCtx, e.peers, leader, args)
 		remove()
 		cancel()
+		if err == nil && reply.Permitted && r.hasExpired(now, reply) && ctx.Err() == nil && e.clock.Now() < r.end() {
+			continue
+		}
 		if err == nil || !args.Wait || !r.waitForLeader(ctx, leader) {
 			return reply, err
 		}
@@ -137,6 +143,11 @@
 	if !r.sending.permitted {
 		return
 	}
+	if r.sending.sendBy > 0 {
+		// All requests to the service have a permit, so that a line for each would say nothing.
+		e.meter.Count("limited_sends_total", 1, "kind", "bounded")
+		return
+	}
 	e.log.Info("sent to a limited endpoint", "request", r.incoming.ID, "endpoint", g.Endpoint, "incarnation", g.Life, "attempt", r.attempts)
 	e.meter.Count("limited_sends_total", 1, "kind", "request")
 }
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -211,6 +211,7 @@
 		r.former, r.keyTaken = r.key, false
 	}
 	e := r.entry
+	r.sending.placedAt = e.clock.Now()
 	r.key = order.Key{Host: e.options.Host, Life: e.control.Holder().Incarnation, Seq: e.seq.Add(1)}
 	return assign.PlaceArgs{Ask: r.newAsk()}
 }
@@ -344,7 +345,7 @@
 // notRun reports whether an ending proves that the endpoint has not run the request.
 func notRun(ending order.AttemptOutcome) bool {
 	switch ending {
-	case order.Rejected, order.Unreachable, order.GoneInput, order.OtherEndpoint:
+	case order.Rejected, order.Unreachable, order.GoneInput, order.OtherEndpoint, order.NotSent:
 		return true
 	}
 	return false
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -113,6 +113,10 @@
 		}
 		e.meter.Count("attempts_total", 1, "how", string(ending))
 		standing := r.reportOutcome(ctx, grant, ending, trial)
+		if ending == order.NotSent {
+			// The permit expired while the connection was opened, so this does not count as an attempt.
+			r.attempts--
+		}
 		if !notRun(ending) {
 			r.mayHaveRun = ending
 			placing = ctx
@@ -140,7 +144,7 @@
 		ending = r.mayHaveRun
 	}
 	switch ending {
-	case order.Rejected, order.Unreachable, order.GoneInput, order.OtherEndpoint:
+	case order.Rejected, order.Unreachable, order.GoneInput, order.OtherEndpoint, order.NotSent:
 		return core.NewProblem(http.StatusServiceUnavailable, core.NotRun, core.ReasonEndpointRefused,
 			"no endpoint took the request").WithRetryAfter(r.notRunRetryAfter())
 	case order.Late:
@@ -218,6 +222,7 @@
 	if !r.repeatable() {
 		endpointRequest.MaxIdle = nonRepeatableMaxIdle
 	}
+	endpointRequest.SendBy = r.sending.sendBy
 	sentAt := e.clock.Now()
 	r.logLimited(g)
 	resp, err := e.pipe.Do(ctx, endpointRequest)
@@ -326,6 +331,8 @@
 // classifyError returns the ending of an attempt that failed with an error.
 func (r *request) classifyError(ctx context.Context, err error) order.AttemptOutcome {
 	switch {
+	case errors.Is(err, pipe.ErrSentTooLate):
+		return order.NotSent
 	case pipe.NotSent(err):
 		return order.Unreachable
 	case r.clientGone():
--- a/io/permit/bound.go
+++ b/io/permit/bound.go
@@ -14,6 +14,14 @@
 	BoundSendLimit = limit.BoundValidity + limit.SendTime - transferTime
 )
 
+// ValidityOf returns how long a permit is valid, for an endpoint with or without a bound.
+func ValidityOf(bounded bool) core.Millis {
+	if bounded {
+		return BoundValidity
+	}
+	return Validity
+}
+
 // SetBound sets the bound of an incarnation, see limit.Issuer.
 func (i *Issuer) SetBound(now core.Millis, l core.Life, x limit.Bound) {
 	i.mu.Lock()
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -60,6 +60,9 @@
 // poolKey identifies the connections that a request may reuse.
 type poolKey struct{ address, group string }
 
+// ErrSentTooLate means that a request was not sent because no connection was there by its SendBy. It wraps ErrNotSent.
+var ErrSentTooLate = fmt.Errorf("%w: too late", ErrNotSent)
+
 // Request is an HTTP request to the endpoint that listens at Address.
 type Request struct {
 	Address string
@@ -74,6 +77,8 @@
 	// Name is what answers name the request by. A request reuses no connection that has carried one of the same name lately, such as an
 	// earlier attempt: a late copy of that answer would look like its own. Names that are never used again may be left empty.
 	Name string
+	// SendBy is the time on the client's clock after which the request is not sent any more; 0 means no limit.
+	SendBy core.Millis
 	// MaxIdle limits how long a reused connection may have been idle, for requests that must not be repeated; 0 means
 	// no limit.
 	MaxIdle core.Millis
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -60,10 +60,14 @@
 	if err != nil {
 		return nil, err
 	}
+	raw := encodeRequest(r)
+	if r.SendBy > 0 && c.options.Clock.Now() > r.SendBy {
+		c.release(x)
+		return nil, ErrSentTooLate
+	}
 	unwatch := context.AfterFunc(ctx, func() { c.discard(x) })
 	x.recordCarried(r)
 	written := make(chan error, 1)
-	raw := encodeRequest(r)
 	if len(raw) <= maxDirectWrite {
 		_, err := x.Write(raw)
 		written <- err
