--- a/core/door/door.go
+++ b/core/door/door.go
@@ -70,9 +70,11 @@
 	hosts         int
 	term, version uint64
 	confirmedAt   core.Millis
-	endpoints     map[core.EndpointID]*endpoint
-	services      map[string]*service
-	retired       map[core.EndpointID]state.Retirement
+	// confirmedBefore means that the roll being applied is not the first one.
+	confirmedBefore bool
+	endpoints       map[core.EndpointID]*endpoint
+	services        map[string]*service
+	retired         map[core.EndpointID]state.Retirement
 	// notices holds the leave and pause notices that this host received in endpoints' answers.
 	notices *notice.Store
 	// limits holds the limits that endpoints named in their answers to this host.
@@ -165,6 +167,7 @@
 	if p.Term < d.term {
 		return
 	}
+	d.confirmedBefore = d.confirmedAt > 0
 	d.term, d.version, d.confirmedAt = p.Term, p.Version, now
 	for _, l := range p.Listed {
 		d.upsert(now, l)
@@ -227,6 +230,7 @@
 		s := d.service(l.Service)
 		index, _ := slices.BinarySearchFunc(s.endpoints, l.ID, func(x *endpoint, id core.EndpointID) int { return cmp.Compare(x.ID, id) })
 		s.endpoints = slices.Insert(s.endpoints, index, e)
+		d.paceListed(now, e, l)
 	}
 	if e.Limited && !l.Limited {
 		// Another host has heard that the limit is lifted.
@@ -312,6 +316,7 @@
 	if ready := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return now < e.backoffUntil }); len(ready) > 0 {
 		candidates = ready
 	}
+	candidates = d.withRoom(candidates)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -433,6 +438,7 @@
 	if !ok {
 		return
 	}
+	d.recordPace(now, e, ending, took, d.service(e.Service).callTime)
 	e.running = max(0, e.running-1)
 	e.observe(now, ending, took, d.service(e.Service))
 }
--- a/core/door/endpoint.go
+++ b/core/door/endpoint.go
@@ -58,6 +58,7 @@
 	backoffUntil, backoff core.Millis
 	// heldUntil is when the next permit of an endpoint that names a limit is expected to be free.
 	heldUntil core.Millis
+	paced     paced
 }
 
 func (e *endpoint) life() core.Life {
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -54,6 +54,14 @@
 	}
 }
 
+// EndpointFailed records that a connection to an endpoint has failed under a request that is not the scheduler's.
+func (s *Scheduler) EndpointFailed(now core.Millis, l core.Life) {
+	s.now = now
+	if e := s.known(l.Endpoint); e != nil && e.Incarnation == l.Incarnation {
+		s.assumeEndpointCold(e, fleet.ConnectionFailed, 0)
+	}
+}
+
 // assumeCold makes the endpoints for which matches returns true count as cold.
 func (s *Scheduler) assumeCold(why fleet.ColdReason, until core.Millis, matches func(*fleet.Endpoint) bool) {
 	for _, name := range s.serviceNames() {
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -79,6 +79,10 @@
 			a.applyNotice(now, e)
 			continue
 		}
+		if e.Life != (core.Life{}) {
+			a.sched.EndpointFailed(now, e.Life)
+			continue
+		}
 		if e.Began {
 			a.sched.FirstByteReceived(now, e.Key, e.Attempt)
 			continue
--- a/io/entry/bound.go
+++ b/io/entry/bound.go
@@ -42,3 +42,12 @@
 	defer c.mu.Unlock()
 	return c.door.Bounded(life)
 }
+
+// reportFailed tells the scheduler that a connection to an endpoint with a bound has failed under a plain request, since the
+// endpoint may be cold.
+func (r *request) reportFailed(g *order.Grant, ending order.AttemptOutcome) {
+	life := core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}
+	if (ending == order.Unreachable || ending == order.Broken) && r.entry.chooser.isBounded(life) {
+		r.entry.events.addFailed(r.entry.options.Host, life, ending)
+	}
+}
--- a/io/entry/events.go
+++ b/io/entry/events.go
@@ -70,6 +70,11 @@
 	e.add(assign.RequestEvent{Key: order.Key{Host: host}, Life: life, Notice: n})
 }
 
+// addFailed queues that a connection to an endpoint has failed under a request of which the scheduler does not know.
+func (e *eventQueue) addFailed(host core.HostID, life core.Life, ending order.AttemptOutcome) {
+	e.add(assign.RequestEvent{Key: order.Key{Host: host}, Life: life, How: ending})
+}
+
 // addLimit queues what an answer says about the limit of an endpoint.
 func (e *eventQueue) addLimit(life core.Life, stated limit.Statement, made limit.Span) {
 	e.mu.Lock()
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -56,6 +56,7 @@
 func (r *request) recordAttempt(g *order.Grant, ending order.AttemptOutcome, took core.Millis) {
 	if r.plain {
 		r.entry.chooser.recordEnding(g.Endpoint, ending, took)
+		r.reportFailed(g, ending)
 	}
 	if ending == order.Unreachable && r.uncountedAttempts < maxUncountedAttempts {
 		r.uncountedAttempts++
--- a/io/permit/issuer_test.go
+++ b/io/permit/issuer_test.go
@@ -139,3 +139,32 @@
 		}
 	}
 }
+
+// TestIssuerThatLacksABoundGivesNoPermit guards against requests without a permit in the first moments of a term, when hosts
+// know of a bound and the new leader's scheduler has not set it yet, and against permits saved up under the former leader.
+func TestIssuerThatLacksABoundGivesNoPermit(t *testing.T) {
+	i, leader, now := newTestIssuer()
+	take := func() (reply TakeReply) {
+		must.NoError(t, (&calls{i}).Take(TakeArgs{Report: limit.Report{Life: limitedLife}, Bounded: true}, &reply))
+		return reply
+	}
+	reply := take()
+	must.True(t, reply.Leading && reply.Limited)
+	must.False(t, reply.Permitted)
+	i.SetBound(now.Now(), limitedLife, limit.WarmBound(10))
+	now.Advance(100)
+	reply = take()
+	must.True(t, reply.Permitted && reply.Bounded)
+	now.Advance(5000)
+	leader.set(2, true)
+	must.False(t, take().Permitted)
+	now.Advance(100)
+	must.True(t, take().Permitted)
+	must.False(t, i.TakeMany(now.Now(), limitedLife, 2))
+	leader.set(2, false)
+	now.Advance(5000)
+	must.False(t, i.TakeMany(now.Now(), limitedLife, 2))
+	leader.set(2, true)
+	i.RemoveBounds()
+	must.False(t, take().Permitted)
+}
