--- a/core/door/door.go
+++ b/core/door/door.go
@@ -316,7 +316,7 @@
 	if ready := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return now < e.backoffUntil }); len(ready) > 0 {
 		candidates = ready
 	}
-	candidates = d.withRoom(candidates)
+	candidates = d.withRoom(now, candidates)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
--- a/core/door/pace.go
+++ b/core/door/pace.go
@@ -26,15 +26,15 @@
 // page get none: they may all be new, and windows at all of them would make the whole deployment slow.
 func (d *Selector) paceListed(now core.Millis, e *endpoint, l roll.Listed) {
 	if d.confirmedBefore && l.Cold > 0 {
-		e.paced.window.Started(now, d.share())
+		e.paced.window.Started(now, e.Slots, d.share())
 	}
 }
 
 // withRoom returns the candidates whose windows have room for one more request. It may return none: their requests are
 // refused at once then, since a plain request does not wait at the host.
-func (d *Selector) withRoom(candidates []*endpoint) []*endpoint {
+func (d *Selector) withRoom(now core.Millis, candidates []*endpoint) []*endpoint {
 	return slices.DeleteFunc(candidates, func(e *endpoint) bool {
-		return e.isPaced() && !e.paced.window.HasRoom(e.running, d.rng.Float64())
+		return e.isPaced() && !e.paced.window.HasRoom(now, e.running, d.rng.Float64())
 	})
 }
 
@@ -44,13 +44,13 @@
 	w := &e.paced.window
 	switch ending {
 	case order.Served:
-		w.Answered(now, took, callTime, e.running, float64(max(1, e.Slots))*d.share(), d.share())
+		w.Answered(now, took, callTime, e.running)
 	case order.Rejected:
-		w.Failed(now, now-took, d.share())
+		w.Failed(now, now-took)
 	case order.Unreachable:
-		w.Started(now, d.share())
+		w.Started(now, e.Slots, d.share())
 	case order.Broken, order.Garbled, order.Late:
-		w.Recovering(now, now-took, e.running, d.share())
+		w.Recovering(now, now-took, e.running, e.Slots, d.share())
 	}
 }
 
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -19,9 +19,10 @@
 // isPaced reports whether a window applies to the endpoint.
 func (e *Endpoint) isPaced() bool { return e.HasColdBound() && e.ReportsSpeed() }
 
-// hasPace reports whether the endpoint's window has room for one more request or call besides those in progress.
+// hasPace reports whether the endpoint's window has room for one more request or call besides those in progress. The window
+// is the only one of the endpoint, so that it does not depend on the time.
 func (e *Endpoint) hasPace(running int) bool {
-	return !e.isPaced() || e.paced.window.HasRoom(running, 0)
+	return !e.isPaced() || e.paced.window.HasRoom(0, running, 0)
 }
 
 // Window returns the endpoint's window in requests, or false if none applies.
@@ -53,14 +54,14 @@
 	if s := e.service; s.knownSince == 0 || now < s.knownSince+s.ColdTime {
 		return
 	}
-	e.paced.window.Started(now, 1)
+	e.paced.window.Started(now, e.slots(), 1)
 }
 
 // RecordPace records the first byte of an answer, elapsed milliseconds after the request was sent, or a successful call.
 // usual is the usual time in milliseconds and running counts the requests or calls in progress with this one.
 func (e *Endpoint) RecordPace(now, elapsed core.Millis, usual float64, running int) {
 	if e.paced.window.Active() && e.service != nil {
-		e.paced.window.Answered(now, elapsed, usual, running, float64(e.slots()), 1)
+		e.paced.window.Answered(now, elapsed, usual, running)
 	}
 }
 
@@ -78,11 +79,11 @@
 	}
 	switch ending {
 	case order.Unreachable:
-		e.paced.window.Started(now, 1)
+		e.paced.window.Started(now, e.slots(), 1)
 	case order.Broken, order.Garbled, order.Late:
-		e.paced.window.Recovering(now, sentAt, running, 1)
+		e.paced.window.Recovering(now, sentAt, running, e.slots(), 1)
 	case order.Rejected:
-		e.paced.window.Failed(now, sentAt, 1)
+		e.paced.window.Failed(now, sentAt)
 	}
 }
 
--- a/core/pace/window_test.go
+++ b/core/pace/window_test.go
@@ -10,36 +10,36 @@
 // altogether, or that stays after the endpoint has recovered.
 func TestWindowFollowsTheAnswers(t *testing.T) {
 	var w Window
-	must.True(t, w.HasRoom(1000, 0))
-	w.Started(1000, 1)
-	must.True(t, w.HasRoom(1, 0))
-	must.False(t, w.HasRoom(2, 0))
+	must.True(t, w.HasRoom(0, 1000, 0))
+	w.Started(1000, 16, 1)
+	must.True(t, w.HasRoom(0, 1, 0))
+	must.False(t, w.HasRoom(0, 2, 0))
 	// The answer to a request that was sent before the start says nothing.
-	w.Answered(1010, 100, 100, 2, 16, 1)
+	w.Answered(1010, 100, 100, 2)
 	// Two rounds in time.
 	for range 2 {
-		w.Answered(1200, 100, 100, 2, 16, 1)
+		w.Answered(1200, 100, 100, 2)
 	}
 	limit, _ := w.Limit()
 	must.Eq(t, 4, limit)
 	// Nothing is learnt from an almost idle endpoint.
-	w.Answered(1200, 100, 100, 1, 16, 1)
-	must.False(t, w.HasRoom(4, 0))
+	w.Answered(1200, 100, 100, 1)
+	must.False(t, w.HasRoom(0, 4, 0))
 	// Four late answers of one round shrink it once.
 	for range 4 {
-		w.Answered(1500, 250, 100, 4, 16, 1)
+		w.Answered(1500, 250, 100, 4)
 	}
-	must.True(t, w.HasRoom(1, 0))
-	must.False(t, w.HasRoom(2, 0))
+	must.True(t, w.HasRoom(0, 1, 0))
+	must.False(t, w.HasRoom(0, 2, 0))
 	for range 10 {
-		w.Failed(1600, 1600, 1)
+		w.Failed(1600, 1600)
 	}
-	must.True(t, w.HasRoom(0, 0))
+	must.True(t, w.HasRoom(0, 0, 0))
 	for range 100 {
-		w.Answered(2000, 100, 100, 16, 16, 1)
+		w.Answered(2000, 100, 100, 16)
 	}
 	for range 200 {
-		w.Answered(3000, 100, 100, 16, 16, 1)
+		w.Answered(3000, 100, 100, 16)
 	}
 	must.False(t, w.Active())
 }
@@ -50,8 +50,8 @@
 	admitted := 0
 	for h := range hosts {
 		var w Window
-		w.Started(0, 1.0/hosts)
-		if w.HasRoom(0, (float64(h)+0.5)/hosts) {
+		w.Started(0, 16, 1.0/hosts)
+		if w.HasRoom(0, 0, (float64(h)+0.5)/hosts) {
 			admitted++
 		}
 	}
