--- a/io/assign/pace.go
+++ b/io/assign/pace.go
@@ -43,6 +43,9 @@
 	gauged := map[string]bool{}
 	for _, s := range a.sched.PaceStatus(now) {
 		gauged[s.Service] = true
+		if s.Windowed > 0 {
+			a.log.Info("endpoints paced", "service", s.Service, "windows", s.Windowed, "requests", int(s.Sum), "cold", s.Cold)
+		}
 		a.meter.SetGauge("endpoints_cold", int64(s.Cold), "service", s.Service)
 		a.meter.SetGauge("endpoints_windowed", int64(s.Windowed), "service", s.Service)
 		a.meter.SetGauge("endpoint_windows_requests", int64(s.Sum), "service", s.Service)
