Give no permit for an endpoint whose bound the issuer does not know

A host names the other endpoints that could serve a request, and the issuer preferred one that it knew nothing of as one that needs no permit. Releases of results keep to the bound too, also after the scheduler that ordered them has been replaced.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -298,6 +298,8 @@
 	Life    core.Life
 	Address string
 	Handles []string
-	// Permitted means that the endpoint names a limit and that the order contains a permit to send one request.
+	// Permitted means that the endpoint names a limit or has a bound and that the order contains a permit to send one request.
 	Permitted bool
+	// Bounded means that the endpoint has or had a bound: nothing may be sent without a permit.
+	Bounded bool
 }
--- a/core/sched/freed.go
+++ b/core/sched/freed.go
@@ -76,7 +76,7 @@
 		if e.Paused(s.now) || limited && (e.FreeShare() > limitedReleaseShare || !s.limits.Take(s.now, f.Life)) {
 			return false
 		}
-		f.Free.Permitted = limited
+		f.Free.Permitted, f.Free.Bounded = limited, e.Bounded()
 		s.actions = append(s.actions, order.Action{Free: &f.Free})
 		return true
 	})
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -465,7 +465,7 @@
 
 // freeUnclaimed frees the results of a call whose scheduler no longer exists.
 func (a *Assigner) freeUnclaimed(c order.Call, results []order.ItemResult) {
-	free := order.Free{Life: core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}, Address: c.Address}
+	free := order.Free{Life: core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}, Address: c.Address, Bounded: c.Bounded}
 	for _, r := range results {
 		if r.Handle != "" {
 			free.Handles = append(free.Handles, r.Handle)
@@ -490,11 +490,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	sentAt := a.clock.Now()
-	if !a.mayCall(f.Life, f.Permitted, "release") {
+	if !a.mayCall(f.Life, f.Permitted, f.Bounded, 1, "release") {
 		// The endpoint drops the results by itself a few seconds later.
 		return
 	}
-	resp, err := a.pipe.Do(ctx, a.newPipeRequest(f.Address, freeGroup, call))
+	request := a.newPipeRequest(f.Address, freeGroup, call)
+	if f.Bounded {
+		request.SendBy = sentAt + permit.BoundSendLimit
+	}
+	resp, err := a.pipe.Do(ctx, request)
 	if err != nil {
 		// The endpoint drops the results by itself a few seconds later.
 		a.log.Debug("call to free results failed", "address", f.Address, "err", err)
--- a/io/assign/limit.go
+++ b/io/assign/limit.go
@@ -13,14 +13,10 @@
 	}
 }
 
-// mayCall reports whether this keeper may send a call of the given kind to an endpoint: the call has a permit or needs
-// none. A permit is taken now if the endpoint has named its limit since the call was decided.
-func (a *Assigner) mayCall(life core.Life, permitted bool, kind string) bool {
-	return a.mayCallMany(life, permitted, false, 1, kind)
-}
-
-// mayCallMany is mayCall for a call with a number of pieces. Each of them takes a permit if the endpoint has or had a bound.
-func (a *Assigner) mayCallMany(life core.Life, permitted, bounded bool, pieces int, kind string) bool {
+// mayCall reports whether this keeper may send a call of the given kind to an endpoint: the call has a permit or needs none. A
+// permit is taken now if the endpoint has named its limit since the call was decided, and one for each piece if it has a bound.
+// bounded means that it had one then.
+func (a *Assigner) mayCall(life core.Life, permitted, bounded bool, pieces int, kind string) bool {
 	if !a.permits.Limited(life) && (permitted || !bounded) {
 		return true
 	}
--- a/io/assign/stage_call.go
+++ b/io/assign/stage_call.go
@@ -37,7 +37,7 @@
 	sentAt := a.clock.Now()
 	// A call of a suspected request may have waited for its trial.
 	permitted := c.Permitted && sentAt-decidedAt < permit.ValidityOf(c.Bounded)
-	if !a.mayCallMany(life, permitted, c.Bounded, len(c.Items), "stage call") {
+	if !a.mayCall(life, permitted, c.Bounded, len(c.Items), "stage call") {
 		return nil, order.Rejected, nil
 	}
 	request := a.newPipeRequest(c.Address, "", call)
--- a/io/entry/door.go
+++ b/io/entry/door.go
@@ -14,6 +14,7 @@
 	"cyclamenford/core/state"
 	"cyclamenford/io/assign"
 	"cyclamenford/io/loop"
+	"cyclamenford/io/meter"
 	"cyclamenford/io/peer"
 )
 
@@ -37,6 +38,7 @@
 	calls   *pendingCalls
 	events  *eventQueue
 	clock   core.Clock
+	meter   *meter.Meter
 	log     *slog.Logger
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
@@ -47,9 +49,9 @@
 	warned bool
 }
 
-func newEndpointChooser(s door.Settings, c Control, p *peer.Client, calls *pendingCalls, events *eventQueue, clock core.Clock, log *slog.Logger) *endpointChooser {
+func newEndpointChooser(s door.Settings, c Control, p *peer.Client, calls *pendingCalls, events *eventQueue, clock core.Clock, m *meter.Meter, log *slog.Logger) *endpointChooser {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &endpointChooser{control: c, peers: p, calls: calls, events: events, clock: clock, log: log, door: door.New(s, rng)}
+	return &endpointChooser{control: c, peers: p, calls: calls, events: events, clock: clock, meter: m, log: log, door: door.New(s, rng)}
 }
 
 // Start starts the loop that copies the roll.
@@ -100,6 +102,7 @@
 		c.events.addLimits(now, c.door.LimitReports(now))
 	}
 	c.warned = false
+	c.meter.SetGauge("host_windows", int64(c.door.Windows()))
 	if reply.Page.Whole || len(reply.Page.Listed)+len(reply.Page.Gone) > 0 {
 		c.log.Info("roll adopted", "term", reply.Page.Term, "version", reply.Page.Version, "whole", reply.Page.Whole,
 			"listed", len(reply.Page.Listed), "gone", reply.Page.Gone)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -106,7 +106,7 @@
 	e.events = newEventQueue(o.Host, c, peers, clock, log)
 	e.calls = newPendingCalls()
 	e.shutdown = newShutdown(clock)
-	e.chooser = newEndpointChooser(o.EndpointChoice, c, peers, e.calls, e.events, clock, log)
+	e.chooser = newEndpointChooser(o.EndpointChoice, c, peers, e.calls, e.events, clock, m, log)
 	e.leaderWatcher = loop.New(leaderCheckInterval, e.watchLeader)
 	e.clientServer = listen.New(listen.Options{
 		Name: "clients", Address: o.ClientAddress, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/io/permit/bound.go
+++ b/io/permit/bound.go
@@ -1,6 +1,8 @@
 package permit
 
 import (
+	"slices"
+
 	"cyclamenford/core"
 	"cyclamenford/core/limit"
 )
@@ -61,8 +63,12 @@
 	return i.checkLeadership() && i.issuer.TakeMany(now, l, n)
 }
 
-// lacksBound reports whether a host knows of a bound of an endpoint that this issuer does not know yet, as in the first
-// moments of a term. The caller holds mu.
-func (i *Issuer) lacksBound(args TakeArgs) bool {
-	return args.Bounded && !i.issuer.Bounded(args.Report.Life)
+// candidates returns the endpoints of an ask that may get a permit. If the host knows of a bound, these are the ones whose bound
+// this issuer knows too: in the first moments of a term, it may know none. The caller holds mu.
+func (i *Issuer) candidates(args TakeArgs) []core.Life {
+	lives := append(slices.Clone(args.Others), args.Report.Life)
+	if !args.Bounded {
+		return lives
+	}
+	return slices.DeleteFunc(lives, func(l core.Life) bool { return !i.issuer.Bounded(l) })
 }
--- a/io/permit/calls.go
+++ b/io/permit/calls.go
@@ -21,14 +21,15 @@
 	}
 	reply.Leading = true
 	i.record(args.Report, args.Host)
-	if i.lacksBound(args) {
+	lives := i.candidates(args)
+	if len(lives) == 0 {
 		i.mu.Unlock()
 		reply.Life, reply.Limited, reply.Bounded, reply.RetryAfter = args.Report.Life, true, true, NoIssuerHold
 		i.meter.Count("permits_total", 1, "outcome", "bound_unknown")
 		return nil
 	}
 	now := i.clock.Now()
-	ask := limit.Ask{Life: i.issuer.First(now, append(args.Others, args.Report.Life)), Priority: args.Priority, Due: now + args.Aim, Deadline: now, Final: args.Wait}
+	ask := limit.Ask{Life: i.issuer.First(now, lives), Priority: args.Priority, Due: now + args.Aim, Deadline: now, Final: args.Wait}
 	if args.Wait {
 		ask.Deadline = now + max(0, args.Left)
 	}
--- a/io/permit/issuer_test.go
+++ b/io/permit/issuer_test.go
@@ -151,9 +151,12 @@
 	reply := take()
 	must.True(t, reply.Leading && reply.Limited)
 	must.False(t, reply.Permitted)
+	other := core.Life{Endpoint: "other", Incarnation: 1}
 	i.SetBound(now.Now(), limitedLife, limit.WarmBound(10))
 	now.Advance(100)
-	reply = take()
+	// An endpoint whose bound is not known yet is not taken for one that needs no permit.
+	must.NoError(t, (&calls{i}).Take(TakeArgs{Report: limit.Report{Life: other}, Others: []core.Life{limitedLife}, Bounded: true}, &reply))
+	must.Eq(t, limitedLife, reply.Life)
 	must.True(t, reply.Permitted && reply.Bounded)
 	now.Advance(5000)
 	leader.set(2, true)
