--- a/core/sched/cold_test.go
+++ b/core/sched/cold_test.go
@@ -156,3 +156,37 @@
 		})
 	}
 }
+
+// TestPiecesCountAsRequests guards against a stage call that brings a cold endpoint more pieces than it bears.
+func TestPiecesCountAsRequests(t *testing.T) {
+	s := New(fleet.RetryLimits{})
+	s.Configure(1, []conf.Service{
+		{Name: "stage", ColdTime: 3000, ColdPerSecond: 4, Pieces: &conf.Pieces{Slots: 1, Batch: 36, CallTime: 10, ItemTime: 1, Room: 1 << 30, Keep: 4000}},
+		{Name: "engine", Engine: &conf.Engine{Slots: 16, CacheTokens: 1000}},
+	})
+	for _, name := range []string{"stage", "engine"} {
+		s.SetEndpoint(1, order.Endpoint{ID: core.EndpointID(name), Incarnation: 1, Address: name, Service: name}, false)
+	}
+	s.AddRequest(2000, order.PlacementRequest{
+		Key: order.Key{Host: "h", Seq: 1}, Service: "engine", Aim: 20_000, Left: 30_000, MaxAttempts: 2,
+		Stages: []order.StageRequest{{Service: "stage", Pieces: 30, Bytes: 1}},
+	})
+	var sizes []int
+	for now := core.Millis(2000); now < 3000; now += 20 {
+		s.Tick(now)
+		for _, a := range s.TakeActions() {
+			if a.Call == nil {
+				continue
+			}
+			must.True(t, a.Call.Permitted && a.Call.Bounded)
+			sizes = append(sizes, len(a.Call.Items))
+			var results []order.ItemResult
+			for _, item := range a.Call.Items {
+				results = append(results, order.ItemResult{Handle: fmt.Sprint("stage/", item.Piece)})
+			}
+			s.CallDone(now+15, a.Call.Number, results, order.Served)
+		}
+	}
+	// What was saved up in two seconds, and then one piece each 250 ms.
+	must.Eq(t, []int{5, 1, 1, 1}, sizes)
+}
