Keep the calls of the former release readable by a test

The calls that gained fields have new golden files; the former ones stay beside them, and a test decodes them.

go test ./io/permit ./io/assign ./bench/golden pass.

--- a/bench/golden/golden.go
+++ b/bench/golden/golden.go
@@ -123,3 +123,16 @@
 	found, _ := Fields(v)
 	must.Eq(t, kept, found)
 }
+
+// Former checks that the files of an earlier release, kept in the folder former, are still read: each of their fields has its value,
+// and the fields that are newer are zero. into holds a pointer for each name.
+func Former(t *testing.T, into map[string]any) {
+	t.Helper()
+	for name, v := range into {
+		name = filepath.Join("former", name)
+		raw, err := os.ReadFile(filepath.Join(Folder, name+".gob"))
+		must.NoError(t, err)
+		must.NoError(t, decodeGob(raw, v))
+		compare(t, name, reflect.ValueOf(v).Elem().Interface())
+	}
+}
--- a/io/assign/format_test.go
+++ b/io/assign/format_test.go
@@ -13,3 +13,8 @@
 	must.Eq(t, "Assign", Service)
 	must.Eq(t, 16, golden.Calls(t, &calls{}))
 }
+
+// TestCallsOfTheFormerReleaseAreRead guards against hosts and keepers that do not understand each other during an update.
+func TestCallsOfTheFormerReleaseAreRead(t *testing.T) {
+	golden.Former(t, map[string]any{"Again-reply": new(PlaceReply), "Place-reply": new(PlaceReply), "Roll-reply": new(RollReply)})
+}
--- a/io/permit/format_test.go
+++ b/io/permit/format_test.go
@@ -13,3 +13,8 @@
 	must.Eq(t, "Permit", Service)
 	must.Eq(t, 2, golden.Calls(t, &calls{}))
 }
+
+// TestCallsOfTheFormerReleaseAreRead guards against hosts and keepers that do not understand each other during an update.
+func TestCallsOfTheFormerReleaseAreRead(t *testing.T) {
+	golden.Former(t, map[string]any{"Take-argument": new(TakeArgs), "Take-reply": new(TakeReply)})
+}
