--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -68,6 +68,13 @@
 		Count    uint64
 		At, Back float64
 	}
+	// Returns are the times in which the endpoints of a service in one failure domain cannot be reached. They come back
+	// together, cold, and announce themselves in the period after that.
+	Returns []struct {
+		Service     string
+		Domain      int
+		At, Seconds float64
+	}
 	Takeovers []takeover
 	// Core is the processor time in microseconds that the scheduler's process takes for each event that reaches it, for each pass
 	// over the queues, for each entry of a queue in a pass, and for each action that leaves the process. Events wait while the processor is busy. Without it
@@ -205,6 +212,8 @@
 	engines            engineRequests
 	// slowPeriods holds the slow periods of each endpoint that has some.
 	slowPeriods map[core.EndpointID][]period
+	// arrivals holds when requests reached each endpoint with a cold bound.
+	arrivals map[core.EndpointID][]core.Millis
 }
 
 // clientRequest is a simulated request. A client may send it a second time after a refusal.
@@ -283,7 +292,9 @@
 		issuer: limit.NewIssuer(), sentToLimited: map[core.EndpointID][]core.Millis{}, quarantine: poison.New(), recoversAt: map[core.EndpointID]core.Millis{}, incarnations: map[core.HostID]core.Incarnation{}, busyUntil: map[core.EndpointID]core.Millis{}, cachedParts: map[core.EndpointID]map[string]bool{},
 	}
 	sim.drawSlowPeriods()
+	sim.arrivals = map[core.EndpointID][]core.Millis{}
 	sim.startScheduler()
+	sim.scheduleAnnouncements()
 	for i := range l.Classes {
 		sim.tally[l.Classes[i].Name] = &tally{}
 		sim.scheduleArrivals(i, 0)
@@ -414,6 +425,7 @@
 // again.
 func (sim *simulation) takeOver(x takeover) {
 	sim.startScheduler()
+	sim.scheduler.AssumeAllCold(sim.now)
 	sim.schedulerDown, sim.tickWaits = false, false
 	var list []order.HeldResults
 	for _, key := range slices.SortedFunc(maps.Keys(sim.held), compareKeys) {
@@ -675,7 +687,10 @@
 	}
 	x.granted = core.Life{Endpoint: g.Endpoint, Incarnation: g.Life}
 	sim.recordSent(c.Service, x.granted)
-	slowdown := sim.slowdown(c.Service, g.Endpoint)
+	if sim.meetsLostEngine(s.Service, g) {
+		return
+	}
+	slowdown := sim.slowdown(c.Service, g.Endpoint) * sim.coldSlowdown(s.Service, g.Endpoint)
 	if s.Engine == nil {
 		took := core.Millis(s.WorkMs * math.Exp(sim.rng.NormFloat64()*0.5-0.125) * slowdown)
 		sim.scheduleAt(sim.now+took+3, func() { sim.complete(g.Key, x) })
@@ -999,6 +1014,13 @@
 					test.LessEq(t, int(limitFactor*x.Rate*limitWindow.Duration().Seconds())+limitSlack, sim.mostAtLimited(), test.Sprint("messages in one window to an endpoint that names a limit"))
 					t.Logf("at most %d messages in %d ms to an endpoint with a limit of %v a second", sim.mostAtLimited(), limitWindow, x.Rate)
 				}
+				for _, s := range l.Services {
+					if s.ColdPerSecond > 0 {
+						most := sim.mostInSecond(s.Name)
+						test.LessEq(t, int(limit.BoundFactor*s.ColdPerSecond+limit.BoundSlack), most, test.Sprint("requests in one second to an endpoint of ", s.Name))
+						t.Logf("at most %d requests in a second to an endpoint of %s that bears %v when it is cold", most, s.Name, s.ColdPerSecond)
+					}
+				}
 				t.Logf("processor time of the scheduler %.0f ms, %+v", sim.coreUsed/1000, sim.scheduler.Totals())
 				t.Logf("crashes %d, sent to paused endpoints %d; calls %d, %.1f pieces each, lost inputs %d, no room %d, %.2f of the fetched bytes from other domains",
 					sim.crashes, sim.sentWhilePaused, sim.calls, float64(sim.pieces)/float64(sim.calls), sim.goneInputs, sim.noRoom, float64(sim.foreign)/float64(max(1, sim.fetched)))
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -135,6 +135,7 @@
 	// publisher publishes the roll to entry hosts.
 	publisher publisher
 	activity  activity
+	pace      paceLog
 	// nextPass is when the scheduler may pass over its queues again, and passPending is set while events wait for that.
 	nextPass    time.Time
 	passPending bool
@@ -175,7 +176,9 @@
 func (a *Assigner) reset() {
 	a.sched = sched.New(a.options.Retries)
 	a.activity = activity{}
+	a.permits.RemoveBounds()
 	a.sched.SetLimits(a.permits)
+	a.sched.SetAnnounceEvery(a.options.AnnounceEvery)
 	a.roster = newRoster(MaxSilence(a.options.AnnounceEvery))
 	for _, w := range a.waiters {
 		close(w.decision)
@@ -185,7 +188,7 @@
 	a.pendingCuts = poison.NewCuts(a.options.AnnounceEvery)
 	// Event numbers continue, so that a keeper that copies events within one term misses none.
 	a.heldEvents = eventLog{nextNumber: a.heldEvents.nextNumber}
-	a.publisher.reset(a.term, a.permits.Limited)
+	a.publisher.reset(a.term, a.permits.Limited, a.permits.Bounded)
 }
 
 // checkLeadership reports whether this keeper leads. It starts a new scheduler at the start of each term, discards it when
@@ -340,6 +343,7 @@
 	a.sched.Tick(now)
 	a.executeActions()
 	a.logActivity(now)
+	a.logPace(now)
 }
 
 // executeActions lets the scheduler decide and carries out its decisions, now or once the former pass has had its time, unless the
@@ -477,7 +481,7 @@
 
 // freeUnclaimed frees the results of a call whose scheduler no longer exists.
 func (a *Assigner) freeUnclaimed(c order.Call, results []order.ItemResult) {
-	free := order.Free{Life: core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}, Address: c.Address}
+	free := order.Free{Life: core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}, Address: c.Address, Bounded: c.Bounded}
 	for _, r := range results {
 		if r.Handle != "" {
 			free.Handles = append(free.Handles, r.Handle)
@@ -502,11 +506,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	sentAt := a.clock.Now()
-	if !a.mayCall(f.Life, f.Permitted, "release") {
+	if !a.mayCall(f.Life, f.Permitted, f.Bounded, 1, "release") {
 		// The endpoint drops the results by itself a few seconds later.
 		return
 	}
-	resp, err := a.pipe.Do(ctx, a.newPipeRequest(f.Address, freeGroup, call))
+	request := a.newPipeRequest(f.Address, freeGroup, call)
+	if f.Bounded {
+		request.SendBy = sentAt + permit.BoundSendLimit
+	}
+	resp, err := a.pipe.Do(ctx, request)
 	if err != nil {
 		// The endpoint drops the results by itself a few seconds later.
 		a.log.Debug("call to free results failed", "address", f.Address, "err", err)
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -84,6 +84,10 @@
 			a.applyNotice(now, e)
 			continue
 		}
+		if e.Life != (core.Life{}) && e.Key.Seq == 0 {
+			a.sched.EndpointFailed(now, e.Life)
+			continue
+		}
 		a.applyLoad(now, e.Life, e.Load)
 		if e.Began {
 			a.sched.FirstByteReceived(now, e.Key, e.Attempt)
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -138,6 +138,7 @@
 		e := k.Announcement.Endpoint
 		a.sched.InheritObservation(now, core.Life{Endpoint: e.ID, Incarnation: e.Incarnation}, k.Observed)
 	}
+	a.sched.AssumeAllCold(now)
 	results := a.standby.results.heldResults()
 	calls := a.standby.results.runningCalls()
 	a.sched.Inherit(now, results, calls)
