Replicate evacuations of failure domains, and apply them in the relay

Cause: operators need to empty a failure domain; nothing could stop what is sent to its endpoints. Change: the control state holds evacuations (Evacuated/NAME), the leading keeper commits them and waits for the hosts, the scheduler, the entry hosts and the stage calls ask the state. Commands and grants gain fields; the former golden files are kept under golden/former and are read by tests.

--- a/core/door/door.go
+++ b/core/door/door.go
@@ -50,6 +50,8 @@
 	// Incarnation is the incarnation of the endpoint.
 	Incarnation core.Incarnation
 	Address     string
+	// FailureDomain is that of the endpoint.
+	FailureDomain core.FailureDomain
 	// Candidates is the number of endpoints considered. Running is the number of this host's requests at the selected
 	// endpoint, this one included.
 	Candidates, Running int
@@ -73,6 +75,8 @@
 	endpoints     map[core.EndpointID]*endpoint
 	services      map[string]*service
 	retired       map[core.EndpointID]state.Retirement
+	// evacuated holds the failure domains whose endpoints get no more requests.
+	evacuated map[core.FailureDomain]bool
 	// notices holds the leave and pause notices that this host received in endpoints' answers.
 	notices *notice.Store
 	// limits holds the limits that endpoints named in their answers to this host.
@@ -254,6 +258,33 @@
 // requests.
 func (d *Selector) SetRetired(retired map[core.EndpointID]state.Retirement) { d.retired = retired }
 
+// SetEvacuated replaces the set of failure domains whose endpoints get no more requests.
+func (d *Selector) SetEvacuated(domains map[core.FailureDomain]bool) { d.evacuated = domains }
+
+// noEndpointReason returns why a service has no endpoint for a request that the given endpoints have had: all others may be in evacuated
+// failure domains.
+func (d *Selector) noEndpointReason(now core.Millis, s *service, tried []core.EndpointID) core.Reason {
+	reason := core.ReasonNoEndpoint
+	for _, e := range s.endpoints {
+		switch {
+		case slices.Contains(tried, e.ID) || !d.listed(now, e):
+		case !d.evacuated[e.FailureDomain]:
+			return core.ReasonNoEndpoint
+		default:
+			reason = core.ReasonEvacuated
+		}
+	}
+	return reason
+}
+
+// FailureDomain returns the failure domain of an incarnation in the roll, empty if the roll does not list it.
+func (d *Selector) FailureDomain(l core.Life) core.FailureDomain {
+	if e, ok := d.endpoints[l.Endpoint]; ok && e.Incarnation == l.Incarnation {
+		return e.FailureDomain
+	}
+	return ""
+}
+
 // SetHosts sets the number of entry hosts, among which the retry budgets are split equally.
 func (d *Selector) SetHosts(hosts int) { d.hosts = max(1, hosts) }
 
@@ -270,7 +301,7 @@
 	s := d.service(service)
 	c, ok := d.choose(now, s, tried, false)
 	if !ok {
-		return Choice{}, core.ReasonNoEndpoint
+		return Choice{}, d.noEndpointReason(now, s, tried)
 	}
 	if len(tried) == 0 {
 		s.budget.CountRequest(now, d.retryShare())
@@ -287,7 +318,7 @@
 	}
 	c, ok := d.choose(now, s, tried, true)
 	if !ok {
-		return Choice{}, core.ReasonNoEndpoint
+		return Choice{}, d.noEndpointReason(now, s, tried)
 	}
 	s.budget.Spend(now, d.retryShare())
 	return c, ""
@@ -334,7 +365,7 @@
 func (d *Selector) use(now core.Millis, e *endpoint) Choice {
 	e.running++
 	return Choice{
-		Endpoint: e.ID, Incarnation: e.Incarnation, Address: e.Address, Candidates: 1, Running: e.running,
+		Endpoint: e.ID, Incarnation: e.Incarnation, Address: e.Address, FailureDomain: e.FailureDomain, Candidates: 1, Running: e.running,
 		RollTerm: d.term, RollVersion: d.version, RollAge: now - d.confirmedAt,
 	}
 }
@@ -384,8 +415,13 @@
 }
 
 // inService reports whether an endpoint is published, or still kept although a new scheduler's roll omits it, and is
-// neither leaving nor retired. It does not consider the notices that this host received.
+// neither leaving, retired nor evacuated. It does not consider the notices that this host received.
 func (d *Selector) inService(now core.Millis, e *endpoint) bool {
+	return d.listed(now, e) && !d.evacuated[e.FailureDomain]
+}
+
+// listed is inService without regard to evacuations.
+func (d *Selector) listed(now core.Millis, e *endpoint) bool {
 	return !e.Leaving && !d.isRetired(e.life()) && (e.keepUntil == 0 || now < e.keepUntil)
 }
 
--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -39,8 +39,10 @@
 	order.Endpoint
 	service *Service
 	// idHash is the hash of the endpoint's ID.
-	idHash    uint64
-	leaving   bool
+	idHash  uint64
+	leaving bool
+	// evacuated means that the operator has ordered that nothing more is sent to the endpoint's failure domain.
+	evacuated bool
 	coldUntil core.Millis
 	// calls is the number of calls in progress and resultBytes the space that results take up. Both are used only for
 	// endpoints of stages.
@@ -78,15 +80,18 @@
 // Paused reports whether a pause that the endpoint requested is in effect.
 func (e *Endpoint) Paused(now core.Millis) bool { return now < e.pausedUntil }
 
+// Evacuated reports whether the failure domain of the endpoint is evacuated.
+func (e *Endpoint) Evacuated() bool { return e.evacuated }
+
 // SetLimit sets the limit that the endpoint names, in requests per second.
 func (e *Endpoint) SetLimit(limited bool, perSecond float64) { e.limited, e.limit = limited, perSecond }
 
 // Limited reports whether the endpoint names a limit.
 func (e *Endpoint) Limited() bool { return e.limited }
 
-// Usable reports whether the endpoint may get work: it is neither leaving, nor in backoff, nor paused.
+// Usable reports whether the endpoint may get work: it is neither leaving nor evacuated, nor in backoff, nor paused.
 func (e *Endpoint) Usable(now core.Millis) bool {
-	return !e.leaving && now >= e.backoffUntil && !e.Paused(now)
+	return !e.leaving && !e.evacuated && now >= e.backoffUntil && !e.Paused(now)
 }
 
 // Slowdown returns the ratio of observed to expected call time: 2 means that calls take twice as long as expected.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,6 +14,7 @@
 type Fleet struct {
 	services  map[string]*Service
 	endpoints map[core.EndpointID]*Endpoint
+	evacuated map[core.FailureDomain]bool
 }
 
 // New returns a Fleet without services and endpoints.
@@ -49,10 +50,23 @@
 	}
 	existing.Endpoint = e
 	existing.leaving = leaving
+	existing.evacuated = f.evacuated[e.FailureDomain]
 	existing.coldUntil = now + e.Cold
 	f.attach(existing)
 }
 
+// SetEvacuated replaces the set of evacuated failure domains, whose endpoints get no new work.
+func (f *Fleet) SetEvacuated(domains map[core.FailureDomain]bool) {
+	f.evacuated = domains
+	for _, e := range f.endpoints {
+		e.evacuated = domains[e.FailureDomain]
+	}
+	for _, s := range f.services {
+		// The fastest usable endpoint may have changed within this millisecond.
+		s.cachedLeastSlowdown = 0
+	}
+}
+
 // Endpoint returns the endpoint of a stage's service by ID. It reports false if a different incarnation was announced
 // last.
 func (f *Fleet) Endpoint(id core.EndpointID, life core.Incarnation) (*Endpoint, bool) {
--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -68,6 +68,22 @@
 	return sum
 }
 
+// OnlyEvacuated reports whether the service has endpoints that are not leaving, and all of them are in evacuated failure domains. Those
+// for which exclude returns true do not count; exclude may be nil.
+func (s *Service) OnlyEvacuated(exclude func(*Endpoint) bool) bool {
+	found := false
+	for _, e := range s.endpoints {
+		if e.leaving || exclude != nil && exclude(e) {
+			continue
+		}
+		if !e.evacuated {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // RecordResult records the size of a result and how long it was held, counted from the start of its call.
 func (s *Service) RecordResult(bytes int64, lifetime core.Millis) {
 	s.footprint.value += footprintWeight * (float64(bytes)*float64(lifetime) - s.footprint.value)
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -222,7 +222,9 @@
 	// Version is the version of the endpoint's software.
 	Version string
 	Address string
-	Inputs  []string
+	// FailureDomain is that of the endpoint; it is empty from a scheduler of an earlier release.
+	FailureDomain core.FailureDomain
+	Inputs        []string
 	// Attempt is the number of endpoints that the request was granted so far, this one included.
 	Attempt int
 	// Waited is the time since the request arrived, and Expected the predicted time to the first byte.
@@ -259,8 +261,10 @@
 	Number   uint64
 	Endpoint core.EndpointID
 	Address  string
-	Service  string
-	Items    []Item
+	// FailureDomain is that of the endpoint.
+	FailureDomain core.FailureDomain
+	Service       string
+	Items         []Item
 	// Expected is the predicted duration of the call.
 	Expected core.Millis
 	// Bytes is the room that the results of the call need, and Room the room that the endpoint is assumed to have.
@@ -292,7 +296,9 @@
 	// Life identifies the incarnation of the endpoint that holds the results.
 	Life    core.Life
 	Address string
-	Handles []string
+	// FailureDomain is that of the endpoint.
+	FailureDomain core.FailureDomain
+	Handles       []string
 	// Permitted means that the endpoint names a limit and that the order contains a permit to send one request.
 	Permitted bool
 }
--- a/core/outcome.go
+++ b/core/outcome.go
@@ -49,6 +49,8 @@
 	// ReasonEndpointsLimited means that all endpoints of the service name a limit, and that it does not allow another
 	// request in time.
 	ReasonEndpointsLimited Reason = "EndpointsLimited"
+	// ReasonEvacuated means that the service has endpoints only in failure domains that the operator has evacuated.
+	ReasonEvacuated Reason = "Evacuated"
 	// ReasonHostStopping means that the host stops before it could answer.
 	ReasonHostStopping Reason = "HostStopping"
 	// ReasonVersionGone means that no endpoint has the software version at which the stream began.
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -60,7 +60,7 @@
 	s.adjustRunning(c, 1)
 	e.BeginCall(bytes)
 	s.actions = append(s.actions, order.Action{Call: &order.Call{
-		Number: c.number, Endpoint: e.ID, Address: e.Address, Service: svc.Name, Items: items, Expected: expected, Bytes: bytes, Room: room,
+		Number: c.number, Endpoint: e.ID, Address: e.Address, FailureDomain: e.FailureDomain, Service: svc.Name, Items: items, Expected: expected, Bytes: bytes, Room: room,
 		Life: e.Incarnation, Owners: owners, Alone: alone, Permitted: s.takePermit(e),
 	}}, order.Action{CallBegan: &order.RunningCall{
 		Number: c.number, Endpoint: e.ID, Life: e.Incarnation, Bytes: bytes, EndsAt: s.now + expected, Till: s.now + expected + svc.Pieces.Keep,
--- a/core/sched/freed.go
+++ b/core/sched/freed.go
@@ -41,16 +41,16 @@
 	s.lastFree++
 	s.pendingFrees[s.lastFree] = pendingFree{endpoint: endpoint, bytes: bytes}
 	s.waitingFrees = append(s.waitingFrees, waitingFree{
-		Free:      order.Free{Number: s.lastFree, Life: endpoint.Life(), Address: endpoint.Address, Handles: slices.Clone(handles), Made: made},
+		Free:      order.Free{Number: s.lastFree, Life: endpoint.Life(), Address: endpoint.Address, FailureDomain: endpoint.FailureDomain, Handles: slices.Clone(handles), Made: made},
 		expiresAt: expiresAt,
 	})
 }
 
-// sendFrees sends the releases, except those for endpoints that pause or name a limit. The latter are left to sendLimitedFrees.
+// sendFrees sends the releases, except those for endpoints that pause, are evacuated or name a limit. The last two are left to sendLimitedFrees.
 func (s *Scheduler) sendFrees() {
 	s.waitingFrees = slices.DeleteFunc(s.waitingFrees, func(f waitingFree) bool {
 		e := s.pendingFrees[f.Number].endpoint
-		if e.Limited() || e.Paused(s.now) {
+		if e.Limited() || e.Evacuated() || e.Paused(s.now) {
 			return false
 		}
 		s.actions = append(s.actions, order.Action{Free: &f.Free})
@@ -58,13 +58,13 @@
 	})
 }
 
-// sendLimitedFrees sends the releases whose endpoints name a limit, are short of room and have a permit. The others are dropped once
-// their results have expired.
+// sendLimitedFrees sends the releases whose endpoints name a limit, are short of room and have a permit. The others, and those
+// for evacuated endpoints, are dropped once their results have expired.
 func (s *Scheduler) sendLimitedFrees() {
 	s.waitingFrees = slices.DeleteFunc(s.waitingFrees, func(f waitingFree) bool {
 		held := s.pendingFrees[f.Number]
 		e := held.endpoint
-		if !e.Limited() {
+		if !e.Limited() && !e.Evacuated() {
 			return false
 		}
 		if s.now >= f.expiresAt {
@@ -73,7 +73,7 @@
 			return true
 		}
 		_, _, limited := s.limits.Budget(s.now, f.Life)
-		if e.Paused(s.now) || limited && (e.FreeShare() > limitedReleaseShare || !s.limits.Take(s.now, f.Life)) {
+		if e.Evacuated() || e.Paused(s.now) || limited && (e.FreeShare() > limitedReleaseShare || !s.limits.Take(s.now, f.Life)) {
 			return false
 		}
 		f.Free.Permitted = limited
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -118,7 +118,7 @@
 	r.attempts++
 	r.tried = append(r.tried, e.ID)
 	s.actions = append(s.actions, order.Action{Grant: &order.Grant{
-		Permitted: s.takePermit(e), Key: r.Key, ID: r.ID, Endpoint: e.ID, Life: e.Incarnation, Version: e.Version, Address: e.Address, Inputs: r.inputHandles(r.finalStages()),
+		Permitted: s.takePermit(e), Key: r.Key, ID: r.ID, Endpoint: e.ID, Life: e.Incarnation, Version: e.Version, Address: e.Address, FailureDomain: e.FailureDomain, Inputs: r.inputHandles(r.finalStages()),
 		Attempt: r.attempts, Waited: s.now - r.arrivedAt, Expected: core.Millis(cost), Cached: cached,
 	}})
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -59,6 +59,10 @@
 	limits Limits
 	// limitsInUse is set while an endpoint may have a limit set by updateLimits.
 	limitsInUse bool
+	// evacuated holds the evacuated failure domains, and evacuationSpread the number of refusals for this reason so far, from which
+	// their retry delays follow.
+	evacuated        map[core.FailureDomain]bool
+	evacuationSpread uint64
 	// passDue is set by events after which the queues must be looked at.
 	passDue bool
 	totals  Totals
@@ -196,6 +200,11 @@
 		s.freeAllResults(r)
 		return
 	}
+	if s.onlyEvacuated(r) {
+		s.refuseEvacuated(r)
+		s.freeAllResults(r)
+		return
+	}
 	if s.versionGone(r) {
 		s.refuseVersion(r)
 		s.freeAllResults(r)
@@ -311,6 +320,9 @@
 		}
 		left := s.expectedTime(r)
 		switch {
+		case s.onlyEvacuated(r):
+			s.refuseEvacuated(r)
+			s.drop(r)
 		case r.inputsExpired(now):
 			s.rebuildOrRefuse(r)
 		case now+s.minTime(r) > r.deadlineAt:
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -39,6 +39,7 @@
 
 	ReplaceConfig  *ReplaceConfig  `cbor:",omitempty"`
 	RetireEndpoint *RetireEndpoint `cbor:",omitempty"`
+	SetEvacuation  *SetEvacuation  `cbor:",omitempty"`
 
 	AddVersion    *AddVersion    `cbor:",omitempty"`
 	SettleVersion *SettleVersion `cbor:",omitempty"`
@@ -58,6 +59,15 @@
 	Incarnation core.Incarnation
 }
 
+// SetEvacuation stops new work to the endpoints of a failure domain, or resumes it if On is false.
+type SetEvacuation struct {
+	FailureDomain core.FailureDomain
+	On            bool
+	// Known is the revision that the host which took the operator's call had applied then. The command is refused if the domain's
+	// evacuation has changed since: the operator then has an answer to a later call. 0 means no condition.
+	Known uint64 `cbor:",omitempty"`
+}
+
 // SetSettings replaces one settings subtree if its version is the expected one. An empty document removes a team's
 // subtree.
 type SetSettings struct {
@@ -165,7 +175,7 @@
 // Pardon releases a request from quarantine.
 type Pardon struct{ Content poison.Content }
 
-// PurgeExpired removes the calls, suspicions and finished orders whose retention time has passed.
+// PurgeExpired removes the calls, suspicions, finished orders and ended evacuations whose retention time has passed.
 type PurgeExpired struct{}
 
 // Result is the outcome of applying a command.
--- a/core/state/format_test.go
+++ b/core/state/format_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"os"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -20,18 +21,29 @@
 	golden.CBOR[Config](t, "Config")
 	golden.CBOR[Host](t, "Host")
 	golden.CBOR[Retirement](t, "Retirement")
+	golden.CBOR[Evacuation](t, "Evacuation")
 	golden.CBOR[Subtree](t, "Subtree")
 	golden.CBOR[poison.Entry](t, "Suspect")
 	golden.CBOR[poison.PartEntry](t, "Part")
 	golden.CBOR[ledger.Record](t, "Call")
 }
 
+// TestCommandsOfTheFormerReleaseStayReadable guards against a log whose commands, written before evacuations, would be read differently.
+func TestCommandsOfTheFormerReleaseStayReadable(t *testing.T) {
+	raw, err := os.ReadFile("testdata/golden/former/Command.cbor")
+	must.NoError(t, err)
+	c, err := DecodeCommand(raw)
+	must.NoError(t, err)
+	must.Nil(t, c.SetEvacuation)
+	golden.Same(t, "former/Command", c)
+}
+
 // TestStoredValuesKeepTheirNames guards against names that commands, replies and keys of the image would no longer have in common with
 // what is stored.
 func TestStoredValuesKeepTheirNames(t *testing.T) {
 	must.Eq(t, 1, formatVersion)
-	must.Eq(t, []string{"Settings/", "Host/", "Drain/", "Poison/", "Retired/", "Config/", "Skipped/"},
-		[]string{settingsPrefix, hostPrefix, drainPrefix, poisonPrefix, retiredPrefix, configKey, supersededKey})
+	must.Eq(t, []string{"Settings/", "Host/", "Drain/", "Poison/", "Retired/", "Evacuated/", "Config/", "Skipped/"},
+		[]string{settingsPrefix, hostPrefix, drainPrefix, poisonPrefix, retiredPrefix, evacuatedPrefix, configKey, supersededKey})
 	must.Eq(t, []Result{"Accepted", "Conflict", "Invalid", "Refused"}, []Result{Accepted, Conflict, Invalid, Refused})
 	must.Eq(t, []OrderKind{"LoadModel", "LoadAdapter", "ChangeRole", "Drain"}, OrderKinds)
 	must.Eq(t, []OrderPhase{"Open", "Done", "Failed"}, []OrderPhase{OrderOpen, OrderDone, OrderFailed})
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -16,13 +16,14 @@
 
 // The prefixes of the keys in the published image.
 const (
-	settingsPrefix = "Settings/"
-	hostPrefix     = "Host/"
-	drainPrefix    = "Drain/"
-	poisonPrefix   = "Poison/"
-	partPrefix     = "Part/"
-	retiredPrefix  = "Retired/"
-	configKey      = "Config/"
+	settingsPrefix  = "Settings/"
+	hostPrefix      = "Host/"
+	drainPrefix     = "Drain/"
+	poisonPrefix    = "Poison/"
+	partPrefix      = "Part/"
+	retiredPrefix   = "Retired/"
+	evacuatedPrefix = "Evacuated/"
+	configKey       = "Config/"
 	// supersededKey replaces the key of a delta that a later one supersedes.
 	supersededKey = "Skipped/"
 )
@@ -68,6 +69,8 @@
 	// Config is the operator's configuration. Retired holds the incarnations of endpoints that get no new work.
 	Config  Config
 	Retired map[core.EndpointID]Retirement
+	// Evacuated holds the evacuations of failure domains, and for a time those that have ended.
+	Evacuated map[core.FailureDomain]Evacuation
 }
 
 // EmptyImage returns the empty image at revision 0.
@@ -75,7 +78,7 @@
 	return Image{
 		values: map[string][]byte{}, Hosts: map[core.HostID]Host{},
 		Drained: map[core.EndpointID]bool{}, Poison: map[poison.Content]poison.Entry{}, Parts: map[poison.Content]poison.PartEntry{},
-		Retired: map[core.EndpointID]Retirement{},
+		Retired: map[core.EndpointID]Retirement{}, Evacuated: map[core.FailureDomain]Evacuation{},
 	}
 }
 
@@ -88,6 +91,7 @@
 	next.Poison = maps.Clone(i.Poison)
 	next.Parts = maps.Clone(i.Parts)
 	next.Retired = maps.Clone(i.Retired)
+	next.Evacuated = maps.Clone(i.Evacuated)
 	for _, d := range deltas {
 		if d.Revision <= i.Revision {
 			continue
@@ -155,6 +159,8 @@
 		return i.applyPart(name, d.Value)
 	case retiredPrefix:
 		return applyEntry(i.Retired, core.EndpointID(name), d.Value)
+	case evacuatedPrefix:
+		return applyEntry(i.Evacuated, core.FailureDomain(name), d.Value)
 	case configKey:
 		return i.applyConfig(d.Value)
 	}
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -160,12 +160,14 @@
 		return m.beginStreams(*c.BeginStreams)
 	case c.RetireEndpoint != nil:
 		return m.retireEndpoint(*c.RetireEndpoint)
+	case c.SetEvacuation != nil:
+		return m.setEvacuation(*c.SetEvacuation)
 	case c.PurgeExpired != nil:
 		m.callLedger.Purge(m.unix)
 		m.quarantine.Purge(m.unix)
 		m.parts.Purge(m.unix)
 		m.purgeOrders()
-		return m.publishParts(m.publishSuspects(Reply{Result: Accepted}))
+		return m.publishParts(m.publishSuspects(m.purgeEvacuations()))
 	}
 	return Reply{Result: Refused, Detail: "the command has no part that this version knows"}
 }
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -78,6 +78,8 @@
 	AnnounceEvery core.Millis
 	// Retries limits the retries of each service.
 	Retries fleet.RetryLimits
+	// FailureDomains are the known failure domains besides those of hosts and endpoints. The operator can evacuate known ones only.
+	FailureDomains []core.FailureDomain
 }
 
 // Assigner connects the scheduler of one keeper to the network and the clock. The scheduler decides only while the keeper
@@ -115,6 +117,10 @@
 	configVersion uint64
 	// revision is the revision of the replicated state whose hosts the scheduler was last given.
 	revision uint64
+	// ended holds the revisions of the ended evacuations that the scheduler has been told of, and startedAt is when the scheduler
+	// was started.
+	ended     map[core.FailureDomain]uint64
+	startedAt core.Millis
 	// suspectsUpdatedAt is when the scheduler was last given the suspected requests.
 	suspectsUpdatedAt core.Millis
 	// pendingCuts are broken connections to endpoints that wait for an announcement that shows whether the endpoint
@@ -174,7 +180,8 @@
 		close(w.decision)
 	}
 	a.waiters, a.beginnings, a.versions = map[order.Key]waiter{}, nil, versionWatch{}
-	a.configVersion, a.revision = 0, 0
+	a.configVersion, a.revision, a.ended = 0, 0, nil
+	a.startedAt = a.clock.Now()
 	a.pendingCuts = poison.NewCuts(a.options.AnnounceEvery)
 	// Event numbers continue, so that a keeper that copies events within one term misses none.
 	a.heldEvents = eventLog{nextNumber: a.heldEvents.nextNumber}
@@ -278,6 +285,7 @@
 			a.sched.HostLost(now, id)
 		}
 	}
+	a.updateEvacuations(now, image)
 	a.updateSuspects()
 }
 
@@ -461,7 +469,7 @@
 
 // freeUnclaimed frees the results of a call whose scheduler no longer exists.
 func (a *Assigner) freeUnclaimed(c order.Call, results []order.ItemResult) {
-	free := order.Free{Life: core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}, Address: c.Address}
+	free := order.Free{Life: core.Life{Endpoint: c.Endpoint, Incarnation: c.Life}, Address: c.Address, FailureDomain: c.FailureDomain}
 	for _, r := range results {
 		if r.Handle != "" {
 			free.Handles = append(free.Handles, r.Handle)
@@ -486,7 +494,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	sentAt := a.clock.Now()
-	if !a.mayCall(f.Life, f.Permitted, "release") {
+	if !a.mayCall(f.Life, f.FailureDomain, f.Permitted, "release") {
 		// The endpoint drops the results by itself a few seconds later.
 		return
 	}
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -283,8 +283,13 @@
 // reports whether all have. Hosts that choose among endpoints by themselves must learn that an endpoint leaves before
 // its announcement is acknowledged. The timeout keeps an unresponsive host from blocking the acknowledgement.
 func (a *Assigner) awaitAppliedByHosts(revision uint64) bool {
-	interval := hostAckPollInterval
-	for deadline := a.clock.Now() + hostAckTimeout; ; interval = min(maxHostAckPollInterval, 2*interval) {
+	return a.awaitInForce(revision, a.clock.Now()+hostAckTimeout, hostAckPollInterval)
+}
+
+// awaitInForce waits up to a deadline until every host with a serving lease has applied a revision, and reports whether all have. It asks
+// after the given interval first, and then less often.
+func (a *Assigner) awaitInForce(revision uint64, deadline core.Millis, interval time.Duration) bool {
+	for ; ; interval = min(maxHostAckPollInterval, 2*interval) {
 		if a.leader.InForce(revision) {
 			return true
 		}
--- a/io/assign/limit.go
+++ b/io/assign/limit.go
@@ -13,9 +13,12 @@
 	}
 }
 
-// mayCall reports whether this keeper may send a call of the given kind to an endpoint: the call has a permit or needs
-// none. A permit is taken now if the endpoint has named its limit since the call was decided.
-func (a *Assigner) mayCall(life core.Life, permitted bool, kind string) bool {
+// mayCall reports whether this keeper may send a call of the given kind to an endpoint: its failure domain is not evacuated, and the
+// call has a permit or needs none. A permit is taken now if the endpoint has named its limit since the call was decided.
+func (a *Assigner) mayCall(life core.Life, domain core.FailureDomain, permitted bool, kind string) bool {
+	if !a.maySendTo(life, domain, kind) {
+		return false
+	}
 	if !a.permits.Limited(life) {
 		return true
 	}
--- a/io/assign/stage_call.go
+++ b/io/assign/stage_call.go
@@ -37,7 +37,7 @@
 	sentAt := a.clock.Now()
 	// A call of a suspected request may have waited for its trial.
 	permitted := c.Permitted && sentAt-decidedAt < permit.Validity
-	if !a.mayCall(life, permitted, "stage call") {
+	if !a.mayCall(life, c.FailureDomain, permitted, "stage call") {
 		return nil, order.Rejected, nil
 	}
 	resp, err := a.pipe.Do(ctx, a.newPipeRequest(c.Address, "", call))
--- a/io/entry/door.go
+++ b/io/entry/door.go
@@ -122,7 +122,7 @@
 	c.log.Warn("roll not confirmed: no scheduler answers", "age_ms", age, "err", err)
 }
 
-// applyImage applies the retired endpoints of the control state and the number of hosts that share the retry budgets.
+// applyImage applies the retired endpoints and the evacuated failure domains of the control state and the number of hosts that share the retry budgets.
 // Keepers count as well, since some of them may accept requests.
 func (c *endpointChooser) applyImage(image state.Image) {
 	hosts := 0
@@ -134,6 +134,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.door.SetRetired(image.Retired)
+	c.door.SetEvacuated(image.EvacuatedDomains())
 	c.door.SetHosts(hosts)
 }
 
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -75,7 +75,7 @@
 	r.endUnsent(g, order.NotSent, otherPermitted, again)
 	r.entry.log.Info("permit for another endpoint", "request", r.incoming.ID, "endpoint", choice.Endpoint, "instead_of", g.Endpoint)
 	r.tried = append(r.tried, choice.Endpoint)
-	g.Endpoint, g.Life, g.Address = choice.Endpoint, choice.Incarnation, choice.Address
+	g.Endpoint, g.Life, g.Address, g.FailureDomain = choice.Endpoint, choice.Incarnation, choice.Address, choice.FailureDomain
 	return true
 }
 
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -37,9 +37,12 @@
 	e.events.addNotice(e.options.Host, life, verdict.Notice)
 }
 
-// isUnusable reports whether the endpoint of a grant must not be used now, because its answers have told this host that it
-// is leaving or pauses. The scheduler may not have known that when it chose the endpoint.
+// isUnusable reports whether the endpoint of a grant must not be used now, because its failure domain is evacuated or its answers have
+// told this host that it is leaving or pauses. The scheduler may not have known that when it chose the endpoint.
 func (r *request) isUnusable(g *order.Grant) bool {
+	if r.isEvacuated(g) {
+		return true
+	}
 	n := r.entry.chooser.activeNotice(core.Life{Endpoint: g.Endpoint, Incarnation: g.Life})
 	if n.Empty() {
 		return false
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -24,6 +24,9 @@
 	if pauseLeft := e.chooser.pauseLeft(r.service); reason == core.ReasonNoEndpoint && pauseLeft > 0 {
 		return nil, r.pausedProblem(pauseLeft)
 	}
+	if reason == core.ReasonEvacuated {
+		return nil, r.evacuatedProblem()
+	}
 	if reason != "" {
 		e.log.Info("no endpoint chosen", "request", r.incoming.ID, "service", r.service, "reason", reason, "tried", r.tried)
 		return nil, core.NewProblem(http.StatusServiceUnavailable, core.NotRun, reason, "no endpoint of %s is in use", r.service).
@@ -34,7 +37,7 @@
 	e.log.Info("chosen", "request", r.incoming.ID, "endpoint", choice.Endpoint, "attempt", r.attempts+1, "candidates", choice.Candidates,
 		"running", choice.Running, "roll_term", choice.RollTerm, "roll", choice.RollVersion, "roll_age_ms", choice.RollAge)
 	e.meter.Count("chosen_total", 1)
-	return &order.Grant{ID: r.incoming.ID, Endpoint: choice.Endpoint, Life: choice.Incarnation, Address: choice.Address, Attempt: r.attempts + 1}, nil
+	return &order.Grant{ID: r.incoming.ID, Endpoint: choice.Endpoint, Life: choice.Incarnation, Address: choice.Address, FailureDomain: choice.FailureDomain, Attempt: r.attempts + 1}, nil
 }
 
 // reportBegan reports to the scheduler that the endpoint has begun to answer. The scheduler does not track plain requests.
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -237,7 +237,7 @@
 	if err := w.register(permitService, permits, keeperService); err != nil {
 		return err
 	}
-	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs, Retries: r.settings.retryLimit()}
+	o := assign.Options{AnnounceEvery: r.settings.AnnounceEveryMs, Retries: r.settings.retryLimit(), FailureDomains: r.settings.FailureDomains}
 	a := assign.New(o, k, client, r.adapter.Dialect, p, r.guard, permits, r.clock, r.meter, r.log)
 	if err := a.Register(server); err != nil {
 		return err
--- a/setup/relay_settings.go
+++ b/setup/relay_settings.go
@@ -9,6 +9,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/fleet"
+	"cyclamenford/core/state"
 	"cyclamenford/core/tree"
 )
 
@@ -24,6 +25,8 @@
 	Bootstrap bool
 	// FaultTolerance is the number of keepers that may fail at the same time.
 	FaultTolerance int
+	// FailureDomains lists the names of failure domains that operators may evacuate. Those of hosts and endpoints are always known.
+	FailureDomains []core.FailureDomain
 	// AnnounceEveryMs is the interval at which endpoints announce themselves.
 	AnnounceEveryMs core.Millis
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
@@ -117,6 +120,9 @@
 		c.requireAddress(fmt.Sprintf("Seeds[%d]", i), a)
 	}
 	c.require(len(s.Seeds) > 0, "Seeds", "none", "at least one address")
+	for i, d := range s.FailureDomains {
+		c.require(state.CheckDomainName(d) == nil, fmt.Sprintf("FailureDomains[%d]", i), fmt.Sprintf("%q", d), fmt.Sprint("1 to ", state.MaxDomainBytes, " bytes"))
+	}
 	c.require(s.PeerPort > 0, "PeerPort", s.PeerPort, "a port")
 	c.require(s.FaultTolerance >= 0 && s.FaultTolerance <= 3, "FaultTolerance", s.FaultTolerance, "0 to 3")
 	c.keeperTimes(s.Keepers)
