Test evacuations, and let serve obey them

Cause: serve had no way to empty a failure domain, and the relay's decisions about it had no tests. Change: core/desk treats endpoints of evacuated domains as drained; io/admin, io/oper and the command evacuate order, withdraw and list evacuations. A request that needs another endpoint is refused at once if only evacuated ones are left. A keeper that does not lead sends no stage calls and no releases any more.

--- a/bench/trial/world.go
+++ b/bench/trial/world.go
@@ -74,7 +74,7 @@
 		id := core.PoolID{Kind: o.Kind, Model: o.Models[0]}
 		w.byPool[id] = append(w.byPool[id], f)
 	}
-	policy := desk.PolicyOf(w.deployment.Tree, nil)
+	policy := desk.PolicyOf(w.deployment.Tree, nil, nil)
 	for _, spec := range w.deployment.Hosts {
 		h := &host{world: w, id: spec.ID, domain: spec.FailureDomain, asked: map[uint64]*ticket{}}
 		h.desk = desk.New(spec.ID, spec.FailureDomain, rand.New(rand.NewPCG(w.rng.Uint64(), 3)))
--- a/cmds/opers/oper.go
+++ b/cmds/opers/oper.go
@@ -41,6 +41,6 @@
 func Commands() []*cli.Command {
 	return []*cli.Command{
 		settingsCommand(), statusCommand(), hostsCommand(), endpointsCommand(), poolsCommand(), ordersCommand(),
-		quarantineCommand(), drainCommand(), explainCommand(), requestsCommand(),
+		quarantineCommand(), drainCommand(), evacuateCommand(), explainCommand(), requestsCommand(),
 	}
 }
--- a/cmds/opers/views.go
+++ b/cmds/opers/views.go
@@ -167,6 +167,42 @@
 	}
 }
 
+func evacuateCommand() *cli.Command {
+	return &cli.Command{
+		Name: "evacuate", Usage: "stop new work to the endpoints of a failure domain, resume it with --Off, or list the evacuations", ArgsUsage: "[DOMAIN]",
+		Flags: operatorFlags(&cli.BoolFlag{Name: "Off", Usage: "resume new work"}),
+		Action: operatorAction(func(ctx context.Context, c *cli.Command, o *oper.Client) error {
+			if c.Args().Len() == 0 {
+				return listEvacuations(ctx, c, o)
+			}
+			a, err := o.Evacuate(ctx, core.FailureDomain(c.Args().First()), !c.Bool("Off"))
+			if err != nil {
+				return err
+			}
+			if err := o.WaitForRevision(ctx, a.Revision); err != nil {
+				return err
+			}
+			return term.Show(c, a, []string{"RESULT", "REVISION"}, [][]string{{string(a.Result), strconv.FormatUint(a.Revision, 10)}})
+		}),
+	}
+}
+
+func listEvacuations(ctx context.Context, c *cli.Command, o *oper.Client) error {
+	var list []admin.Evacuation
+	if err := o.Get(ctx, "/v1/evacuations", &list); err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, e := range list {
+		state := "evacuated"
+		if e.Ended {
+			state = "ended"
+		}
+		rows = append(rows, []string{string(e.FailureDomain), state, strconv.FormatUint(e.Revision, 10), strconv.FormatInt(int64(e.AgeMs), 10)})
+	}
+	return term.Show(c, list, []string{"FAILURE DOMAIN", "STATE", "REVISION", "AGE MS"}, rows)
+}
+
 func quarantineCommand() *cli.Command {
 	return &cli.Command{
 		Name: "quarantine", Usage: "list the requests and parts of prompts that crash endpoints, or release one with --Release",
--- a/core/desk/desk.go
+++ b/core/desk/desk.go
@@ -18,15 +18,17 @@
 	"cyclamenford/core/tree"
 )
 
-// Policy holds the priorities' guaranteed shares and the drained endpoints. It applies to every host.
+// Policy holds the priorities' guaranteed shares, the drained endpoints and the evacuated failure domains. It applies to every host.
 type Policy struct {
 	Shares  [core.PriorityCount]float64
 	Drained map[core.EndpointID]bool
+	// Evacuated holds the failure domains whose endpoints get no new work, as if they were drained.
+	Evacuated map[core.FailureDomain]bool
 }
 
-// PolicyOf returns the policy with the shares of a settings tree and the given drained endpoints.
-func PolicyOf(t tree.Tree, drained map[core.EndpointID]bool) Policy {
-	p := Policy{Drained: drained}
+// PolicyOf returns the policy with the shares of a settings tree and the given drained endpoints and evacuated failure domains.
+func PolicyOf(t tree.Tree, drained map[core.EndpointID]bool, evacuated map[core.FailureDomain]bool) Policy {
+	p := Policy{Drained: drained, Evacuated: evacuated}
 	for i := range p.Shares {
 		p.Shares[i] = t.Share(core.Priority(i)).Share
 	}
@@ -67,7 +69,7 @@
 	}
 }
 
-// SetPolicy replaces the policy and updates every endpoint that is drained before or after the change.
+// SetPolicy replaces the policy and updates every endpoint that is drained or evacuated before or after the change.
 func (d *Scheduler) SetPolicy(now core.Millis, p Policy) {
 	previous := d.policy
 	d.policy = p
@@ -80,6 +82,11 @@
 		for _, endpoint := range slices.Sorted(maps.Keys(p.Drained)) {
 			x.SetRestriction(now, endpoint, d.restrictionByID(endpoint))
 		}
+		for _, a := range d.members.Live(now) {
+			if previous.Evacuated[a.FailureDomain] != p.Evacuated[a.FailureDomain] {
+				x.SetRestriction(now, a.ID, d.restrictionOf(a.Life()))
+			}
+		}
 	}
 }
 
@@ -126,10 +133,16 @@
 // restrictionOf returns the drain, the pause and the limit that apply to an incarnation of an endpoint.
 func (d *Scheduler) restrictionOf(l core.Life) route.Restriction {
 	return route.Restriction{
-		Drained: d.policy.Drained[l.Endpoint], PausedUntil: max(d.notices.PausedUntil(l), d.heldUntil[l]), Limited: d.limits.Limited(l),
+		Drained: d.policy.Drained[l.Endpoint] || d.inEvacuatedDomain(l.Endpoint), PausedUntil: max(d.notices.PausedUntil(l), d.heldUntil[l]), Limited: d.limits.Limited(l),
 	}
 }
 
+// inEvacuatedDomain reports whether the failure domain that an endpoint announced is evacuated.
+func (d *Scheduler) inEvacuatedDomain(id core.EndpointID) bool {
+	announcement, ok := d.members.Get(id)
+	return ok && d.policy.Evacuated[announcement.FailureDomain]
+}
+
 // restrictionByID returns the drain and the pause that apply to the announced incarnation of an endpoint, or only the
 // drain if the endpoint isn't announced.
 func (d *Scheduler) restrictionByID(id core.EndpointID) route.Restriction {
--- a/core/desk/heed.go
+++ b/core/desk/heed.go
@@ -39,7 +39,7 @@
 // isn't leaving and it isn't paused.
 func (d *Scheduler) Usable(now core.Millis, l core.Life) bool {
 	announcement, ok := d.Endpoint(now, l.Endpoint)
-	return ok && announcement.Life() == l && d.notices.Usable(now, l)
+	return ok && announcement.Life() == l && !d.policy.Evacuated[announcement.FailureDomain] && d.notices.Usable(now, l)
 }
 
 // pauseDelay returns the delay that endpoint pauses add to a request. For a later stage it subtracts the expected time
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -381,7 +381,7 @@
 }
 
 // enqueue makes a request wait for an endpoint. It refuses the request if its attempts or the retry budget of the
-// service are used up.
+// service are used up, or if the service has no endpoint left outside evacuated failure domains.
 func (s *Scheduler) enqueue(r *request) {
 	svc, ok := s.services[r.Service]
 	if !ok || r.attempts >= r.MaxAttempts {
@@ -389,6 +389,11 @@
 		s.drop(r)
 		return
 	}
+	if s.onlyEvacuated(r) {
+		s.refuseEvacuated(r)
+		s.drop(r)
+		return
+	}
 	switch {
 	case r.attempts == 0 && !r.budgetCounted:
 		r.budgetCounted = true
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -45,12 +45,20 @@
 	Till core.Millis
 	// Rate is the limit that an endpoint names.
 	Rate float64
-	Want []string
+	// Domains are the evacuated failure domains.
+	Domains []core.FailureDomain
+	Want    []string
 }
 
 // TestScripts replays the events in testdata/scripts.json and compares the actions of the scheduler, written as text.
-func TestScripts(t *testing.T) {
-	raw, err := os.ReadFile("testdata/scripts.json")
+func TestScripts(t *testing.T) { playScripts(t, "testdata/scripts.json") }
+
+// TestEvacuations guards against grants, stage calls, retries and releases at endpoints of evacuated failure domains, and against requests
+// that wait for an endpoint which only the end of an evacuation would give them.
+func TestEvacuations(t *testing.T) { playScripts(t, "testdata/evacuations.json") }
+
+func playScripts(t *testing.T, path string) {
+	raw, err := os.ReadFile(path)
 	must.NoError(t, err)
 	var file struct {
 		Services []conf.Service
@@ -115,6 +123,14 @@
 		s.HostLost(x.At, key.Host)
 	case "Tick":
 		s.Tick(x.At)
+	case "Evacuate":
+		domains := map[core.FailureDomain]bool{}
+		for _, d := range x.Domains {
+			domains[d] = true
+		}
+		s.SetEvacuated(x.At, domains)
+	case "Returned":
+		s.DomainReturned(x.At, x.Domains[0])
 	case "Plain":
 		s.Configure(x.At, []conf.Service{{Name: "first"}, {Name: "second"}, {Name: "engine"}})
 	default:
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -26,12 +26,13 @@
 	keys    []tree.Key
 	control io.Control
 	broker  *broker.Broker
+	clock   core.Clock
 	log     *slog.Logger
 }
 
 // New returns an Admin that accepts the given operator keys.
-func New(address string, keys []tree.Key, tlsConfig *tls.Config, c io.Control, b *broker.Broker, log *slog.Logger) *Admin {
-	a := &Admin{keys: keys, control: c, broker: b, log: log}
+func New(address string, keys []tree.Key, tlsConfig *tls.Config, c io.Control, b *broker.Broker, clock core.Clock, log *slog.Logger) *Admin {
+	a := &Admin{keys: keys, control: c, broker: b, clock: clock, log: log}
 	o := listen.Options{Name: "operators", Address: address, Tls: tlsConfig, HeaderTimeout: core.Second}
 	a.Server = listen.New(o, a.routes(), log)
 	return a
@@ -56,6 +57,9 @@
 	handle("GET /v1/wait/{revision}", a.waitForRevision)
 	handle("PUT /v1/drains/{endpoint}", a.setDrain)
 	handle("DELETE /v1/drains/{endpoint}", a.setDrain)
+	handle("GET /v1/evacuations", a.listEvacuations)
+	handle("PUT /v1/evacuations/{domain}", a.setEvacuation)
+	handle("DELETE /v1/evacuations/{domain}", a.setEvacuation)
 	handle("GET /v1/quarantine", a.listSuspects)
 	handle("DELETE /v1/quarantine/{content}", a.releaseFromQuarantine)
 	handle("GET /v1/orders", a.listOrders)
--- a/io/assign/evacuation.go
+++ b/io/assign/evacuation.go
@@ -154,6 +154,11 @@
 // maySendTo reports whether a call of the given kind may be sent to an endpoint, whose failure domain may have been evacuated since the
 // call was decided.
 func (a *Assigner) maySendTo(life core.Life, domain core.FailureDomain, kind string) bool {
+	if _, leads := a.leader.Leading(); !leads {
+		// A keeper that was frozen may not know of an order yet, and the next leader decides anew.
+		a.log.Info("call not sent: this keeper does not lead any more", "endpoint", life.Endpoint, "kind", kind)
+		return false
+	}
 	image := a.leader.Image()
 	if !image.IsEvacuated(domain) {
 		return true
--- a/io/broker/broker.go
+++ b/io/broker/broker.go
@@ -55,7 +55,7 @@
 	now := b.clock.Now()
 	if image.Revision != b.revision {
 		b.revision = image.Revision
-		b.scheduler.SetPolicy(now, desk.PolicyOf(image.Tree, image.Drained))
+		b.scheduler.SetPolicy(now, desk.PolicyOf(image.Tree, image.Drained, image.EvacuatedDomains()))
 	}
 	expired, actions := b.scheduler.Tick(now)
 	for _, id := range expired {
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -125,6 +126,17 @@
 	return a, err
 }
 
+// Evacuate stops new work for the endpoints of a failure domain, or allows it again.
+func (c *Client) Evacuate(ctx context.Context, domain core.FailureDomain, on bool) (admin.ChangeResult, error) {
+	method := http.MethodDelete
+	if on {
+		method = http.MethodPut
+	}
+	var a admin.ChangeResult
+	err := c.callAnyHost(ctx, method, "/v1/evacuations/"+url.PathEscape(string(domain)), nil, nil, &a)
+	return a, err
+}
+
 // ReleaseFromQuarantine releases request content from quarantine.
 func (c *Client) ReleaseFromQuarantine(ctx context.Context, content string) error {
 	return c.callAnyHost(ctx, http.MethodDelete, "/v1/quarantine/"+content, nil, nil, &admin.ChangeResult{})
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -230,7 +230,7 @@
 	config := w.listener(a.settings.Tls.Operators)
 	f := find[*follow.Follower](&w, followService)
 	b := find[*broker.Broker](&w, brokerService)
-	x := admin.New(a.settings.Listeners.Operators, a.settings.Keys.Operators, config, f, b, a.log)
+	x := admin.New(a.settings.Listeners.Operators, a.settings.Keys.Operators, config, f, b, a.clock, a.log)
 	return w.register(adminService, x, followService, brokerService)
 }
 
