--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -42,6 +42,7 @@
 func (s *Scheduler) DomainReturned(now core.Millis, domain core.FailureDomain) {
 	s.now = now
 	s.assumeCold(fleet.DomainReturned, 0, func(e *fleet.Endpoint) bool { return e.FailureDomain == domain })
+	s.passDue = true
 }
 
 // AssumeAllCold records that this scheduler has taken over from an earlier one, whose last announcements and connections it does
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -60,6 +60,10 @@
 	limits Limits
 	// limitsInUse is set while an endpoint may have a limit set by updateLimits.
 	limitsInUse bool
+	// evacuated holds the evacuated failure domains, and evacuationSpread the number of refusals for this reason so far, from which
+	// their retry delays follow.
+	evacuated        map[core.FailureDomain]bool
+	evacuationSpread uint64
 	// passDue is set by events after which the queues must be looked at.
 	passDue   bool
 	coldWatch coldWatch
@@ -218,6 +222,11 @@
 		s.freeAllResults(r)
 		return
 	}
+	if s.onlyEvacuated(r) {
+		s.refuseEvacuated(r)
+		s.freeAllResults(r)
+		return
+	}
 	if s.versionGone(r) {
 		s.refuseVersion(r)
 		s.freeAllResults(r)
@@ -346,6 +355,9 @@
 		}
 		left := s.expectedTime(r)
 		switch {
+		case s.onlyEvacuated(r):
+			s.refuseEvacuated(r)
+			s.drop(r)
 		case r.inputsExpired(now):
 			s.rebuildOrRefuse(r)
 		case now+s.minTime(r) > r.deadlineAt:
@@ -404,7 +416,7 @@
 }
 
 // enqueue makes a request wait for an endpoint. It refuses the request if its attempts or the retry budget of the
-// service are used up.
+// service are used up, or if the service has no endpoint left outside evacuated failure domains.
 func (s *Scheduler) enqueue(r *request) {
 	svc, ok := s.services[r.Service]
 	if !ok || r.attempts >= r.MaxAttempts {
@@ -412,6 +424,11 @@
 		s.drop(r)
 		return
 	}
+	if s.onlyEvacuated(r) {
+		s.refuseEvacuated(r)
+		s.drop(r)
+		return
+	}
 	switch {
 	case r.attempts == 0 && !r.budgetCounted:
 		r.budgetCounted = true
--- a/io/assign/limit.go
+++ b/io/assign/limit.go
@@ -13,10 +13,13 @@
 	}
 }
 
-// mayCall reports whether this keeper may send a call of the given kind to an endpoint: the call has a permit or needs none. A
-// permit is taken now if the endpoint has named its limit since the call was decided, and one for each piece if it has a bound.
-// bounded means that it had one then.
-func (a *Assigner) mayCall(life core.Life, permitted, bounded bool, pieces int, kind string) bool {
+// mayCall reports whether this keeper may send a call of the given kind to an endpoint: its failure domain is not evacuated, and the
+// call has a permit or needs none. A permit is taken now if the endpoint has named its limit since the call was decided, and one for
+// each piece if it has a bound. bounded means that it had one then.
+func (a *Assigner) mayCall(life core.Life, domain core.FailureDomain, permitted, bounded bool, pieces int, kind string) bool {
+	if !a.maySendTo(life, domain, kind) {
+		return false
+	}
 	if !a.permits.Limited(life) && (permitted || !bounded) {
 		return true
 	}
