--- a/cmds/opers/views.go
+++ b/cmds/opers/views.go
@@ -189,7 +189,7 @@
 
 func listEvacuations(ctx context.Context, c *cli.Command, o *oper.Client) error {
 	var list []admin.Evacuation
-	if err := o.Get(ctx, "/v1/evacuations", &list); err != nil {
+	if err := o.Get(ctx, "/v1/evacuated", &list); err != nil {
 		return err
 	}
 	var rows [][]string
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -133,7 +133,7 @@
 		method = http.MethodPut
 	}
 	var a admin.ChangeResult
-	err := c.callAnyHost(ctx, method, "/v1/evacuations/"+url.PathEscape(string(domain)), nil, nil, &a)
+	err := c.callAnyHost(ctx, method, "/v1/evacuated/"+url.PathEscape(string(domain)), nil, nil, &a)
 	return a, err
 }
 
