Hold what slow clients have not read within a budget

Cause: an endpoint is read and its answer written in one loop, so a client that reads slowly stops the reading, and the endpoint cuts its answer off.

Buffers.MemoryShare sets the budget.

--- a/bench/refs/refs.go
+++ b/bench/refs/refs.go
@@ -24,7 +24,7 @@
 		"Settings", "HostSettings", "Listeners", "FoundingKeeper", "KeeperSettings", "Keys", "TLS", "CallerSettings", "LogSettings", "TraceSettings",
 	}},
 	{"A relay host's settings file", "setup/relay_settings.go", []string{
-		"RelaySettings", "RelayListeners", "RetrySettings", "RelayLogSettings",
+		"RelaySettings", "RelayListeners", "BufferSettings", "RetrySettings", "RelayLogSettings",
 	}},
 	{"Certificate files", "io/certs/certs.go", []string{"Files"}},
 	{"The settings tree: Platform and Teams/NAME", "core/tree/types.go", []string{
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 	"cyclamenford/core/ledger"
 	"cyclamenford/core/state"
 	"cyclamenford/io"
+	"cyclamenford/io/buffer"
 	"cyclamenford/io/guard"
 	"cyclamenford/io/listen"
 	"cyclamenford/io/loop"
@@ -70,6 +71,8 @@
 	ShutdownWork, ShutdownGrace core.Millis
 	// EndpointChoice configures the choice of endpoints for plain requests, which this host makes without the scheduler.
 	EndpointChoice door.Settings
+	// BufferBytes is the budget in bytes for what endpoints have sent and slow clients have not read; 0 buffers nothing.
+	BufferBytes int64
 }
 
 // Entry is the HTTP front end of one entry host.
@@ -93,6 +96,7 @@
 	table         atomic.Pointer[conf.Table]
 	serving       servingLease
 	shutdown      *shutdown
+	buffers       *buffer.Pool
 	// active is the number of client requests in progress.
 	active atomic.Int64
 	seq    atomic.Uint64
@@ -103,6 +107,7 @@
 // New returns an entry that does not listen yet.
 func New(o Options, c Control, d io.Dialect, p *pipe.Client, peers *peer.Client, g *guard.Guard, clock core.Clock, m *meter.Meter, log *slog.Logger) *Entry {
 	e := &Entry{options: o, control: c, dialect: d, pipe: p, peers: peers, guard: g, clock: clock, meter: m, log: log}
+	e.buffers = buffer.New(o.BufferBytes, clock, m, log)
 	e.events = newEventQueue(o.Host, c, peers, clock, log)
 	e.calls = newPendingCalls()
 	e.shutdown = newShutdown(clock)
@@ -198,6 +203,9 @@
 	e.log.Info("configuration in force", "version", c.Version, "routes", len(config.Routes))
 }
 
+// UpdateGauges sets the gauges of what is held for slow clients.
+func (e *Entry) UpdateGauges() { e.buffers.UpdateGauges() }
+
 // Ready reports whether the host accepts new clients: it is not stopping, has a configuration and a roll, and holds a
 // serving lease.
 func (e *Entry) Ready() bool {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -14,6 +14,7 @@
 	"cyclamenford/core/poison"
 	relay "cyclamenford/io"
 	"cyclamenford/io/assign"
+	"cyclamenford/io/buffer"
 	"cyclamenford/io/keeper"
 	"cyclamenford/io/listen"
 	"cyclamenford/io/peer"
@@ -77,7 +78,9 @@
 	// errorAnswer is an error answer of an endpoint, which the client gets if no later attempt succeeds.
 	errorAnswer *answer
 	sending     sending
-	record      attemptRecord
+	// buffer holds what the client has not read of the answer, nil if nothing is buffered.
+	buffer *buffer.Answer
+	record attemptRecord
 	// bound means that the client has received events of the stream, which may go on only at the software version version.
 	bound   bool
 	version string
@@ -104,6 +107,8 @@
 	}
 	ctx, cancel := r.untilEnd()
 	defer cancel()
+	restore := r.startBuffer(cancel)
+	defer restore()
 	r.run(ctx, w)
 }
 
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -45,6 +45,7 @@
 	grant, problem := r.place(placing)
 	r.sending.grantedAt = e.clock.Now()
 	out := newAnswerWriter(w, e.clock, r.incoming.LastEvent)
+	out.buffer = r.buffer
 	for {
 		if r.clientGone() {
 			if grant != nil {
@@ -156,7 +157,7 @@
 }
 
 // finish answers the client with a problem unless an answer has been started, reports the end of the request to the scheduler, and logs
-// it. It aborts the client's connection if there is no whole answer.
+// it once the client has read what is held for it: the endpoint is free before. It aborts the client's connection if there is no whole answer.
 func (r *request) finish(out *answerWriter, ending order.AttemptOutcome, p *core.Problem) {
 	e := r.entry
 	r.reportEnded(ending)
@@ -164,13 +165,26 @@
 		out.writeBuffered(r.errorAnswer)
 		p = nil
 	}
+	drained, drainErr := r.drainBuffer(out)
+	if drainErr != nil && ending == order.Served {
+		ending = order.Abandoned
+	}
 	status, reason := out.status, core.Reason("")
 	if p != nil {
 		status, reason = p.Status, p.Reason
 	}
-	e.log.Info("request ended", "request", r.incoming.ID, "route", r.route.Name, "organisation", r.organisation.Name, "content", r.content.String(),
+	attrs := []any{
+		"request", r.incoming.ID, "route", r.route.Name, "organisation", r.organisation.Name, "content", r.content.String(),
 		"status", status, "how", ending, "reason", reason, "attempts", r.attempts, "answered_by", out.answeredBy, "events", out.events, "resumes", r.incoming.Resumes, "last_event", r.incoming.LastEvent,
-		"took_ms", e.clock.Now()-r.arrived, "first_ms", out.headerDelay(r.arrived), "stopping_ms", e.shutdown.elapsed(), "connection_ended_by", listen.EndedBy(r.httpRequest.Context()), "config", e.table.Load().Config().Version)
+		"took_ms", e.clock.Now() - r.arrived, "first_ms", out.headerDelay(r.arrived), "stopping_ms", e.shutdown.elapsed(), "connection_ended_by", listen.EndedBy(r.httpRequest.Context()), "config", e.table.Load().Config().Version,
+	}
+	if drained > 0 {
+		attrs = append(attrs, "drain_ms", drained)
+	}
+	if drainErr != nil {
+		attrs = append(attrs, "drain_err", drainErr)
+	}
+	e.log.Info("request ended", attrs...)
 	e.meter.Count("requests_total", 1, "status", statusClass(status), "reason", string(reason))
 	e.meter.Observe("request_ms", int64(e.clock.Now()-r.arrived))
 	switch {
@@ -220,7 +234,13 @@
 	}
 	sentAt := e.clock.Now()
 	r.logLimited(g)
+	unwritten := e.buffers.Fixed()
+	defer unwritten.Set(0)
+	unwritten.Set(len(r.body))
 	resp, err := e.pipe.Do(ctx, endpointRequest)
+	if err == nil && resp.Written {
+		unwritten.Set(0)
+	}
 	if err != nil {
 		e.log.Info("endpoint failed", append(r.grantAttrs(g, r.attempts), "request_bytes", len(r.body), "err", err)...)
 		return r.classifyError(ctx, err), false
@@ -289,7 +309,15 @@
 // forward reads an answer completely before it forwards any of it to the client, unless the answer is longer than
 // bufferedAnswerBytes. It holds back an error answer of the endpoint if another attempt may follow.
 func (r *request) forward(ctx context.Context, g *order.Grant, resp *pipe.Response, out *answerWriter) (order.AttemptOutcome, bool) {
+	held := r.entry.buffers.Fixed()
+	defer held.Set(0)
+	read := 0
+	resp.OnRead = func(n int) {
+		read += n
+		held.Set(read)
+	}
 	body, whole, err := resp.ReadUpTo(bufferedAnswerBytes)
+	resp.OnRead = nil
 	if err != nil {
 		return r.breakOff(ctx, err), false
 	}
--- a/io/entry/shutdown.go
+++ b/io/entry/shutdown.go
@@ -99,8 +99,10 @@
 // size returns what the time of the request at its endpoint grows with.
 func (r *request) size() int { return max(1, r.incoming.Prompt.Output) }
 
-// clientGone reports whether the client has closed its connection.
-func (r *request) clientGone() bool { return r.httpRequest.Context().Err() != nil }
+// clientGone reports whether the client has closed its connection, or gets nothing more of its answer.
+func (r *request) clientGone() bool {
+	return r.httpRequest.Context().Err() != nil || r.buffer.Err() != nil
+}
 
 // untilEnd returns a context that ends when the request does.
 func (r *request) untilEnd() (context.Context, context.CancelFunc) {
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -13,6 +13,7 @@
 	"cyclamenford/core"
 	"cyclamenford/core/event"
 	"cyclamenford/core/order"
+	"cyclamenford/io/buffer"
 	"cyclamenford/io/pipe"
 )
 
@@ -32,6 +33,8 @@
 // answerWriter writes an answer to the client and records how much of it has been written.
 type answerWriter struct {
 	w http.ResponseWriter
+	// buffer holds what the client has not read, nil if nothing is buffered.
+	buffer *buffer.Answer
 	// started means that the header was written, and finished that the whole answer was.
 	started  bool
 	finished bool
@@ -131,10 +134,13 @@
 	defer stall.Stop()
 	grammar, ids := r.entry.dialect.EventGrammar(), event.NewOrder(out.lastEvent)
 	var raw []byte
+	held := r.entry.buffers.Fixed()
+	defer held.Set(0)
 	part := make([]byte, eventBufferSize)
 	for {
 		n, readErr := resp.Read(part)
 		raw = append(raw, part[:n]...)
+		held.Set(len(raw))
 		if readErr == nil && len(raw) > eventBufferSize && len(raw) <= maxEventBytes && !event.MayEnd(raw, len(raw)-n) {
 			// A long event in small parts is not parsed anew with each of them.
 			continue
@@ -192,6 +198,7 @@
 	if err := http.NewResponseController(o.w).Flush(); err != nil {
 		return fmt.Errorf("flush events: %w", err)
 	}
+	o.buffer.Mark()
 	o.lastEvent, o.events, o.bytes = last, o.events+b.Added, o.bytes+int64(len(b.New))
 	return nil
 }
--- a/io/listen/conn.go
+++ b/io/listen/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -37,7 +38,9 @@
 	net.Conn
 	server *Server
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// out takes the writes in place of Conn, if it is not nil.
+	out     io.Writer
 	ended   Side
 	retired bool
 	// active means that a request is in progress: its head has been parsed, and its answer is not complete.
@@ -65,6 +68,24 @@
 	return c.ended
 }
 
+// Redirect makes what the HTTP server writes to the connection of a request, from the request's context, go to the writer that open returns
+// for the connection, until the returned function is called by the request's handler. If open returns nil, nothing changes.
+func Redirect(ctx context.Context, open func(net.Conn) io.Writer) (restore func()) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return func() {}
+	}
+	c.setOut(open(c.Conn))
+	return func() { c.setOut(nil) }
+}
+
+// setOut sets the writer that takes the writes, or nil.
+func (c *conn) setOut(w io.Writer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out = w
+}
+
 // withConn adds a connection that the HTTP server has accepted to the context of its requests.
 func withConn(ctx context.Context, accepted net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, connOf(accepted))
@@ -110,8 +131,12 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.readSinceWrite = false
+	out := c.out
 	c.mu.Unlock()
-	n, err := c.Conn.Write(p)
+	if out == nil {
+		out = c.Conn
+	}
+	n, err := out.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recordError(err)
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -34,9 +34,11 @@
 	// Reused means that the connection had carried an earlier request, and Written that the request was written completely before the
 	// header of the answer had been read.
 	Reused, Written bool
-	body            io.ReadCloser
-	client          *Client
-	conn            *conn
+	// OnRead, if not nil, is called with the number of bytes of each read of the body.
+	OnRead func(n int)
+	body   io.ReadCloser
+	client *Client
+	conn   *conn
 	// writeEnd gets the result of writing the request, and writeKnown means that it was taken from there. untilClose means that the body
 	// ends with the connection.
 	writeEnd   chan error
@@ -192,6 +194,9 @@
 // Read reads from the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if r.OnRead != nil {
+		r.OnRead(n)
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -278,6 +278,7 @@
 		ClientAddress: r.settings.Listeners.Clients, ReadyAddress: r.settings.Listeners.Ready,
 		RotationDelay: r.settings.RotationMs,
 		ShutdownWork:  r.settings.timeUntil(workReserve), ShutdownGrace: r.settings.timeUntil(closeReserve),
+		BufferBytes:    r.settings.bufferBytes(),
 		EndpointChoice: door.Settings{Retries: r.settings.retryLimit(), UnlistedGrace: assign.MaxSilence(r.settings.AnnounceEveryMs)},
 	}
 	e := entry.New(o, f, r.adapter.Dialect, p, client, r.guard, r.clock, r.meter, r.log)
@@ -302,6 +303,13 @@
 		}
 		reports = append(reports, func() { k.UpdateGauges(r.meter) }, a.Report)
 	}
+	if r.settings.Listeners.Clients != "" {
+		e := find[*entry.Entry](&w, frontService)
+		if w.err != nil {
+			return w.err
+		}
+		reports = append(reports, e.UpdateGauges)
+	}
 	handler := http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
 		for _, report := range reports {
 			report()
--- a/setup/relay_settings.go
+++ b/setup/relay_settings.go
@@ -12,6 +12,9 @@
 	"cyclamenford/core/tree"
 )
 
+// maxBufferShare leaves a part of the memory below memoryLimitShare for everything else.
+const maxBufferShare = 0.5
+
 // RelaySettings is the settings file of one host of a relay deployment: an entry host, or a keeper with a disk.
 type RelaySettings struct {
 	Host      HostSettings
@@ -33,6 +36,7 @@
 	Retries    RetrySettings
 	// MemoryMb is the memory that the process may use; 0 sets no limit.
 	MemoryMb int
+	Buffers  BufferSettings
 	Keys     struct {
 		// Cluster is the secret that all hosts of the deployment share.
 		Cluster string
@@ -41,6 +45,12 @@
 	Log     RelayLogSettings
 }
 
+// BufferSettings sets how much an entry host holds of answers that clients read slowly.
+type BufferSettings struct {
+	// MemoryShare is the share of MemoryMb that may hold what clients and endpoints have not read yet; 0 holds nothing for slow clients.
+	MemoryShare float64
+}
+
 // RetrySettings limits the retries that a service receives from all hosts together.
 type RetrySettings struct {
 	// In any window of WindowSeconds, Ratio retries are allowed per request, plus Slack further retries.
@@ -79,6 +89,8 @@
 		Keepers:         Defaults().Keepers,
 		// Low enough that retries never double the load of an overloaded service.
 		Retries: RetrySettings{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
+		// The runtime collects garbage harder above 0.7 of the memory. What the process holds otherwise must fit below.
+		Buffers: BufferSettings{MemoryShare: 0.2},
 		// About 150 lines a second.
 		Log: RelayLogSettings{Level: "Info", BytesPerSecond: logBytesPerSecond},
 	}
@@ -122,6 +134,8 @@
 	c.keeperTimes(s.Keepers)
 	c.requireRange("AnnounceEveryMs", s.AnnounceEveryMs, 10, oneHour)
 	c.require(s.GraceSeconds >= 1, "GraceSeconds", s.GraceSeconds, "1 or more")
+	c.require(s.Buffers.MemoryShare >= 0 && s.Buffers.MemoryShare <= maxBufferShare, "Buffers.MemoryShare", s.Buffers.MemoryShare,
+		fmt.Sprintf("0 to %g", maxBufferShare))
 	c.require(s.Retries.Ratio >= 0 && s.Retries.Slack >= 0, "Retries", s.Retries, "0 or more")
 	c.require(s.Retries.WindowSeconds > 0, "Retries.WindowSeconds", s.Retries.WindowSeconds, "more than 0")
 	_, known := logLevels[s.Log.Level]
@@ -137,6 +151,11 @@
 	return l.Peers
 }
 
+// bufferBytes returns the budget for what clients and endpoints have not read yet.
+func (s RelaySettings) bufferBytes() int64 {
+	return int64(s.Buffers.MemoryShare * float64(max(0, s.MemoryMb)) * (1 << 20))
+}
+
 // gracePeriod returns the time from SIGTERM to SIGKILL.
 func (s RelaySettings) gracePeriod() core.Millis {
 	return core.Millis(s.GraceSeconds * float64(core.Second))
