Do not take a cut stream for a client that has left

Cause: a write that failed because its answer was ended made net/http cancel the request, so that the rest of an event was given up. Change: such writes are dropped; a direct write in progress counts as the beginning of an event. Tests: TestStreamsOfSlowReadersCanBeTakenUp failed before (7 streams ended within an event) and passes; io/buffer, io/entry pass.

--- a/io/buffer/answer.go
+++ b/io/buffer/answer.go
@@ -72,14 +72,23 @@
 	// event.
 	err       error
 	finishing bool
+	// discarding means that writes are taken and dropped: the answer was ended here, and an error would make net/http treat the client as
+	// gone. writing means that a direct write is in progress, of which sent does not tell yet.
+	discarding, writing bool
 }
 
-// Write writes p to the client, or holds what the socket does not take. It waits for the client only if there is no room for p.
+// Write writes p to the client, or holds what the socket does not take. It waits for the client only if there is no room for p. What is
+// written after the answer was ended here is dropped, and Err returns why.
 func (a *Answer) Write(p []byte) (int, error) {
 	a.mu.Lock()
-	err, direct, finishing := a.err, a.idle == nil, a.finishing
+	err, direct, ended := a.err, a.idle == nil, a.err != nil && !a.finishing
+	discarding := ended && a.discarding
+	a.writing = direct && !ended
 	a.mu.Unlock()
-	if err != nil && !finishing {
+	switch {
+	case discarding:
+		return len(p), nil
+	case ended:
 		return 0, err
 	}
 	taken := 0
@@ -88,7 +97,7 @@
 			return taken, err
 		}
 	}
-	if err := a.hold(p[taken:]); err != nil {
+	if err := a.hold(p[taken:]); err != nil && !a.isDiscarding() {
 		return taken, err
 	}
 	return len(p), nil
@@ -104,6 +113,7 @@
 	}
 	a.direct.p = nil
 	a.mu.Lock()
+	a.writing = false
 	a.sent, a.added = a.sent+int64(n), a.added+int64(n)
 	a.mu.Unlock()
 	if err != nil {
@@ -311,6 +321,13 @@
 	return a.idle != nil
 }
 
+// isDiscarding reports whether writes are dropped.
+func (a *Answer) isDiscarding() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.discarding
+}
+
 // Err returns why the answer was ended, or nil.
 func (a *Answer) Err() error {
 	if a == nil {
@@ -328,9 +345,9 @@
 		a.mu.Unlock()
 		return
 	}
-	a.err = why
+	a.err, a.discarding = why, true
 	released := int64(0)
-	if a.lastMark >= a.sent {
+	if a.lastMark >= a.sent && !a.writing {
 		released = a.truncate()
 	} else {
 		a.finishing = true
--- a/io/buffer/answer_test.go
+++ b/io/buffer/answer_test.go
@@ -56,6 +56,9 @@
 			return i, err
 		}
 		a.Mark()
+		if err := a.Err(); err != nil {
+			return i, err
+		}
 	}
 	return count, nil
 }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -199,6 +199,9 @@
 		return fmt.Errorf("flush events: %w", err)
 	}
 	o.buffer.Mark()
+	if err := o.buffer.Err(); err != nil {
+		return fmt.Errorf("write events: %w", err)
+	}
 	o.lastEvent, o.events, o.bytes = last, o.events+b.Added, o.bytes+int64(len(b.New))
 	return nil
 }
