--- a/io/buffer/answer.go
+++ b/io/buffer/answer.go
@@ -75,6 +75,8 @@
 	// discarding means that writes are taken and dropped: the answer was ended here, and an error would make net/http treat the client as
 	// gone. writing means that a direct write is in progress, of which sent does not tell yet.
 	discarding, writing bool
+	// lost means that bytes were dropped which the client does not get.
+	lost bool
 }
 
 // Write writes p to the client, or holds what the socket does not take. It waits for the client only if there is no room for p. What is
@@ -84,6 +86,7 @@
 	err, direct, ended := a.err, a.idle == nil, a.err != nil && !a.finishing
 	discarding := ended && a.discarding
 	a.writing = direct && !ended
+	a.lost = a.lost || ended
 	a.mu.Unlock()
 	switch {
 	case discarding:
@@ -289,7 +292,7 @@
 		a.err = fmt.Errorf("write to client: %w", err)
 	}
 	if err != nil {
-		a.finishing = false
+		a.finishing, a.lost = false, true
 	}
 	if a.idle != nil {
 		close(a.idle)
@@ -321,10 +324,11 @@
 	return a.idle != nil
 }
 
-// isDiscarding reports whether writes are dropped.
+// isDiscarding reports, after a write that was not held, whether writes are dropped.
 func (a *Answer) isDiscarding() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.lost = true
 	return a.discarding
 }
 
@@ -380,6 +384,7 @@
 		last := a.segments[count-1]
 		a.segments[count-1] = last[:keep-(count-1)*segmentBytes]
 	}
+	a.lost = a.lost || end < a.added
 	a.added, a.marks = end, nil
 	if count == 0 {
 		a.stop(nil)
@@ -410,6 +415,10 @@
 	for {
 		a.mu.Lock()
 		idle, err, now := a.idle, a.err, a.sent
+		if a.discarding && !a.lost {
+			// It was to end, but everything has reached the client.
+			err = nil
+		}
 		a.mu.Unlock()
 		if idle == nil {
 			return err
--- a/io/buffer/answer_test.go
+++ b/io/buffer/answer_test.go
@@ -223,6 +223,25 @@
 	}
 }
 
+// TestAnAnswerThatIsWholeDespiteAStopIsNotCut guards against a whole answer whose end is taken from its client.
+func TestAnAnswerThatIsWholeDespiteAStopIsNotCut(t *testing.T) {
+	x, p := newLink(t), newPool(4<<20)
+	a := p.Answer(x.host, false, func() {})
+	body := strings.Repeat("x", 1<<20)
+	_, err := a.Write([]byte(body))
+	must.NoError(t, err)
+	stopped, stop := context.WithCancel(context.Background())
+	stop()
+	go func() {
+		test.NoError(t, a.Drain(context.Background(), stopped))
+		a.Close()
+		_ = x.host.Close()
+	}()
+	raw, err := io.ReadAll(x.client)
+	must.NoError(t, err)
+	must.True(t, body == string(raw), must.Sprintf("%d bytes", len(raw)))
+}
+
 // TestRequestBodiesTakeRoom guards against a budget that request bodies at slow endpoints exceed while answers could end.
 func TestRequestBodiesTakeRoom(t *testing.T) {
 	x, p := newLink(t), newPool(1<<20)
--- a/io/entry/buffer.go
+++ b/io/entry/buffer.go
@@ -33,11 +33,10 @@
 // it, the answer is not finished. The work of a stopping host does not wait longer than for requests in progress.
 func (r *request) drainBuffer(out *answerWriter) (took core.Millis, err error) {
 	if !r.buffer.Holds() {
-		if err := r.buffer.Err(); err != nil {
-			out.finished = false
-			return 0, err
-		}
-		return 0, nil
+		// Nothing is waited for.
+		err := r.buffer.Drain(context.Background(), context.Background())
+		out.finished = out.finished && err == nil
+		return 0, err
 	}
 	began := r.entry.clock.Now()
 	stop, cancel := context.WithCancel(context.Background())
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -200,6 +200,7 @@
 	}
 	o.buffer.Mark()
 	if err := o.buffer.Err(); err != nil {
+		// The client goes on after the last whole event that it has got; these are not counted as forwarded.
 		return fmt.Errorf("write events: %w", err)
 	}
 	o.lastEvent, o.events, o.bytes = last, o.events+b.Added, o.bytes+int64(len(b.New))
