Write the rest of an ended answer as soon as the socket has any room

Cause: the kernel reports room only when a third of a socket's buffer is free, which a stopping host does not wait for.

--- a/io/buffer/answer.go
+++ b/io/buffer/answer.go
@@ -19,9 +19,11 @@
 	// segmentBytes is the size of the parts in which bytes are held and accounted for, so that what is accounted for is what is
 	// allocated.
 	segmentBytes = 4 << 10
-	// tailTimeout limits how long the rest of an event may take to get into the socket of a client whose answer was ended. The socket
-	// takes more only once a third of its buffer is free, which takes a slow client seconds.
+	// tailTimeout limits how long the rest of an event may take to get into the socket of a client whose answer was ended, which takes
+	// nothing while its buffer is full.
 	tailTimeout = 10 * time.Second
+	// tailInterval is the time between two attempts to write that rest.
+	tailInterval = 10 * time.Millisecond
 	// silenceTimeout limits how long a client may read nothing once the endpoint's answer is complete.
 	silenceTimeout = 30 * time.Second
 )
@@ -359,7 +361,33 @@
 	a.mu.Unlock()
 	a.pool.release(a, 0, released)
 	a.cancel()
-	time.AfterFunc(a.pool.tailTimeout, a.abort)
+	go a.writeTail()
+}
+
+// writeTail writes the rest of an ended answer as soon as the socket has any room, and gives it up after the time limit. The drainer is
+// told of room only once a third of the socket's buffer is free.
+func (a *Answer) writeTail() {
+	for began := time.Now(); time.Since(began) < a.pool.tailTimeout; time.Sleep(tailInterval) {
+		a.mu.Lock()
+		read, released := 0, int64(0)
+		if a.idle != nil {
+			// It fails on a closed connection, which ends the drainer, too.
+			_ = a.raw.Control(func(fd uintptr) {
+				var err error
+				read, released, err = a.drainNow(int(fd))
+				if err != nil || len(a.segments) == 0 {
+					released += a.stop(err)
+				}
+			})
+		}
+		idle := a.idle == nil
+		a.mu.Unlock()
+		a.pool.release(a, read, released)
+		if idle {
+			return
+		}
+	}
+	a.abort()
 }
 
 // truncate drops what is held behind the first whole event that ends at or after what the client has, and returns the number of bytes
