--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -246,6 +246,7 @@
 	// The lease may still be renewed in the same term. The assigner then continues from the endpoints and results that it knew itself.
 	a.standby.endpoints, a.standby.copiedAt = a.roster.list(now), now
 	a.addObservations(now, a.standby.endpoints)
+	a.standby.speeds, a.standby.serviceSpeeds = a.sched.Speeds(now)
 	a.standby.results = resultsCopy{}
 	known := HeldReply{Term: a.term, Next: a.heldEvents.nextNumber, Events: a.heldEvents.events, Now: now}
 	known.Unsettled = !a.sched.FormerStatus(now).Settled
--- a/io/assign/calls.go
+++ b/io/assign/calls.go
@@ -222,6 +222,7 @@
 	reply.Known = a.roster.list(now)
 	a.addObservations(now, reply.Known)
 	reply.Limits = a.permits.Reports()
+	reply.Speeds, reply.ServiceSpeeds = a.sched.Speeds(a.clock.Now())
 	return nil
 }
 
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"cyclamenford/core"
+	"cyclamenford/core/fleet"
+	"cyclamenford/core/speed"
 	"cyclamenford/io/keeper"
 )
 
@@ -29,6 +31,9 @@
 	// endpoints are the leader's endpoints as copied at copiedAt.
 	endpoints []KnownEndpoint
 	copiedAt  core.Millis
+	// speeds and serviceSpeeds are the leader's estimates of the endpoints' speed, copied with them.
+	speeds        []fleet.EndpointSpeed
+	serviceSpeeds map[string]speed.ServiceObservation
 	// endpointsRequestedAt is when the last copy of the endpoints was requested.
 	endpointsRequestedAt core.Millis
 	// results are the held results and calls of the leader's scheduler, last requested at resultsRequestedAt.
@@ -66,6 +71,7 @@
 	defer a.mu.Unlock()
 	if reply.Leading {
 		a.standby.endpoints, a.standby.copiedAt = reply.Known, a.clock.Now()
+		a.standby.speeds, a.standby.serviceSpeeds = reply.Speeds, reply.ServiceSpeeds
 		a.permits.Merge(reply.Limits)
 	}
 }
@@ -138,6 +144,10 @@
 		e := k.Announcement.Endpoint
 		a.sched.InheritObservation(now, core.Life{Endpoint: e.ID, Incarnation: e.Incarnation}, k.Observed)
 	}
+	for i := range a.standby.speeds {
+		a.standby.speeds[i].Age += copyAge
+	}
+	a.sched.RestoreSpeeds(now, a.standby.speeds, a.standby.serviceSpeeds)
 	a.sched.AssumeAllCold(now)
 	results := a.standby.results.heldResults()
 	calls := a.standby.results.runningCalls()
--- a/io/assign/wire.go
+++ b/io/assign/wire.go
@@ -4,12 +4,14 @@
 	"errors"
 
 	"cyclamenford/core"
+	"cyclamenford/core/fleet"
 	"cyclamenford/core/limit"
 	"cyclamenford/core/notice"
 	"cyclamenford/core/order"
 	"cyclamenford/core/poison"
 	"cyclamenford/core/quorum"
 	"cyclamenford/core/roll"
+	"cyclamenford/core/speed"
 	"cyclamenford/io/keeper"
 )
 
@@ -126,6 +128,9 @@
 	Known []KnownEndpoint
 	// Limits is what the leader knows of the limits that endpoints name.
 	Limits []limit.Report
+	// Speeds are the leader's estimates of the endpoints that state their slowdown, and ServiceSpeeds those of their services by name.
+	Speeds        []fleet.EndpointSpeed
+	ServiceSpeeds map[string]speed.ServiceObservation
 }
 
 // HeldArgs requests the events about held results from number From of Term on.
--- a/io/entry/evacuation_test.go
+++ b/io/entry/evacuation_test.go
@@ -27,7 +27,7 @@
 // those of a scheduler of an earlier release, which do not name the failure domain.
 func TestAGrantThatWasNotSentIsReturnedAfterAnOrder(t *testing.T) {
 	control, now, log := imageControl{machine: state.New()}, clock.New(100), slog.New(slog.DiscardHandler)
-	chooser := newEndpointChooser(door.Settings{}, control, nil, newPendingCalls(), nil, now, log)
+	chooser := newEndpointChooser(door.Settings{}, control, nil, newPendingCalls(), nil, now, meter.New(), log)
 	chooser.door.ApplyPage(1, roll.Page{Term: 1, Whole: true, Listed: []roll.Listed{
 		{Endpoint: order.Endpoint{ID: "p", Incarnation: 1, Service: "plain", FailureDomain: "a"}},
 	}})
