Do not take a client that reads little for a silent one

Cause: the drainer is told of room only when a third of the socket's buffer is free, which a slow client may take longer for than the 30 s after which it counts as silent. Change: the check for silence first writes what the socket takes. Tests: io/buffer with -race passes; the case itself has no test.

--- a/io/buffer/answer.go
+++ b/io/buffer/answer.go
@@ -368,28 +368,33 @@
 // told of room only once a third of the socket's buffer is free.
 func (a *Answer) writeTail() {
 	for began := time.Now(); time.Since(began) < a.pool.tailTimeout; time.Sleep(tailInterval) {
-		a.mu.Lock()
-		read, released := 0, int64(0)
-		if a.idle != nil {
-			// It fails on a closed connection, which ends the drainer, too.
-			_ = a.raw.Control(func(fd uintptr) {
-				var err error
-				read, released, err = a.drainNow(int(fd))
-				if err != nil || len(a.segments) == 0 {
-					released += a.stop(err)
-				}
-			})
-		}
-		idle := a.idle == nil
-		a.mu.Unlock()
-		a.pool.release(a, read, released)
-		if idle {
+		if a.writeHeld() {
 			return
 		}
 	}
 	a.abort()
 }
 
+// writeHeld writes as much of what is held as the socket takes, also if it has little room, and reports whether nothing is held any more.
+func (a *Answer) writeHeld() bool {
+	a.mu.Lock()
+	read, released := 0, int64(0)
+	if a.idle != nil {
+		// It fails on a closed connection, which ends the drainer, too.
+		_ = a.raw.Control(func(fd uintptr) {
+			var err error
+			read, released, err = a.drainNow(int(fd))
+			if err != nil || len(a.segments) == 0 {
+				released += a.stop(err)
+			}
+		})
+	}
+	idle := a.idle == nil
+	a.mu.Unlock()
+	a.pool.release(a, read, released)
+	return idle
+}
+
 // truncate drops what is held behind the first whole event that ends at or after what the client has, and returns the number of bytes
 // released. The caller holds the lock.
 func (a *Answer) truncate() int64 {
@@ -442,7 +447,7 @@
 	defer silence.Stop()
 	for {
 		a.mu.Lock()
-		idle, err, now := a.idle, a.err, a.sent
+		idle, err := a.idle, a.err
 		if a.discarding && !a.lost {
 			// It was to end, but everything has reached the client.
 			err = nil
@@ -460,6 +465,13 @@
 			stopped = nil
 			a.end(ErrStopped)
 		case <-silence.C:
+			// The client may have read less than the room of which the drainer is told.
+			if a.writeHeld() {
+				continue
+			}
+			a.mu.Lock()
+			now := a.sent
+			a.mu.Unlock()
 			if now == sent {
 				a.fail(ErrSilent)
 				<-idle
