--- a/io/disk/format_test.go
+++ b/io/disk/format_test.go
@@ -44,6 +44,7 @@
 	Parts     map[poison.Content]poison.PartEntry
 	Config    state.Config
 	Retired   map[core.EndpointID]state.Retirement
+	Evacuated map[core.FailureDomain]state.Evacuation
 	Subtree   state.Subtree
 	History   []state.Subtree
 	Orders    []state.Order
@@ -87,6 +88,7 @@
 		{SetSettings: &state.SetSettings{Path: "Teams/t", Version: number - 1, Doc: []byte(`{"Organisation": "o"}`), Author: "a"}},
 		{ReplaceConfig: &state.ReplaceConfig{Version: number, Doc: []byte(name)}},
 		{RetireEndpoint: &state.RetireEndpoint{Endpoint: core.EndpointID(name), Incarnation: 4}},
+		{SetEvacuation: &state.SetEvacuation{FailureDomain: core.FailureDomain(name), On: true, Known: 1}},
 		{Drain: &state.Drain{Endpoint: core.EndpointID(name), On: true}},
 		reserve("finished", "h"),
 		{Finish: &state.Finish{Key: key("finished"), Holder: holder("h"), Answer: answer}},
@@ -172,7 +174,7 @@
 		h.Replies = append(h.Replies, m.Apply(e.Index, command))
 	}
 	i := m.Image()
-	h.Hosts, h.Drained, h.Suspects, h.Parts, h.Config, h.Retired = i.Hosts, i.Drained, i.Poison, i.Parts, i.Config, i.Retired
+	h.Hosts, h.Drained, h.Suspects, h.Parts, h.Config, h.Retired, h.Evacuated = i.Hosts, i.Drained, i.Poison, i.Parts, i.Config, i.Retired, i.Evacuated
 	h.Subtree, _ = i.Subtree("Teams/t")
 	h.History, h.Orders = m.History("Teams/t"), m.Orders()
 	for _, k := range []string{"r1finished", "r1lost", "r2finished", "r2lost"} {
@@ -190,10 +192,13 @@
 	golden.Same(t, "data", h)
 }
 
-// TestDataFoldersOfFormerReleasesAreRead opens folders of the releases before the records of parts of prompts, and before those of software
-// versions.
+// TestDataFoldersOfFormerReleasesAreRead opens folders of the releases before the records of parts of prompts, before those of software
+// versions, and before evacuations.
 func TestDataFoldersOfFormerReleasesAreRead(t *testing.T) {
-	for name, parts := range map[string]int{"former": 0, "former-parts": 2} {
+	for name, former := range map[string]struct {
+		parts    int
+		versions []string
+	}{"former": {}, "former-parts": {parts: 2}, "former-streams": {parts: 2, versions: []string{"v2"}}} {
 		path := filepath.Join(t.TempDir(), "data")
 		must.NoError(t, os.CopyFS(path, os.DirFS(filepath.Join(golden.Folder, name))))
 		folder, err := OpenFolder(path)
@@ -213,8 +218,9 @@
 		must.Eq(t, 2, m.Image().Config.Version)
 		must.MapLen(t, 2, m.Image().Hosts)
 		must.MapNotEmpty(t, m.Image().Poison)
-		must.MapLen(t, parts, m.Image().Parts)
-		must.SliceEmpty(t, m.Versions("r1"))
+		must.MapLen(t, former.parts, m.Image().Parts)
+		must.Eq(t, former.versions, m.Versions("r1"))
+		must.MapEmpty(t, m.Image().Evacuated)
 	}
 }
 
