Do not refuse requests whose deadline is beyond the longest retry time

Cause: exceedsLimit compared the permits of the longest predicted wait (30 s) with the requests ahead, also for requests with more time left. Before bounds were added, such a request stayed and was served when its permit came. Change: with 30 s or more left, no request counts as exceeding a limit. Test: TestLongDeadlinesOutlastTheLongestRetryTime fails before for deadlines of 30 and 60 s and passes now.

--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -142,8 +142,9 @@
 // exceedsLimit reports whether a waiting request can get no permit before its deadline, after the given number of others.
 func (s *Scheduler) exceedsLimit(svc *service, r *request, ahead int, remaining core.Millis) bool {
 	budgets := s.budgets(svc)
-	return len(budgets) > 0 && (s.now+remaining > r.deadlineAt ||
-		permitsAfter(budgets, min(maxLimitRetryAfter-1, r.deadlineAt-s.now-remaining)) <= ahead)
+	left := r.deadlineAt - s.now - remaining
+	// Waits are predicted for maxLimitRetryAfter at most. A request with more time left stays.
+	return len(budgets) > 0 && left < maxLimitRetryAfter && (left < 0 || permitsAfter(budgets, left) <= ahead)
 }
 
 // refuseLimited emits the refusal of a request that gets no permit in time. The refused clients are asked to return one
