Look at all engines for a predicted first byte only where that says something

Cause: each request in each pass looked at all engines of its service, also if none of them states its speed, and again and again while all engines are full, since only a successful prediction was kept. Change: services without a stated speed are skipped at once, and the mean that is used while engines are full is kept for predictionAge as well. Tests: TestPredictionsAreKeptWhileEnginesAreFull fails before. TestLoads and TestReportsServeMoreInTime pass.

--- a/core/fleet/speed.go
+++ b/core/fleet/speed.go
@@ -110,7 +110,7 @@
 // BestFirstByte returns the shortest predicted time from a grant to the first byte of a prompt's answer, over the engines
 // that can take the prompt now, in milliseconds. It reports false if there is no such engine whose speed is estimated.
 func (s *Service) BestFirstByte(now core.Millis, p order.Prompt, c PrefixChain) (float64, bool) {
-	if s.Engine == nil {
+	if s.Engine == nil || !s.speed.Stated() {
 		return 0, false
 	}
 	best := math.Inf(1)
--- a/core/sched/speed.go
+++ b/core/sched/speed.go
@@ -29,9 +29,12 @@
 	if p := r.firstByte; p.made && s.now-p.at < predictionAge {
 		return p.value
 	}
+	if !svc.Speed().Stated() {
+		return core.Millis(svc.FirstByteTime())
+	}
 	best, ok := svc.BestFirstByte(s.now, r.Prompt, r.chain)
 	if !ok {
-		return core.Millis(svc.FirstByteTime())
+		best = svc.FirstByteTime()
 	}
 	r.firstByte = firstBytePrediction{at: s.now, value: core.Millis(best), made: true}
 	return r.firstByte.value
