Set no bound for an incarnation that has been replaced

Cause: an attempt that ends after its endpoint has restarted made the former incarnation count as cold, which set its bound again. Nothing removes it then: the issuer keeps a bucket for each crash and looks at it in each tick, and the log says that the new incarnation changes between cold and not. Change: only the incarnation that is known now is made to count as cold. Test: TestARemovedIncarnationGetsNoBoundAgain fails before and passes now.

--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -74,9 +74,10 @@
 	}
 }
 
+// assumeEndpointCold makes an endpoint's incarnation count as cold, unless it has been removed or replaced by a later one.
 func (s *Scheduler) assumeEndpointCold(e *fleet.Endpoint, why fleet.ColdReason, until core.Millis) {
-	if e.AssumeCold(until) {
-		s.applyBound(e, why)
+	if x := s.known(e.ID); x != nil && x.Incarnation == e.Incarnation && x.AssumeCold(until) {
+		s.applyBound(x, why)
 	}
 }
 
--- a/core/sched/cold_test.go
+++ b/core/sched/cold_test.go
@@ -190,3 +190,22 @@
 	// What was saved up in two seconds, and then one piece each 250 ms.
 	must.Eq(t, []int{5, 1, 1, 1}, sizes)
 }
+
+// TestARemovedIncarnationGetsNoBoundAgain guards against buckets that are kept for ever, and a new incarnation that counts as the former one,
+// when attempts at an incarnation end after it has been replaced.
+func TestARemovedIncarnationGetsNoBoundAgain(t *testing.T) {
+	s := New(fleet.RetryLimits{})
+	s.Configure(1, []conf.Service{{Name: "engine", ColdTime: 3000, ColdPerSecond: 9.7, Engine: &conf.Engine{Slots: 16, CacheTokens: 1000}}})
+	endpoint := order.Endpoint{ID: "e", Incarnation: 1, Address: "e", Service: "engine", Slots: 16}
+	s.SetEndpoint(1, endpoint, false)
+	key := order.Key{Host: "h", Seq: 1}
+	s.AddRequest(2000, order.PlacementRequest{Key: key, Service: "engine", Aim: 1000, Left: 5000, MaxAttempts: 2})
+	must.NotNil(t, s.TakeActions()[0].Grant)
+	endpoint.Incarnation = 2
+	s.SetEndpoint(2100, endpoint, false)
+	s.AttemptEnded(2200, key, order.Broken, false)
+	issuer := s.limits.(*limit.Issuer)
+	must.False(t, issuer.Bounded(core.Life{Endpoint: "e", Incarnation: 1}))
+	must.True(t, issuer.Bounded(core.Life{Endpoint: "e", Incarnation: 2}))
+	must.MapEmpty(t, s.coldWatch.cold)
+}
