Count failures of inherited requests as signs of a crash

Cause: the end of a request that an earlier scheduler granted was recorded in the failure rate and the backoff only. An engine that crashes after a takeover breaks mostly such requests; it did not count as cold and got no window. Change: the ending is recorded as that of an own request. Test: TestAFailureOfAnInheritedRequestMakesItsEngineCold fails before.

--- a/core/sched/former.go
+++ b/core/sched/former.go
@@ -232,6 +232,8 @@
 // recordFormerEnding records how an attempt ended that an earlier scheduler granted, and frees its room.
 func (s *Scheduler) recordFormerEnding(key order.Key, ending order.AttemptOutcome) {
 	if x, ok := s.former.requests[key]; ok && x.endpoint != nil {
+		// When the request was sent is not known; it was before any change of the window here.
+		s.recordEnding(x.endpoint, 0, ending, x.endpoint.Running())
 		x.endpoint.RecordEnding(s.now, ending)
 	}
 	s.endFormer(key)
--- a/core/sched/former_test.go
+++ b/core/sched/former_test.go
@@ -198,3 +198,25 @@
 		}
 	}
 }
+
+// TestAFailureOfAnInheritedRequestMakesItsEngineCold guards against an engine that crashes after a takeover and gets the rate of a warm one at
+// once, since the requests that show the crash were granted by an earlier scheduler.
+func TestAFailureOfAnInheritedRequestMakesItsEngineCold(t *testing.T) {
+	for _, ending := range []order.AttemptOutcome{order.Broken, order.Unreachable, order.Served} {
+		s := newTakenOver(t)
+		s.Configure(1, []conf.Service{{Name: "engine", ColdTime: 3000, ColdPerSecond: 9.7, Engine: &conf.Engine{Slots: 8, CacheTokens: 1000}}})
+		s.announce(1, 1)
+		s.InheritRunning(2, Takeover{Requests: []order.RunningRequest{running(1, 10), running(2, 10), running(3, 10), running(4, 10), running(5, 10), running(6, 10)}})
+		e := s.known("e")
+		must.False(t, e.IsCold(5000))
+		for seq := range uint64(6) {
+			s.AttemptEnded(5000, running(seq+1, 10).Key, ending, false)
+		}
+		must.Eq(t, ending != order.Served, e.IsCold(5000))
+		size, active := e.Window()
+		must.Eq(t, ending != order.Served, active)
+		if ending == order.Broken {
+			must.Eq(t, 3, size) // half of what was in progress, once
+		}
+	}
+}
