Remember reported ends while an older list may be on its way

Cause: a host's list and its calls (Place, Again) use connections of their own. A call that ends or places again a request of an earlier scheduler may overtake a list that still names the request; it then took up room at its engine until its deadline, since nothing reports its end a second time. Change: reported ends are remembered for 2 s, and lists do not undo them. Test: TestAListThatIsOlderThanAnEndHoldsNoRoom fails before.

--- a/core/sched/former.go
+++ b/core/sched/former.go
@@ -18,6 +18,8 @@
 	missedPerSecond = 0.35
 	// missedRequests is how many of the largest known requests the copy may have missed at one engine at least.
 	missedRequests = 2
+	// endedTime is for how long the end of a request is remembered that an earlier scheduler granted: longer than a list may be on its way.
+	endedTime = 2 * core.Second
 	// unevenFactor is how much more of what the copy missed may belong to a host than its share.
 	unevenFactor = 3
 )
@@ -58,6 +60,8 @@
 	copyAge core.Millis
 	// largest is the largest number of tokens that a known request holds.
 	largest int
+	// ended holds when hosts have reported the ends of requests. A list that was made before may arrive after that.
+	ended map[order.Key]core.Millis
 }
 
 // formerRequest is a request that an earlier scheduler granted.
@@ -69,7 +73,7 @@
 }
 
 func newFormerRequests() formerRequests {
-	return formerRequests{requests: map[order.Key]*formerRequest{}, missing: map[core.HostID]bool{}}
+	return formerRequests{requests: map[order.Key]*formerRequest{}, missing: map[core.HostID]bool{}, ended: map[order.Key]core.Millis{}}
 }
 
 // InheritRunning takes over the requests that an earlier scheduler granted. Until all hosts have listed their requests, or
@@ -166,7 +170,8 @@
 func (s *Scheduler) addFormer(r order.RunningRequest) {
 	_, own := s.requests[r.Key]
 	_, known := s.former.requests[r.Key]
-	if own || known || s.now >= r.Till || r.HeldTokens < 0 {
+	_, ended := s.former.ended[r.Key]
+	if own || known || ended || s.now >= r.Till || r.HeldTokens < 0 {
 		return
 	}
 	x := &formerRequest{RunningRequest: r}
@@ -236,6 +241,14 @@
 		s.recordEnding(x.endpoint, 0, ending, x.endpoint.Running())
 		x.endpoint.RecordEnding(s.now, ending)
 	}
+	s.endReported(key)
+}
+
+// endReported frees the room of a request that an earlier scheduler granted and whose end its host has reported.
+func (s *Scheduler) endReported(key order.Key) {
+	if key != (order.Key{}) {
+		s.former.ended[key] = s.now
+	}
 	s.endFormer(key)
 }
 
@@ -277,6 +290,7 @@
 // expireFormer frees the room of the requests whose deadlines have passed without a report.
 func (s *Scheduler) expireFormer() {
 	s.endFormers(func(r *formerRequest) bool { return s.now >= r.Till })
+	maps.DeleteFunc(s.former.ended, func(_ order.Key, at core.Millis) bool { return s.now-at >= endedTime })
 }
 
 // recordRuns reports that a request was granted an engine, so that a later scheduler can count it there.
--- a/core/sched/former_test.go
+++ b/core/sched/former_test.go
@@ -220,3 +220,30 @@
 		}
 	}
 }
+
+// TestAListThatIsOlderThanAnEndHoldsNoRoom guards against room that is held until the deadline when a host's list is overtaken by its call
+// that reports the end of a request or places it again: lists and calls have connections of their own.
+func TestAListThatIsOlderThanAnEndHoldsNoRoom(t *testing.T) {
+	list := []order.RunningRequest{running(1, 800)}
+	for name, end := range map[string]func(s takenOver){
+		"end":   func(s takenOver) { s.AttemptEnded(150, list[0].Key, order.Broken, false) },
+		"place": func(s takenOver) { s.add(150, order.Key{Host: "h", Life: 1, Seq: 9}, 901, list[0].Key) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTakenOver(t)
+			s.announce(90, 1)
+			s.InheritRunning(100, Takeover{Hosts: []core.HostID{"h"}})
+			end(s)
+			s.HostRunning(160, "h", 1, list)
+			must.Eq(t, 0, s.FormerStatus(160).Requests)
+			// A request that a list has left out may be listed later: its grant was still on its way.
+			s.HostRunning(170, "h", 1, nil)
+			s.HostRunning(180, "h", 1, []order.RunningRequest{running(2, 100)})
+			s.HostRunning(190, "h", 1, nil)
+			s.HostRunning(200, "h", 1, []order.RunningRequest{running(2, 100)})
+			must.Eq(t, 1, s.FormerStatus(200).Requests)
+			s.Tick(150 + endedTime)
+			must.MapEmpty(t, s.former.ended)
+		})
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -206,7 +206,7 @@
 	}
 	s.recordIncarnation(a.Key.Host, a.Key.Life)
 	// The host has not used a grant of an earlier scheduler if it places the request again.
-	s.endFormer(a.Former)
+	s.endReported(a.Former)
 	r := &request{PlacementRequest: a, arrivedAt: now, aimAt: now + a.Aim, deadlineAt: now + a.Left, attempts: a.Attempts}
 	r.stages = make([]stageState, len(a.Stages))
 	for i, ask := range a.Stages {
