Keep inherited requests of the same term that a host lists

Cause: the leader skips listed requests that were granted in its own term. Change: a request of the same term is skipped only if it is not inherited. Test: TestAListNamesWhatWasGrantedBeforeALapse fails before.

--- a/core/sched/former.go
+++ b/core/sched/former.go
@@ -126,6 +126,12 @@
 	s.stopAwaiting(host)
 }
 
+// HasInherited reports whether the scheduler counts a request that an earlier one granted.
+func (s *Scheduler) HasInherited(key order.Key) bool {
+	_, ok := s.former.requests[key]
+	return ok
+}
+
 // stopAwaiting records that no list of a host is awaited any more.
 func (s *Scheduler) stopAwaiting(host core.HostID) {
 	if s.former.missing[host] {
--- a/io/assign/running.go
+++ b/io/assign/running.go
@@ -61,8 +61,9 @@
 	now := a.clock.Now()
 	list := make([]order.RunningRequest, 0, len(args.Requests))
 	for _, r := range args.Requests {
-		// The scheduler knows its own grants, some of which may have ended since the list was made.
-		if r.Term == a.term {
+		// The scheduler knows its own grants, some of which may have ended since the list was made. After a long lapse of the lease,
+		// those of the former scheduler are of the same term.
+		if r.Term == a.term && !a.sched.HasInherited(r.Key) {
 			continue
 		}
 		list = append(list, order.RunningRequest{
--- a/io/assign/running_test.go
+++ b/io/assign/running_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -132,3 +133,28 @@
 func stageEndpointOf(id core.EndpointID) order.Endpoint {
 	return order.Endpoint{ID: id, Incarnation: 1, Address: "127.0.0.1:1", Service: "engine", Slots: 4}
 }
+
+// TestAListNamesWhatWasGrantedBeforeALapse guards against an engine that counts as empty after its leader's lease has lapsed for long and was
+// renewed in the same term: the requests at it were granted in this term, but by a scheduler that is gone.
+func TestAListNamesWhatWasGrantedBeforeALapse(t *testing.T) {
+	leader := &hostedFollower{term: 1}
+	leader.leads.Store(true)
+	idle := newAssigner(&fakeLeader{}, nil, meter.New(), &fakeControl{})
+	a := newAssigner(leader, leaderCaller{&calls{idle}}, meter.New(), &fakeControl{})
+	must.NoError(t, (&calls{a}).Announce(Announcement{Endpoint: stageEndpointOf("e1"), Seq: 1}, &AnnounceReply{}))
+	for _, host := range []core.HostID{"h", "i"} {
+		must.NoError(t, (&calls{a}).Running(RunningArgs{Host: host, Life: 1}, &RunningReply{}))
+	}
+	must.NotNil(t, (<-placeAt(a, 1, 400)).Grant)
+	leader.leads.Store(false)
+	a.tick(context.Background())
+	time.Sleep(maxSuspension.Duration())
+	a.tick(context.Background())
+	leader.leads.Store(true)
+	a.tick(context.Background())
+	must.Len(t, 1, a.sched.Running())
+	must.NoError(t, (&calls{a}).Running(RunningArgs{Host: "h", Life: 1, Requests: []HostRequest{
+		{Key: order.Key{Host: "h", Life: 1, Seq: 1}, Endpoint: "e1", Life: 1, HeldTokens: 400, Term: 1, Left: core.Second},
+	}}, &RunningReply{}))
+	must.Len(t, 1, a.sched.Running())
+}
