Release results at a forgotten endpoint only with a permit

Cause: when an endpoint is removed because its announcements are missing, its bound is removed, and releases for it were sent without a permit although it may still run, and be cold. Change: such a release says that its endpoint had a bound, so that the sender refuses it without a permit. Test: TestReleasesToAForgottenEndpointKeepItsBound fails before.

--- a/core/sched/cold_test.go
+++ b/core/sched/cold_test.go
@@ -209,3 +209,36 @@
 	must.True(t, issuer.Bounded(core.Life{Endpoint: "e", Incarnation: 2}))
 	must.MapEmpty(t, s.coldWatch.cold)
 }
+
+// TestReleasesToAForgottenEndpointKeepItsBound guards against releases without a permit to an endpoint whose announcements are missing but
+// which still runs.
+func TestReleasesToAForgottenEndpointKeepItsBound(t *testing.T) {
+	s := New(fleet.RetryLimits{})
+	s.Configure(1, []conf.Service{
+		{Name: "stage", ColdTime: 3000, ColdPerSecond: 4, Pieces: &conf.Pieces{Slots: 1, Batch: 36, CallTime: 10, ItemTime: 1, Room: 1 << 30, Keep: 4000}},
+		{Name: "engine", Engine: &conf.Engine{Slots: 16, CacheTokens: 1000}},
+	})
+	s.SetEndpoint(1, order.Endpoint{ID: "stage", Incarnation: 1, Address: "stage", Service: "stage"}, false)
+	key := order.Key{Host: "h", Seq: 1}
+	s.AddRequest(2000, order.PlacementRequest{
+		Key: key, Service: "engine", Aim: 20_000, Left: 30_000, MaxAttempts: 2, Stages: []order.StageRequest{{Service: "stage", Pieces: 1, Bytes: 1}},
+	})
+	s.Tick(2000)
+	for _, a := range s.TakeActions() {
+		if a.Call != nil {
+			s.CallDone(2015, a.Call.Number, []order.ItemResult{{Handle: "stage/1"}}, order.Served)
+		}
+	}
+	s.RemoveEndpoint(2100, "stage")
+	s.CancelRequest(2100, key)
+	s.Tick(2120)
+	released := false
+	for _, a := range s.TakeActions() {
+		if a.Free != nil {
+			released = true
+			must.True(t, a.Free.Bounded)
+			must.False(t, a.Free.Permitted)
+		}
+	}
+	must.True(t, released)
+}
--- a/core/sched/freed.go
+++ b/core/sched/freed.go
@@ -76,7 +76,7 @@
 		if e.Evacuated() || e.Paused(s.now) || limited && (e.FreeShare() > limitedReleaseShare || !s.limits.Take(s.now, f.Life)) {
 			return false
 		}
-		f.Free.Permitted, f.Free.Bounded = limited, e.Bounded()
+		f.Free.Permitted, f.Free.Bounded = limited, e.HasColdBound()
 		s.actions = append(s.actions, order.Action{Free: &f.Free})
 		return true
 	})
