End a window that only late first bytes hold back

Cause: a window halves with each late first byte and grows by one request a round. If a share p of a healthy endpoint's first bytes is later than twice the mean, as with prompts of different length, it stays at about sqrt(2/p) requests: five of 48 slots with a tenth. The endpoint never gets its slots back. Change: 10 s after its start, or its last failure or refusal, a window ends with the next answer. Tests: TestLateAnswersAloneDoNotKeepAWindowForLong fails before; all tests of core/pace pass, TestMethods with its bounds included.

--- a/core/pace/window.go
+++ b/core/pace/window.go
@@ -23,6 +23,10 @@
 	// doublingTime is the time in which the window of one of many hosts doubles by itself. With 78 hosts each of them sees an
 	// answer of one endpoint only every few seconds; by answers alone, the played endpoint was idle for 0.69 of the time.
 	doublingTime = core.Second
+	// lateTime is the time from the start of the window or its last failure or refusal after which late first bytes hold nothing back any
+	// more, and the window ends. The times of answers vary with their prompts: if a share p of them is late at a healthy endpoint, a window
+	// that halves with each stays at about the square root of 2/p requests. Cold times and slow periods are over after a few seconds.
+	lateTime = 10 * core.Second
 	// cautiousFactor is how many times longer a doubling takes after a sign of overload.
 	cautiousFactor = 2.0
 )
@@ -39,6 +43,8 @@
 	// startedAt is when the window was set up and shrunkAt when it last shrank. Requests that were sent before do not
 	// change it.
 	startedAt, shrunkAt core.Millis
+	// failedAt is when the window was set up or last met a failure or a refusal.
+	failedAt core.Millis
 	// full is the number of requests at which the window ends, and share the part of the endpoint that the caller may use.
 	full, share float64
 	// grownAt is the time up to which limit has grown with time.
@@ -49,7 +55,7 @@
 // the endpoint that the caller may use, below 1 if several hosts use it without knowing of each other.
 func (w *Window) Started(now core.Millis, slots int, share float64) {
 	*w = Window{
-		active: true, limit: initialLimit * share, probing: true, startedAt: now, shrunkAt: now, grownAt: now,
+		active: true, limit: initialLimit * share, probing: true, startedAt: now, shrunkAt: now, failedAt: now, grownAt: now,
 		full: float64(max(1, slots)) * share, share: share,
 	}
 	w.end()
@@ -76,8 +82,11 @@
 	switch {
 	case !w.active || sentAt < w.startedAt:
 		return
+	case now-w.failedAt >= lateTime:
+		*w = Window{}
+		return
 	case float64(elapsed) > lateFactor*usual:
-		w.Failed(now, sentAt)
+		w.shrink(now, sentAt)
 		return
 	case float64(running) < fullShare*w.limit:
 		return
@@ -113,6 +122,13 @@
 // Failed shrinks the window after a failure or a refusal of a request that was sent at sentAt, once for all requests that
 // were sent before the last time it shrank.
 func (w *Window) Failed(now, sentAt core.Millis) {
+	w.shrink(now, sentAt)
+	if w.active && sentAt >= w.startedAt {
+		w.failedAt = now
+	}
+}
+
+func (w *Window) shrink(now, sentAt core.Millis) {
 	w.grow(now)
 	if !w.active || sentAt < w.shrunkAt {
 		return
--- a/core/pace/window_test.go
+++ b/core/pace/window_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"cyclamenford/core"
 )
 
 // TestWindowFollowsTheAnswers guards against a window that overloads an endpoint, that many failures of one moment close
@@ -57,3 +59,28 @@
 	}
 	must.LessEq(t, int(initialLimit)+1, admitted)
 }
+
+// TestLateAnswersAloneDoNotKeepAWindowForLong guards against an endpoint that is left idle for ever because the times of the service vary: if a
+// tenth of the answers of a healthy endpoint take three times the usual time, the window would stay at about five requests.
+func TestLateAnswersAloneDoNotKeepAWindowForLong(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		var w Window
+		w.Started(1000, 48, 1)
+		answers := 0
+		for now := core.Millis(1100); now <= 12_000; now += 100 {
+			limit, _ := w.Limit()
+			for range int(limit) {
+				answers++
+				elapsed := core.Millis(100)
+				if answers%10 == 0 {
+					elapsed = 300
+				}
+				w.Answered(now, elapsed, 100, int(limit))
+			}
+			if fails && now%1000 == 0 {
+				w.Failed(now, now)
+			}
+		}
+		must.Eq(t, fails, w.Active())
+	}
+}
