Compare endpoints that state no speed among themselves

Cause: an endpoint counts as slow above twice the slowdown of the fastest one. Where only a part of a service states its slowdown, one that states 0.35 made all usual ones without reports count as slow, so that they got only probes. Change: endpoints without an estimate from reports are compared with the fastest of these. Services without reports decide as before. Test: TestEndpointsThatStateNoSpeedAreComparedAmongThemselves fails before.

--- a/core/fleet/service.go
+++ b/core/fleet/service.go
@@ -32,9 +32,9 @@
 	// footprint is the average space-time product of a result: its size times how long it is held, in byte
 	// milliseconds.
 	footprint estimate
-	// cachedLeastSlowdown is the result of leastSlowdown at the time leastSlowdownAt.
-	leastSlowdownAt     core.Millis
-	cachedLeastSlowdown float64
+	// cachedLeastSlowdown and cachedLeastUnstated are the results of leastSlowdown at the time leastSlowdownAt.
+	leastSlowdownAt                          core.Millis
+	cachedLeastSlowdown, cachedLeastUnstated float64
 	// knownSince is when the first endpoint of the service became known.
 	knownSince core.Millis
 }
@@ -103,21 +103,24 @@
 // SpendRetry takes one retry from the service's budget and reports whether it was allowed.
 func (s *Service) SpendRetry(now core.Millis, r RetryLimits) bool { return s.budget.Spend(now, r) }
 
-// leastSlowdown returns the slowdown of the fastest usable endpoint, at least minSlowdown. The result is cached for one
-// millisecond because it is needed for each endpoint.
-func (s *Service) leastSlowdown(now core.Millis) float64 {
+// leastSlowdown returns the slowdown of the fastest usable endpoint, at least minSlowdown, and the same among those whose speed is not
+// estimated from reports. The results are cached for one millisecond because they are needed for each endpoint.
+func (s *Service) leastSlowdown(now core.Millis) (all, unstated float64) {
 	if s.leastSlowdownAt == now && s.cachedLeastSlowdown > 0 {
-		return s.cachedLeastSlowdown
+		return s.cachedLeastSlowdown, s.cachedLeastUnstated
 	}
-	least := 0.0
 	for _, e := range s.endpoints {
 		if !e.Usable(now) {
 			continue
 		}
-		if slowdown := e.SlowdownAt(now); least == 0 || slowdown < least {
-			least = slowdown
+		slowdown := e.SlowdownAt(now)
+		if all == 0 || slowdown < all {
+			all = slowdown
+		}
+		if !e.hasSpeed() && (unstated == 0 || slowdown < unstated) {
+			unstated = slowdown
 		}
 	}
-	s.leastSlowdownAt, s.cachedLeastSlowdown = now, max(minSlowdown, least)
-	return s.cachedLeastSlowdown
+	s.leastSlowdownAt, s.cachedLeastSlowdown, s.cachedLeastUnstated = now, max(minSlowdown, all), max(minSlowdown, unstated)
+	return s.cachedLeastSlowdown, s.cachedLeastUnstated
 }
--- a/core/fleet/speed.go
+++ b/core/fleet/speed.go
@@ -67,13 +67,13 @@
 
 // slowBound returns the slowdown above which an endpoint counts as slow. Endpoints that state their slowdown are compared
 // with the usual slowdown of the service instead of with the fastest endpoint: their usual values may differ by more than
-// SlowFactor, and all of them are worth using.
+// SlowFactor, and all of them are worth using. The others are compared among themselves.
 func (e *Endpoint) slowBound(now core.Millis) float64 {
-	bound := e.service.leastSlowdown(now)
+	all, unstated := e.service.leastSlowdown(now)
 	if e.hasSpeed() {
-		bound = max(bound, e.service.speed.Usual())
+		return SlowFactor * max(all, e.service.speed.Usual())
 	}
-	return SlowFactor * bound
+	return SlowFactor * unstated
 }
 
 // readTimeAt returns the predicted time in milliseconds to read a number of prompt tokens from now on.
--- a/core/fleet/speed_test.go
+++ b/core/fleet/speed_test.go
@@ -88,3 +88,20 @@
 	must.True(t, slow.Slow(5*core.Second+1))
 	must.False(t, slow.Slow(7*core.Second))
 }
+
+// TestEndpointsThatStateNoSpeedAreComparedAmongThemselves guards against endpoints that count as slow, and get only probes, because others
+// of their service state that they are fast.
+func TestEndpointsThatStateNoSpeedAreComparedAmongThemselves(t *testing.T) {
+	f, s := newSpeedFleet()
+	for _, e := range s.endpoints[1:] {
+		e.LearnReadTime(3, Load{}, 10)
+	}
+	for at := core.Millis(5); at < 5000; at += 100 {
+		f.RecordLoad(at, s.endpoints[0].Life(), stated(0.35))
+	}
+	must.False(t, s.endpoints[0].Slow(5000))
+	must.False(t, s.endpoints[1].Slow(5000))
+	s.endpoints[1].slowdown.value = 2.1
+	must.True(t, s.endpoints[1].Slow(5001))
+	must.False(t, s.endpoints[2].Slow(5001))
+}
