--- a/core/sched/former_test.go
+++ b/core/sched/former_test.go
@@ -198,3 +198,52 @@
 		}
 	}
 }
+
+// TestAFailureOfAnInheritedRequestMakesItsEngineCold guards against an engine that crashes after a takeover and gets the rate of a warm one at
+// once, since the requests that show the crash were granted by an earlier scheduler.
+func TestAFailureOfAnInheritedRequestMakesItsEngineCold(t *testing.T) {
+	for _, ending := range []order.AttemptOutcome{order.Broken, order.Unreachable, order.Served} {
+		s := newTakenOver(t)
+		s.Configure(1, []conf.Service{{Name: "engine", ColdTime: 3000, ColdPerSecond: 9.7, Engine: &conf.Engine{Slots: 8, CacheTokens: 1000}}})
+		s.announce(1, 1)
+		s.InheritRunning(2, Takeover{Requests: []order.RunningRequest{running(1, 10), running(2, 10), running(3, 10), running(4, 10), running(5, 10), running(6, 10)}})
+		e := s.known("e")
+		must.False(t, e.IsCold(5000))
+		for seq := range uint64(6) {
+			s.AttemptEnded(5000, running(seq+1, 10).Key, ending, false)
+		}
+		must.Eq(t, ending != order.Served, e.IsCold(5000))
+		size, active := e.Window()
+		must.Eq(t, ending != order.Served, active)
+		if ending == order.Broken {
+			must.Eq(t, 3, size) // half of what was in progress, once
+		}
+	}
+}
+
+// TestAListThatIsOlderThanAnEndHoldsNoRoom guards against room that is held until the deadline when a host's list is overtaken by its call
+// that reports the end of a request or places it again: lists and calls have connections of their own.
+func TestAListThatIsOlderThanAnEndHoldsNoRoom(t *testing.T) {
+	list := []order.RunningRequest{running(1, 800)}
+	for name, end := range map[string]func(s takenOver){
+		"end":   func(s takenOver) { s.AttemptEnded(150, list[0].Key, order.Broken, false) },
+		"place": func(s takenOver) { s.add(150, order.Key{Host: "h", Life: 1, Seq: 9}, 901, list[0].Key) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTakenOver(t)
+			s.announce(90, 1)
+			s.InheritRunning(100, Takeover{Hosts: []core.HostID{"h"}})
+			end(s)
+			s.HostRunning(160, "h", 1, list)
+			must.Eq(t, 0, s.FormerStatus(160).Requests)
+			// A request that a list has left out may be listed later: its grant was still on its way.
+			s.HostRunning(170, "h", 1, nil)
+			s.HostRunning(180, "h", 1, []order.RunningRequest{running(2, 100)})
+			s.HostRunning(190, "h", 1, nil)
+			s.HostRunning(200, "h", 1, []order.RunningRequest{running(2, 100)})
+			must.Eq(t, 1, s.FormerStatus(200).Requests)
+			s.Tick(150 + endedTime)
+			must.MapEmpty(t, s.former.ended)
+		})
+	}
+}
