Send nothing that was checked too long before

Cause: the last checks of a request or stage call (serving lease, evacuated domain) were made before the connection was opened. A host that stood still between them and the write, for example one that was frozen, sent the request after it resumed, whatever had been ordered meanwhile. Only requests under a permit of a bounded endpoint had a time limit. Change: every request, stage call and release is written within 2 s of its last checks or returned as not sent.

--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -520,6 +520,7 @@
 		return
 	}
 	request := a.newPipeRequest(f.Address, freeGroup, call)
+	request.SendBy = sentAt + io.CheckedTime
 	if f.Bounded {
 		request.SendBy = sentAt + permit.BoundSendLimit
 	}
--- a/io/assign/stage_call.go
+++ b/io/assign/stage_call.go
@@ -41,6 +41,7 @@
 		return nil, order.Rejected, nil
 	}
 	request := a.newPipeRequest(c.Address, "", call)
+	request.SendBy = sentAt + io.CheckedTime
 	if c.Bounded || a.permits.Bounded(life) {
 		issuedAt := sentAt
 		if permitted {
--- a/io/entry/limit.go
+++ b/io/entry/limit.go
@@ -9,6 +9,7 @@
 	"cyclamenford/core/door"
 	"cyclamenford/core/limit"
 	"cyclamenford/core/order"
+	relay "cyclamenford/io"
 	"cyclamenford/io/permit"
 )
 
@@ -25,6 +26,17 @@
 	// placedAt is when the scheduler was last asked to place the request, and sendBy when the request may be sent at the
 	// latest under a permit of an endpoint with a bound, 0 without one.
 	placedAt, sendBy core.Millis
+	// checkedAt is when the last checks before the attempt began.
+	checkedAt core.Millis
+}
+
+// sendLimit returns when the request may be sent at the latest.
+func (s sending) sendLimit() core.Millis {
+	end := s.checkedAt + relay.CheckedTime
+	if s.sendBy > 0 {
+		end = min(end, s.sendBy)
+	}
+	return end
 }
 
 // takePermit asks for a permit if the endpoint of a grant names a limit and the grant contains none. It reports false if
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -336,6 +336,7 @@
 // recheckWaited repeats the checks that a request has passed before it waited for a trial or a permit. It reports false if the request
 // must not be sent to the endpoint, or returns its refusal.
 func (r *request) recheckWaited(ctx context.Context, g *order.Grant) (bool, *core.Problem) {
+	r.sending.checkedAt = r.entry.clock.Now()
 	problem := r.checkShutdown()
 	if problem == nil && ctx.Err() != nil {
 		problem = r.failureProblem(order.Unreachable)
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -236,7 +236,7 @@
 	if !r.repeatable() {
 		endpointRequest.MaxIdle = nonRepeatableMaxIdle
 	}
-	endpointRequest.SendBy = r.sending.sendBy
+	endpointRequest.SendBy = r.sending.sendLimit()
 	sentAt := e.clock.Now()
 	r.logLimited(g)
 	unwritten := e.buffers.Fixed()
--- a/io/relay.go
+++ b/io/relay.go
@@ -11,6 +11,10 @@
 	"cyclamenford/core/order"
 )
 
+// CheckedTime is how long after its last checks a request may still be written to the connection to its endpoint. The host may stand still
+// meanwhile. It is below the 5 s after which nothing may reach an evacuated failure domain, and allows for connecting under high load.
+const CheckedTime = 2 * core.Second
+
 // Dialect encodes and decodes the HTTP protocol and the configuration format of a deployment. It is used for requests
 // of clients, calls to endpoints and configurations from operators, and it makes no routing decisions.
 type Dialect interface {
