Do not pause paused answers again at each decision

Cause: with a full budget, each decision went through all paused answers one after another, and looked at all answers each time. With 300 paused answers a decision took 4.5 ms under the pool's lock. Change: paused answers are not considered again; pausing them once more frees nothing.

--- a/core/spool/spool.go
+++ b/core/spool/spool.go
@@ -130,11 +130,11 @@
 // choose returns which answer ends so that self may hold n more bytes: the one whose client needs longest to read what is held for it.
 // Those that cannot be resumed are paused instead, and the next one is taken.
 func (s *Spool) choose(now core.Millis, self *answer, n int64) Decision {
-	tried := map[ID]bool{}
 	for {
 		worst, most := (*answer)(nil), 0.0
 		consider := func(a *answer, held int64) {
-			if a.ended || tried[a.id] {
+			// Pausing an answer again frees nothing, and would make a decision cost the square of the number of paused answers.
+			if a.ended || a.paused {
 				return
 			}
 			t := float64(held) / a.rate(now)
@@ -164,7 +164,6 @@
 			return Decision{Verdict: Wait}
 		}
 		worst.paused = true
-		tried[worst.id] = true
 	}
 }
 
