Let a leader without a copy of the endpoints wait before it refuses for evacuations

Cause: a leader that has no copy of its predecessor's endpoints, as after a power loss, refused the requests of a service at once if the first endpoint that announced itself was in an evacuated domain, although others existed outside. A leader with a copy refuses at once as before.

--- a/core/sched/evacuation.go
+++ b/core/sched/evacuation.go
@@ -18,6 +18,10 @@
 	retryStride = 2473
 )
 
+// AwaitEndpoints says that not every endpoint may be known before a time, as for a leader without a copy of its predecessor's. Requests whose
+// service has known endpoints in evacuated failure domains only wait until then.
+func (s *Scheduler) AwaitEndpoints(until core.Millis) { s.heardBy = until }
+
 // SetEvacuated replaces the set of evacuated failure domains. Their endpoints get no new work, and waiting requests whose service has no
 // other endpoint are refused at once.
 func (s *Scheduler) SetEvacuated(now core.Millis, domains map[core.FailureDomain]bool) {
@@ -36,7 +40,7 @@
 // onlyEvacuated reports whether a request without an endpoint needs a service whose endpoints, those that it may still get, are all in
 // evacuated failure domains.
 func (s *Scheduler) onlyEvacuated(r *request) bool {
-	if len(s.evacuated) == 0 {
+	if len(s.evacuated) == 0 || s.now < s.heardBy {
 		return false
 	}
 	for i := range r.stages {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -64,6 +64,8 @@
 	// their retry delays follow.
 	evacuated        map[core.FailureDomain]bool
 	evacuationSpread uint64
+	// heardBy is when every endpoint has announced itself. Before that, a service may have endpoints that are not known.
+	heardBy core.Millis
 	// passDue is set by events after which the queues must be looked at.
 	passDue   bool
 	coldWatch coldWatch
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -140,6 +140,9 @@
 		a.sched.SetEndpoint(now, announcement.Endpoint, announcement.Leaving)
 		a.publisher.put(announcement)
 	}
+	if len(restored) == 0 {
+		a.sched.AwaitEndpoints(now + domainsHeardPeriods*a.options.AnnounceEvery)
+	}
 	for _, k := range list {
 		e := k.Announcement.Endpoint
 		a.sched.InheritObservation(now, core.Life{Endpoint: e.ID, Incarnation: e.Incarnation}, k.Observed)
