Do not read the reply to a call that timed out

Cause: net/rpc may still decode a late reply. A log line of the copy of held results, and the leader's address in the reply to a Follow call, were read after a time-out. The race detector reported the first one in TestStreamsOfSlowReadersCanBeTakenUp; a torn address could end the process. Change: the reply is read only if the call succeeded. No test of its own: only the race detector shows the fault, in that run.

--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -101,8 +101,10 @@
 		args := HeldArgs{Term: a.standby.results.term, From: a.standby.results.nextNumber}
 		a.mu.Unlock()
 		var reply HeldReply
-		if err := a.caller.Call(ctx, leader, Service+".Held", args, &reply); err != nil || !reply.Leading {
-			a.log.Debug("cannot copy the held results from the leader", "leader", leader, "leading", reply.Leading, "err", err)
+		err := a.caller.Call(ctx, leader, Service+".Held", args, &reply)
+		// The reply to a call that timed out may still be decoded, so that it must not be read.
+		if err != nil || !reply.Leading {
+			a.log.Debug("cannot copy the held results from the leader", "leader", leader, "err", err)
 			return false
 		}
 		a.mu.Lock()
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -204,7 +204,12 @@
 	err := f.client.Call(callCtx, address, keeper.ControlService+".Follow", args, reply)
 	if err != nil || !reply.Leading {
 		f.log.Debug("no reply from a leading keeper", "address", address, "err", err)
-		f.locator.markFailed(address, reply.LeaderAddress)
+		hint := ""
+		if err == nil {
+			// The reply to a call that timed out may still be decoded.
+			hint = reply.LeaderAddress
+		}
+		f.locator.markFailed(address, hint)
 		f.findLeader(ctx)
 		return
 	}
