--- a/core/fleet/endpoint.go
+++ b/core/fleet/endpoint.go
@@ -97,11 +97,6 @@
 // Limited reports whether the endpoint names a limit.
 func (e *Endpoint) Limited() bool { return e.limited }
 
-// Usable reports whether the endpoint may get work: it is neither leaving nor evacuated, nor in backoff, nor paused.
-func (e *Endpoint) Usable(now core.Millis) bool {
-	return !e.leaving && !e.evacuated && now >= e.backoffUntil && !e.Paused(now)
-}
-
 // RecordFailure records an attempt that did not succeed and starts a backoff, which grows with each failure in a row. An
 // attempt that was rejected, abandoned or lacked an input is no failure and leads only to rejectedBackoff.
 func (e *Endpoint) RecordFailure(now core.Millis, ending order.AttemptOutcome) {
--- a/core/fleet/serve.go
+++ b/core/fleet/serve.go
@@ -25,20 +25,6 @@
 // and its output. AheadTokens are those of earlier requests that the endpoint still had to read at the grant.
 type Load struct{ UnreadTokens, HeldTokens, AheadTokens int }
 
-// Fits reports whether the endpoint has a free slot and, if it is an engine, enough memory for the prompt and its
-// output. An idle engine accepts a prompt of any size.
-func (e *Endpoint) Fits(p order.Prompt) bool {
-	engine := e.service.Engine
-	if !e.hasPace(e.running) {
-		return false
-	}
-	if engine == nil {
-		return e.running < max(1, e.Slots)
-	}
-	return e.running < engine.Slots &&
-		(e.running == 0 || e.heldTokens+p.Tokens+p.Output <= int(usableMemoryShare*float64(engine.CacheTokens)))
-}
-
 // StartCost returns the predicted time to the first byte in milliseconds plus penalties for failures, cold starts and
 // load. cached is the number of prompt tokens that the endpoint already holds, and domain the failure domain of the
 // requesting host.
--- a/core/limit/issuer.go
+++ b/core/limit/issuer.go
@@ -153,8 +153,7 @@
 	if !ok {
 		return 0, 0, false
 	}
-	b.fill(now)
-	return max(0, b.permits-float64(len(b.queue))), b.rate() * float64(core.Second), true
+	return max(0, b.permitsAt(now)-float64(len(b.queue))), b.rate() * float64(core.Second), true
 }
 
 // Take takes a permit if one is free that no ask waits for. It reports true also if no permit is needed.
@@ -259,11 +258,19 @@
 // fill adds the permits that have become free since the last call.
 func (b *bucket) fill(now core.Millis) {
 	if now > b.filledAt {
-		b.permits = min(b.most(), b.permits+b.rate()*float64(now-b.filledAt))
+		b.permits = b.permitsAt(now)
 		b.filledAt = now
 	}
 }
 
+// permitsAt returns the permits that are free at a time, without a change of the bucket.
+func (b *bucket) permitsAt(now core.Millis) float64 {
+	if now <= b.filledAt {
+		return b.permits
+	}
+	return min(b.most(), b.permits+b.rate()*float64(now-b.filledAt))
+}
+
 func (b *bucket) take(now core.Millis) {
 	b.permits--
 	b.issued++
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -27,20 +27,16 @@
 	for _, r := range svc.waiting {
 		e, cost := s.chooseEndpoint(svc, r)
 		if e == nil {
-			if s.versionGone(r) {
+			switch s.waitingRefusal(svc, r, len(unplaced), remaining) {
+			case core.ReasonVersionGone:
 				gone = append(gone, r)
-				continue
-			}
-			// Refuses the request if it cannot be served even when the first pause ends.
-			if pauseEnd := s.firstPauseEnd(svc, r); pauseEnd > 0 && pauseEnd+remaining > r.deadlineAt {
+			case core.ReasonEndpointsPause:
 				paused = append(paused, r)
-				continue
-			}
-			if s.exceedsLimit(svc, r, len(unplaced), remaining) {
+			case core.ReasonEndpointsLimited:
 				limited = append(limited, r)
-				continue
+			default:
+				unplaced = append(unplaced, r)
 			}
-			unplaced = append(unplaced, r)
 			continue
 		}
 		s.grant(r, e, cost)
@@ -62,6 +58,22 @@
 	}
 }
 
+// waitingRefusal returns why a request is refused for which no endpoint is free, after the given number of others that wait, or
+// no reason if it waits. remaining is the expected time from its grant to the first byte.
+func (s *Scheduler) waitingRefusal(svc *service, r *request, ahead int, remaining core.Millis) core.Reason {
+	if s.versionGone(r) {
+		return core.ReasonVersionGone
+	}
+	// Refuses the request if it cannot be served even when the first pause ends.
+	if pauseEnd := s.firstPauseEnd(svc, r); pauseEnd > 0 && pauseEnd+remaining > r.deadlineAt {
+		return core.ReasonEndpointsPause
+	}
+	if s.exceedsLimit(svc, r, ahead, remaining) {
+		return core.ReasonEndpointsLimited
+	}
+	return ""
+}
+
 // chooseEndpoint returns the endpoint with the lowest expected cost to start the request, and that cost in
 // milliseconds. It returns nil if no endpoint can take the request.
 func (s *Scheduler) chooseEndpoint(svc *service, r *request) (*fleet.Endpoint, float64) {
@@ -75,7 +87,7 @@
 		}
 		cached := e.CachedTokens(r.chain)
 		sharedCached = sharedCached || cached >= shared
-		cost := e.StartCost(s.now, r.Prompt, cached, r.FailureDomain) + r.crossDomainCost(e)
+		cost := s.startCost(e, r, cached)
 		if best == nil || cost < lowest {
 			best, lowest = e, cost
 		}
@@ -87,7 +99,7 @@
 	if home == nil || home == best || !s.canTake(home, r) {
 		return best, lowest
 	}
-	cost := home.StartCost(s.now, r.Prompt, home.CachedTokens(r.chain), r.FailureDomain) + r.crossDomainCost(home)
+	cost := s.startCost(home, r, home.CachedTokens(r.chain))
 	if cost-homeWeight*home.ReadTime(s.now, shared) < lowest {
 		return home, cost
 	}
@@ -96,8 +108,40 @@
 
 // canTake reports whether an endpoint can be granted to a request now.
 func (s *Scheduler) canTake(e *fleet.Endpoint, r *request) bool {
-	return e.Usable(s.now) && s.pausedUntil(e, r) == 0 && !slices.Contains(r.tried, e.ID) && e.Fits(r.Prompt) && s.fitsKnown(e, r.Prompt) && s.permitFree(e) &&
-		(!r.Bound || e.Version == r.Version)
+	obstacle, _ := s.obstacle(e, r)
+	return obstacle == ""
+}
+
+// obstacle returns why an endpoint cannot be granted to a request now, and for how many milliseconds a backoff or pause
+// lasts. It returns no obstacle if the endpoint can be granted.
+func (s *Scheduler) obstacle(e *fleet.Endpoint, r *request) (fleet.Obstacle, core.Millis) {
+	if o, left := e.Unusable(s.now); o != "" {
+		return o, left
+	}
+	if until := s.pausedUntil(e, r); until > 0 {
+		return PausedForHost, until - s.now
+	}
+	if slices.Contains(r.tried, e.ID) {
+		return Tried, 0
+	}
+	if o := e.Misfit(r.Prompt); o != "" {
+		return o, 0
+	}
+	switch {
+	case !s.fitsKnown(e, r.Prompt):
+		return MemoryUnknown, 0
+	case !s.permitFree(e):
+		return NoPermit, 0
+	case r.Bound && e.Version != r.Version:
+		return OtherVersion, 0
+	}
+	return "", 0
+}
+
+// startCost returns the expected cost in milliseconds to start a request at an endpoint that has cached a number of its
+// prompt tokens.
+func (s *Scheduler) startCost(e *fleet.Endpoint, r *request, cached int) float64 {
+	return e.StartCost(s.now, r.Prompt, cached, r.FailureDomain) + r.crossDomainCost(e)
 }
 
 // crossDomainCost returns the penalty in milliseconds for the results that the endpoint would fetch from another
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -222,24 +222,17 @@
 		s.freeAllResults(r)
 		return
 	}
-	if s.onlyEvacuated(r) {
-		s.refuseEvacuated(r)
-		s.freeAllResults(r)
-		return
-	}
-	if s.versionGone(r) {
-		s.refuseVersion(r)
-		s.freeAllResults(r)
-		return
-	}
-	r.pathTimes, r.chain = s.pathTimes(r), fleet.NewPrefixChain(a.Prompt.Parts)
-	r.due = r.dueAt()
-	r.cacheDomain = s.findCacheDomain(r)
-	if expected, ok := s.admit(r); !ok {
-		if s.predictLimitWait(r) > 0 {
+	reason, expected := s.arrivalRefusal(r)
+	if reason != "" {
+		switch reason {
+		case core.ReasonEvacuated:
+			s.refuseEvacuated(r)
+		case core.ReasonVersionGone:
+			s.refuseVersion(r)
+		case core.ReasonEndpointsLimited:
 			s.refuseLimited(s.services[r.Service], r)
-		} else {
-			s.refuse(r, core.ReasonDeadlineInfeasible, expected)
+		default:
+			s.refuse(r, reason, expected)
 		}
 		s.freeAllResults(r)
 		return
@@ -250,6 +243,28 @@
 	s.passDue = true
 }
 
+// arrivalRefusal returns why an arriving request is not admitted, and the predicted time behind that, or no reason if it is
+// admitted. It prepares the request for its placement.
+func (s *Scheduler) arrivalRefusal(r *request) (core.Reason, core.Millis) {
+	switch {
+	case s.onlyEvacuated(r):
+		return core.ReasonEvacuated, 0
+	case s.versionGone(r):
+		return core.ReasonVersionGone, 0
+	}
+	r.pathTimes, r.chain = s.pathTimes(r), fleet.NewPrefixChain(r.Prompt.Parts)
+	r.due = r.dueAt()
+	r.cacheDomain = s.findCacheDomain(r)
+	expected, ok := s.admit(r)
+	switch {
+	case ok:
+		return "", expected
+	case s.predictLimitWait(r) > 0:
+		return core.ReasonEndpointsLimited, expected
+	}
+	return core.ReasonDeadlineInfeasible, expected
+}
+
 // HasRequest reports whether the scheduler has the request.
 func (s *Scheduler) HasRequest(key order.Key) bool {
 	_, ok := s.requests[key]
