Add the command where, which asks the leading keeper where a request would go

Assign.Explain answers with the scheduler's explanation, the ages of what it rests on, and for plain services only what the roll lists. It starts and ends no scheduler. cyclamenford where follows the redirect of any keeper and prints a line for each endpoint.

Tests: a keeper that does not lead redirects, a retired endpoint and a plain service are named as such, nothing is left behind by asking; wrong flags are usage errors. The format test has the two new golden files; the others are unchanged.

--- a/cmds/main.go
+++ b/cmds/main.go
@@ -40,7 +40,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: slices.Concat(
-			[]*cli.Command{serveCommand(), platform.Command(), demoCommand(), soakCommand(), callCommand(), storyCommand(), stateCommand()},
+			[]*cli.Command{serveCommand(), platform.Command(), demoCommand(), soakCommand(), callCommand(), storyCommand(), stateCommand(), whereCommand()},
 			opers.Commands(), equip.Commands()),
 	}
 	err := app.Run(ctx, args)
--- a/cmds/main_test.go
+++ b/cmds/main_test.go
@@ -25,6 +25,9 @@
 		{"a missing argument", []string{"settings", "get"}, exitUsage, "expected PATH"},
 		{"a missing folder", []string{"state", "inspect", missing}, exitUsage, "no such file"},
 		{"an unknown example", []string{"example", "Nothing", missing}, exitUsage, "expected Flueshare or SawtLoop"},
+		{"a prompt part without tokens", []string{"where", "--Keeper", "127.0.0.1:1", "--Service", "s", "--Parts", "p"}, exitUsage, "expected ID:TOKENS"},
+		{"no cluster key", []string{"where", "--Keeper", "127.0.0.1:1", "--Service", "s"}, exitUsage, "expected --Key"},
+		{"no keeper in reach", []string{"where", "--Keeper", "127.0.0.1:1", "--Service", "s", "--Key", "k", "--Timeout", "200ms"}, exitFailed, "Assign.Explain"},
 		{"no host in reach", []string{"status", "--Hosts", "127.0.0.1:1", "--Timeout", "200ms"}, exitFailed, "ask 127.0.0.1:1: "},
 	}
 	for _, row := range rows {
--- a/io/assign/format_test.go
+++ b/io/assign/format_test.go
@@ -11,7 +11,7 @@
 // TestCallsKeepTheirFormat guards against fields and methods renamed here, which a keeper of the release would not understand.
 func TestCallsKeepTheirFormat(t *testing.T) {
 	must.Eq(t, "Assign", Service)
-	must.Eq(t, 20, golden.Calls(t, &calls{}))
+	must.Eq(t, 22, golden.Calls(t, &calls{}))
 }
 
 // TestCallsOfTheFormerReleaseAreRead guards against hosts and keepers that do not understand each other during an update.
