Name obstacles outside the decision's loop

BenchmarkDecision/10 took 1340 and 1605 us/request with obstacles named in canTake, and 816 and 666 without (two runs each, on a busy machine). canTake, Usable and Fits are as before; the obstacle is derived from them, and there is one exactly if they refuse.

--- a/core/fleet/obstacle.go
+++ b/core/fleet/obstacle.go
@@ -26,47 +26,51 @@
 	NoMemory Obstacle = "NoMemory"
 )
 
-// Unusable returns why the endpoint may get no work at all, and the milliseconds for which a backoff or pause lasts. It
-// returns no obstacle if the endpoint is usable.
+// Usable reports whether the endpoint may get work: it is neither leaving nor evacuated, nor in backoff, nor paused.
+func (e *Endpoint) Usable(now core.Millis) bool {
+	return !e.leaving && !e.evacuated && now >= e.backoffUntil && !e.Paused(now)
+}
+
+// Unusable returns why the endpoint is not usable, and the milliseconds for which a backoff or pause lasts. It returns no
+// obstacle if the endpoint is usable.
 func (e *Endpoint) Unusable(now core.Millis) (Obstacle, core.Millis) {
 	switch {
+	case e.Usable(now):
+		return "", 0
 	case e.leaving:
 		return Leaving, 0
 	case e.evacuated:
 		return Evacuated, 0
 	case now < e.backoffUntil:
 		return BackingOff, e.backoffUntil - now
-	case e.Paused(now):
-		return Paused, e.pausedUntil - now
 	}
-	return "", 0
+	return Paused, e.pausedUntil - now
 }
 
-// Usable reports whether the endpoint may get work: it is neither leaving nor evacuated, nor in backoff, nor paused.
-func (e *Endpoint) Usable(now core.Millis) bool {
-	obstacle, _ := e.Unusable(now)
-	return obstacle == ""
+// Fits reports whether the endpoint has a free slot and, if it is an engine, enough memory for the prompt and its
+// output. An idle engine accepts a prompt of any size.
+func (e *Endpoint) Fits(p order.Prompt) bool {
+	engine := e.service.Engine
+	if !e.hasPace(e.running) {
+		return false
+	}
+	if engine == nil {
+		return e.running < max(1, e.Slots)
+	}
+	return e.running < engine.Slots &&
+		(e.running == 0 || e.heldTokens+p.Tokens+p.Output <= int(usableMemoryShare*float64(engine.CacheTokens)))
 }
 
-// Misfit returns why the endpoint has no room for a prompt and its output, or no obstacle if it has. An idle engine accepts
-// a prompt of any size.
+// Misfit returns why the endpoint has no room for a prompt and its output, or no obstacle if it has.
 func (e *Endpoint) Misfit(p order.Prompt) Obstacle {
 	engine := e.service.Engine
-	slots := max(1, e.Slots)
-	if engine != nil {
-		slots = engine.Slots
-	}
 	switch {
+	case e.Fits(p):
+		return ""
 	case !e.hasPace(e.running):
 		return WindowFull
-	case e.running >= slots:
+	case engine == nil || e.running >= engine.Slots:
 		return NoSlot
-	case engine != nil && e.running > 0 && e.heldTokens+p.Tokens+p.Output > int(usableMemoryShare*float64(engine.CacheTokens)):
-		return NoMemory
 	}
-	return ""
+	return NoMemory
 }
-
-// Fits reports whether the endpoint has a free slot and, if it is an engine, enough memory for the prompt and its
-// output.
-func (e *Endpoint) Fits(p order.Prompt) bool { return e.Misfit(p) == "" }
--- a/core/sched/explain.go
+++ b/core/sched/explain.go
@@ -152,6 +152,33 @@
 	return x
 }
 
+// obstacle returns why canTake refuses an endpoint, and for how many milliseconds a backoff or pause lasts. It returns no
+// obstacle if canTake accepts it. The decision itself asks for no names, since it asks for each waiting request and endpoint.
+func (s *Scheduler) obstacle(e *fleet.Endpoint, r *request) (fleet.Obstacle, core.Millis) {
+	if s.canTake(e, r) {
+		return "", 0
+	}
+	if o, left := e.Unusable(s.now); o != "" {
+		return o, left
+	}
+	if until := s.pausedUntil(e, r); until > 0 {
+		return PausedForHost, until - s.now
+	}
+	if slices.Contains(r.tried, e.ID) {
+		return Tried, 0
+	}
+	if o := e.Misfit(r.Prompt); o != "" {
+		return o, 0
+	}
+	switch {
+	case !s.fitsKnown(e, r.Prompt):
+		return MemoryUnknown, 0
+	case !s.permitFree(e):
+		return NoPermit, 0
+	}
+	return OtherVersion, 0
+}
+
 // waitingAhead returns how many waiting requests of a service are considered before a request that arrives now.
 func (s *Scheduler) waitingAhead(svc *service, r *request) int {
 	remaining := core.Millis(svc.FirstByteTime())
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -108,34 +108,8 @@
 
 // canTake reports whether an endpoint can be granted to a request now.
 func (s *Scheduler) canTake(e *fleet.Endpoint, r *request) bool {
-	obstacle, _ := s.obstacle(e, r)
-	return obstacle == ""
-}
-
-// obstacle returns why an endpoint cannot be granted to a request now, and for how many milliseconds a backoff or pause
-// lasts. It returns no obstacle if the endpoint can be granted.
-func (s *Scheduler) obstacle(e *fleet.Endpoint, r *request) (fleet.Obstacle, core.Millis) {
-	if o, left := e.Unusable(s.now); o != "" {
-		return o, left
-	}
-	if until := s.pausedUntil(e, r); until > 0 {
-		return PausedForHost, until - s.now
-	}
-	if slices.Contains(r.tried, e.ID) {
-		return Tried, 0
-	}
-	if o := e.Misfit(r.Prompt); o != "" {
-		return o, 0
-	}
-	switch {
-	case !s.fitsKnown(e, r.Prompt):
-		return MemoryUnknown, 0
-	case !s.permitFree(e):
-		return NoPermit, 0
-	case r.Bound && e.Version != r.Version:
-		return OtherVersion, 0
-	}
-	return "", 0
+	return e.Usable(s.now) && s.pausedUntil(e, r) == 0 && !slices.Contains(r.tried, e.ID) && e.Fits(r.Prompt) && s.fitsKnown(e, r.Prompt) && s.permitFree(e) &&
+		(!r.Bound || e.Version == r.Version)
 }
 
 // startCost returns the expected cost in milliseconds to start a request at an endpoint that has cached a number of its
