--- a/bench/fault/history.go
+++ b/bench/fault/history.go
@@ -22,6 +22,9 @@
 // plannedActions are the actions that stop a host as its operators do.
 var plannedActions = []string{"Restart", "Terminate"}
 
+// contactActions are the actions that freeze a host or cut it off.
+var contactActions = []string{"Freeze", "Isolate", "IsolateIn", "IsolateOut", "IsolateDomain"}
+
 // endActions maps each action whose fault lasts to the actions that end it.
 var endActions = map[string][]string{
 	"Kill": {"Start", "StartAll"}, "KillAll": {"Start", "StartAll"}, "Freeze": {"Thaw", "HealAll"},
@@ -116,3 +119,27 @@
 	})
 	return !disturbed && len(inForce) == 0
 }
+
+// InContact reports whether a host was neither frozen nor cut off at any moment from one time to another. Stops, delays and closed
+// connections do not matter.
+func (g *Group) InContact(host string, from, to time.Time) bool {
+	inForce := map[string]bool{}
+	lost := g.history.contains(host, func(d disturbance) bool {
+		if d.at.After(to) {
+			return false
+		}
+		ended := false
+		for do := range inForce {
+			if slices.Contains(endActions[do], d.do) {
+				delete(inForce, do)
+				ended = true
+			}
+		}
+		begins := slices.Contains(contactActions, d.do)
+		if begins {
+			inForce[d.do] = true
+		}
+		return (begins || ended) && !d.at.Before(from)
+	})
+	return !lost && len(inForce) == 0
+}
--- a/bench/fault/history_test.go
+++ b/bench/fault/history_test.go
@@ -64,3 +64,26 @@
 		})
 	}
 }
+
+// TestOnlyFrozenAndCutOffHostsAreOutOfContact guards against hosts that are excused for closed connections, stops or a repair of others, and
+// against those that are held responsible while a cut is in force or has just ended.
+func TestOnlyFrozenAndCutOffHostsAreOutOfContact(t *testing.T) {
+	now := time.Now()
+	for name, row := range map[string]struct {
+		steps     []disturbance
+		inContact bool
+	}{
+		"stops and closed connections":     {[]disturbance{{now, "Restart"}, {now, "Kill"}, {now, "CutHost"}, {now, "HealAll"}}, true},
+		"a cut that ended before":          {[]disturbance{{now.Add(-9 * time.Second), "Isolate"}, {now.Add(-5 * time.Second), "Heal"}}, true},
+		"a cut that has just ended":        {[]disturbance{{now.Add(-9 * time.Second), "Isolate"}, {now.Add(-time.Second), "HealAll"}}, false},
+		"a cut in force":                   {[]disturbance{{now.Add(-9 * time.Second), "IsolateDomain"}}, false},
+		"a host that was frozen meanwhile": {[]disturbance{{now.Add(-3 * time.Second), "Freeze"}, {now.Add(-2 * time.Second), "Thaw"}}, false},
+		"a cut that begins later":          {[]disturbance{{now.Add(time.Second), "Isolate"}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &Group{}
+			g.history.byHost = map[string][]disturbance{"h": row.steps}
+			must.Eq(t, row.inContact, g.InContact("h", now.Add(-4*time.Second), now))
+		})
+	}
+}
