Wait for the former leader's call in a test, and age copied speeds once

Cause: a keeper that does not lead sends no stage calls any more, so that the test waited for ever if its call had not been sent when the leadership was lost (10 minutes in one of two runs of the packages, once of 24 more; the stack shows it). A second takeover from one copy added its age twice.

--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -85,11 +85,13 @@
 func TestACallOfAFormerLeadershipIsNotTakenForANewOne(t *testing.T) {
 	answer := map[string]chan struct{}{`"old"`: make(chan struct{}), `"new"`: make(chan struct{})}
 	freed := make(chan string, 10)
+	received := make(chan string, 2)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, ok := readStageCall(r, freed)
 		if !ok {
 			return
 		}
+		received <- body
 		<-answer[body]
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte("result-of-" + strings.Trim(body, `"`)))
@@ -129,6 +131,8 @@
 	locked(func() { must.True(t, a.checkLeadership()); join() })
 	old := place("old", 1)
 	awaitWaiter(t, a)
+	// A call that was not sent before the leadership was lost is not sent any more.
+	must.Eq(t, `"old"`, <-received)
 	leader.leads.Store(false)
 	locked(func() { must.False(t, a.checkLeadership()) })
 	time.Sleep(maxSuspension.Duration())
--- a/io/assign/standby.go
+++ b/io/assign/standby.go
@@ -149,10 +149,11 @@
 		e := k.Announcement.Endpoint
 		a.sched.InheritObservation(now, core.Life{Endpoint: e.ID, Incarnation: e.Incarnation}, k.Observed)
 	}
-	for i := range a.standby.speeds {
-		a.standby.speeds[i].Age += copyAge
+	speeds := slices.Clone(a.standby.speeds)
+	for i := range speeds {
+		speeds[i].Age += copyAge
 	}
-	a.sched.RestoreSpeeds(now, a.standby.speeds, a.standby.serviceSpeeds)
+	a.sched.RestoreSpeeds(now, speeds, a.standby.serviceSpeeds)
 	a.sched.AssumeAllCold(now)
 	results := a.standby.results.heldResults()
 	calls := a.standby.results.runningCalls()
