--- a/io/mute/mute.go
+++ b/io/mute/mute.go
@@ -1,4 +1,3 @@
-// Package mute bounds the log lines about statements from outside that are repeated with every message.
 package mute
 
 import (
