--- a/review/stand-2/memory.go
+++ b/review/stand-2/memory.go
@@ -19,13 +19,13 @@
 	// The rule asks for this many ends of a process on each of this many machines.
 	endsOfAMachine, endedMachines = 3, 2
 	firstAckTimeout               = 15 * time.Second
-	memoryTime                    = 110 * time.Second
+	memoryTime                    = 100 * time.Second
 )
 
 // playMemory freezes two keepers again and again while the configuration changes in quick succession, and checks that no process uses more
 // memory than its machine has.
-func playMemory(ctx context.Context, d *deployment) error {
-	ctx, cancel := context.WithTimeout(ctx, memoryTime)
+func playMemory(script context.Context, d *deployment) error {
+	ctx, cancel := context.WithTimeout(script, memoryTime)
 	defer cancel()
 	if err := d.startAll(); err != nil {
 		return err
@@ -61,6 +61,9 @@
 			break
 		}
 	}
+	if err := script.Err(); err != nil {
+		return fmt.Errorf("the script was ended: %w", err)
+	}
 	return judgeMemory(d)
 }
 
