--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,5 +1,3 @@
-// Command stand-2 plays the users' platform and their operator against the project's own program on loopback addresses, for the scripts of
-// an independent review. Its argument names the case.
 package main
 
 import (
