Refuse answers to the relay whose head is malformed

What callers saw: an answer in whose head a field name held a space or began with one, or had a line feed in front of it, reached them as the endpoint's answer. The line was passed on as a part of the field before it, or the body was another one: where the field was the one that frames the body, callers got the chunks' sizes, the rest of the head, or a part of a body that ended with its connection.

Cause: http.ReadResponse takes a name with a space for an unknown field, joins a line that begins with white space to the one before it, and ends a line at LF alone. What it returns does not tell. Names with any other control byte were refused before.

Fix: io/head checks the lines of each head as its bytes arrive on the connection (io/pipe), for final, interim and late answers alike. It is not an error of the read: net/textproto drops errors of a read ahead for folded lines.

--- a/io/pipe/answer_fuzz_test.go
+++ b/io/pipe/answer_fuzz_test.go
@@ -9,6 +9,7 @@
 	"testing/iotest"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/net/http/httpguts"
 )
 
 // readAnswerFrom reads the answer to a request from the bytes that an endpoint sends, and up to a bound of its body.
@@ -34,6 +35,7 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\none\r\n0\r\nLate: 1\r\n\r\n",
 		"HTTP/1.1 503 Full\r\nId: z\r\nContent-Length: 1\r\n\r\n1HTTP/1.1 200 OK\r\nId: a\r\nConnection: id\r\n\r\none",
 		"HTTP/1.1 099 x\r\nId: a\r\n\r\nHTTP/1.0 200 OK\r\nId: a\r\nContent-Length: -2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: a\r\nX-Other: b\r\n Content-Length : 3\r\n\nContent-Length: 3\r\n\r\none",
 	} {
 		f.Add([]byte(raw))
 	}
@@ -49,5 +51,8 @@
 		must.GreaterEq(t, http.StatusOK, resp.StatusCode)
 		must.True(t, resp.ProtoAtLeast(1, 1))
 		must.SliceContains(t, []string{"", "a"}, resp.Header.Get("Id"))
+		for name := range resp.Header {
+			must.True(t, httpguts.ValidHeaderFieldName(name), must.Sprintf("%q", name))
+		}
 	})
 }
--- a/io/pipe/bound.go
+++ b/io/pipe/bound.go
@@ -1,9 +1,12 @@
 package pipe
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"math"
+
+	"cyclamenford/io/head"
 )
 
 const (
@@ -20,10 +23,19 @@
 // ErrAnswerTooLarge means that an endpoint sent more than an answer may contain; the connection is closed.
 var ErrAnswerTooLarge = errors.New("the endpoint's answer exceeds a size limit")
 
-// limitedReader reads from a connection and returns an error once the remaining number of bytes has been read.
+// limitedReader reads from a connection and returns an error once the remaining number of bytes has been read. It also checks the heads of answers.
 type limitedReader struct {
 	source    io.Reader
 	remaining int64
+	heads     head.Checker
+}
+
+// expectHead makes the next byte that is read through a buffer on top of the reader the first one of a head.
+func (r *limitedReader) expectHead(buffer *bufio.Reader) {
+	r.heads.Expect()
+	// What is buffered can be peeked without an error.
+	buffered, _ := buffer.Peek(buffer.Buffered())
+	r.heads.Add(buffered)
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
@@ -34,6 +46,7 @@
 		p = p[:r.remaining]
 	}
 	n, err := r.source.Read(p)
+	r.heads.Add(p[:n])
 	if r.remaining != noLimit {
 		r.remaining -= int64(n)
 	}
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -117,9 +118,10 @@
 func (c *Client) readAnswer(x *conn, r Request) (*http.Response, error) {
 	request := &http.Request{Method: r.Method}
 	x.limit.remaining = maxHeadBytes
+	x.limit.expectHead(x.reader)
 	for strayCount, interimCount := 0, 0; strayCount <= maxStrayAnswers; {
 		resp, err := http.ReadResponse(x.reader, request)
-		if err != nil {
+		if err := cmp.Or(x.limit.heads.Err(), err); err != nil {
 			return nil, err
 		}
 		if !resp.ProtoAtLeast(1, 1) {
@@ -146,6 +148,7 @@
 			return nil, err
 		}
 		x.limit.remaining = maxHeadBytes
+		x.limit.expectHead(x.reader)
 		strayCount++
 	}
 	return nil, ErrStrayAnswers
