Refuse answers to serve whose head is malformed

What callers saw: serve gave them results and events of answers whose head held a space in a field name, at its end or in front of it; notices of such answers counted, and health checks, outputs by key and orders believed them.

Fix: the connections of io/dial check the bytes that they read (io/head). A head is due on a new connection, and again when a call gets a reused one; the call asks for the verdict once it has its answer, before anything of it is used, and the connection is closed. The answer is logged as garbage and its outcome is unknown. The check is no error of the read, after which net/http may repeat a call by itself. TLS connections are made here now, as only their plain bytes can be checked.

What held before: names with other control bytes, and answers that break off while a long run is being written, as results and streams have an end of their own.

--- a/io/dial/answer.go
+++ b/io/dial/answer.go
@@ -1,6 +1,7 @@
 package dial
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -51,9 +52,16 @@
 // do sends a request and returns its answer if that is an error or the success that is due. The second result reports whether the
 // connection was established, so that data may have been sent.
 func (c *Client) do(client *http.Client, x exchange, req *http.Request) (*answer, bool, error) {
+	var conn atomic.Pointer[checkedConn]
 	var connected, reused atomic.Bool
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
+			if checked, ok := i.Conn.(*checkedConn); ok {
+				if i.Reused {
+					checked.expectHead()
+				}
+				conn.Store(checked)
+			}
 			connected.Store(true)
 			reused.Store(i.Reused)
 		},
@@ -64,7 +72,7 @@
 		return nil, connected.Load(), err
 	}
 	a := &answer{exchange: x, Response: resp, sentAt: sentAt, reused: reused.Load()}
-	if err := a.check(); err != nil {
+	if err := cmp.Or(conn.Load().checkHead(), a.check()); err != nil {
 		return nil, true, errors.Join(c.refuse(a, err), resp.Body.Close())
 	}
 	return a, true, nil
--- a/io/dial/client.go
+++ b/io/dial/client.go
@@ -92,11 +92,15 @@
 
 // transport returns the HTTP transport for reused connections, or for one connection per call if unpooled is true.
 func transport(tlsConfig *tls.Config, d *net.Dialer, unpooled bool) *http.Transport {
-	return &http.Transport{
-		DialContext: d.DialContext, TLSClientConfig: tlsConfig, DisableKeepAlives: unpooled,
+	t := &http.Transport{
+		DialContext: dialPlain(d), DisableKeepAlives: unpooled,
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression: true,
 	}
+	if tlsConfig != nil {
+		t.DialTLSContext = dialTLS(d, tlsConfig)
+	}
+	return t
 }
 
 // Call runs work whose answer is not streamed. Only repeatable work uses a reused connection.
--- /dev/null
+++ b/io/dial/conn.go
@@ -0,0 +1,90 @@
+package dial
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"cyclamenford/io/head"
+)
+
+// checkedConn is a connection to an endpoint on which the heads of answers are checked as they were sent.
+type checkedConn struct {
+	net.Conn
+
+	// mu guards heads, since one goroutine of net/http reads and another one begins the next call.
+	mu    sync.Mutex
+	heads head.Checker
+}
+
+// newCheckedConn returns a connection whose first bytes are a head.
+func newCheckedConn(raw net.Conn) *checkedConn {
+	c := &checkedConn{Conn: raw}
+	c.expectHead()
+	return c
+}
+
+// expectHead makes the next byte the first one of a head.
+func (c *checkedConn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heads.Expect()
+}
+
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heads.Add(p[:n])
+	return n, err
+}
+
+// checkHead returns an error that wraps head.ErrMalformed if the last head was malformed. It closes the connection then, so that it is not used again.
+func (c *checkedConn) checkHead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.heads.Err(); err != nil {
+		return errors.Join(err, c.Close())
+	}
+	return nil
+}
+
+// dialFunc opens connections for a transport.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialPlain returns a function that opens TCP connections with checked heads.
+func dialPlain(d *net.Dialer) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newCheckedConn(raw), nil
+	}
+}
+
+// dialTLS returns a function that opens TLS connections with checked heads.
+func dialTLS(d *net.Dialer, config *tls.Config) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, fmt.Errorf("dial %s: %w", address, err)
+		}
+		raw, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		config := config.Clone()
+		if config.ServerName == "" {
+			config.ServerName = host
+		}
+		secured := tls.Client(raw, config)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			return nil, errors.Join(fmt.Errorf("TLS handshake with %s: %w", address, err), raw.Close())
+		}
+		return newCheckedConn(secured), nil
+	}
+}
