Refuse a part of an answer whose connection is reset behind its end

What callers saw: an endpoint answered a long request at once with a 200 without a length, sent a part of its body and ended the connection while the request was on its way; the relay passed the part on as a whole answer or as a whole stream.

Cause: the end of such an answer counted once the request was written, and written means that this host's sockets hold it. An endpoint that closes while bytes are on their way to it ends its side in order, which is read as the end of the body, and resets the connection when they arrive; no write is left that could fail. A reset without such an end, and one that a write meets, were noticed before.

Fix: the end counts only if the endpoint has acknowledged the whole request and the socket has no error pending (endedInOrder in io/pipe). The acknowledgement of what an endpoint has read comes with or before the end that it sends behind its answer, so that no whole answer is refused.

serve holds as it was: its results and streams have an end of their own.

--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +41,8 @@
 // ErrNotSent means that no byte of the request has left this host.
 var ErrNotSent = errors.New("the request was not sent")
 
+var errNoSocket = errors.New("the connection is not a TCP socket")
+
 // Options configures a Client.
 type Options struct {
 	// LocalAddress is the local address of the connections, nil for any.
@@ -280,11 +283,7 @@
 	if x.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := x.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := x.socket()
 	if err != nil {
 		return false
 	}
@@ -292,11 +291,42 @@
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-		// Where the system does not tell what is unacknowledged, the connection is used as if all had been received.
-		unacknowledged, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		quiet = quiet && (err != nil || unacknowledged == 0)
+		quiet = errors.Is(err, unix.EAGAIN) && hasReceivedAll(fd)
 		return true
 	})
 	return err == nil && quiet
 }
+
+// endedInOrder reports whether a connection whose end was read was ended by an endpoint that had received all that was written and has not
+// reset it. An endpoint that closes a connection while bytes are on their way to it ends it in order, and resets it once they arrive; the
+// write of these bytes has ended without an error if the sockets of this host hold them.
+//
+// A connection that this host has closed meanwhile counts as ended in order.
+func (x *conn) endedInOrder() bool {
+	raw, err := x.socket()
+	if err != nil {
+		return true
+	}
+	ordered := true
+	err = raw.Control(func(fd uintptr) {
+		pending, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		ordered = hasReceivedAll(fd) && (err != nil || pending == 0)
+	})
+	return err != nil || ordered
+}
+
+// socket gives access to the socket of the connection.
+func (x *conn) socket() (syscall.RawConn, error) {
+	tcp, ok := x.Conn.(*net.TCPConn)
+	if !ok {
+		return nil, errNoSocket
+	}
+	return tcp.SyscallConn()
+}
+
+// hasReceivedAll reports whether the other side of a socket has acknowledged all that was written. Where the system does not tell, it
+// counts as acknowledged.
+func hasReceivedAll(fd uintptr) bool {
+	unacknowledged, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	return err != nil || unacknowledged == 0
+}
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -207,9 +207,9 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if r.untilClose && !r.endWriting() {
+	if r.untilClose && !(r.endWriting() && r.conn.endedInOrder()) {
 		// A reset of the connection is reported once, to the writer or to the reader: the other one sees an orderly end.
-		return n, fmt.Errorf("%w: the connection ended before the request was written", io.ErrUnexpectedEOF)
+		return n, fmt.Errorf("%w: the connection ended before the endpoint had received the request", io.ErrUnexpectedEOF)
 	}
 	r.readToEnd = true
 	return n, err
--- a/io/pipe/reset_test.go
+++ b/io/pipe/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -56,6 +57,68 @@
 	}
 }
 
+// TestAnEndBeforeTheRequestHasArrivedIsNoEndOfItsAnswer guards against half an answer that looks whole, as the end of its connection comes in
+// order and the reset behind it: the endpoint closes while most of the request is on its way, or stops to send without reading on. The sockets
+// hold the requests, so that their writes end without an error.
+func TestAnEndBeforeTheRequestHasArrivedIsNoEndOfItsAnswer(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// bytes lists the lengths of requests.
+		bytes []int
+		// halfCloses means that the endpoint reads the head of the request and stops sending before it resets the connection; otherwise it
+		// reads nothing and closes the connection at once.
+		halfCloses bool
+	}{
+		{name: "closed", bytes: []int{1000, 5000, 20_000, writtenBodyBytes, 400_000}},
+		{name: "half closed", bytes: []int{400_000, 1 << 20, 3 << 20}, halfCloses: true},
+	} {
+		for _, length := range row.bytes {
+			t.Run(fmt.Sprintf("%s, %d bytes", row.name, length), func(t *testing.T) {
+				address := serve(t, func(c net.Conn) { endEarly(c, row.halfCloses) })
+				client := New(Options{Clock: wall.New()})
+				defer func() { must.NoError(t, client.Stop(context.Background())) }()
+				body := []byte(strings.Repeat("x", length))
+				whole := 0
+				for range resetTries {
+					resp, err := client.Do(context.Background(), Request{
+						Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Body: body,
+						IsAnswer: func(r *http.Response) bool { return r.Header.Get("Id") == "a" },
+					})
+					if err != nil {
+						continue
+					}
+					_, err = resp.ReadAll(1 << 20)
+					resp.Close()
+					if err == nil {
+						whole++
+					}
+				}
+				must.Zero(t, whole)
+			})
+		}
+	}
+}
+
+// endEarly sends half an answer without a length and ends the connection before the request has arrived.
+func endEarly(c net.Conn, halfCloses bool) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetReadBuffer(earlyReadBuffer)
+	if halfCloses {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
+	if halfCloses {
+		_ = tcp.CloseWrite()
+		time.Sleep(2 * time.Millisecond)
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // TestAWholeAnswerToALongRequestIsNotBroken guards against an answer without a length that counts as broken, as the end of its request's write is not known yet.
 func TestAWholeAnswerToALongRequestIsNotBroken(t *testing.T) {
 	address := serve(t, func(c net.Conn) {
