--- a/io/dial/answer.go
+++ b/io/dial/answer.go
@@ -57,6 +57,7 @@
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			if checked, ok := i.Conn.(*checkedConn); ok {
+				// On a new connection the head may have come already, if its endpoint does not wait for the request.
 				if i.Reused {
 					checked.expectHead()
 				}
--- a/io/head/head.go
+++ b/io/head/head.go
@@ -14,12 +14,12 @@
 // ErrMalformed means that a line of a head is not one that HTTP/1.1 lets a sender write.
 var ErrMalformed = errors.New("the head of the answer is malformed")
 
-// line is a kind of line.
-type line int
+// lineKind is a kind of line of a head.
+type lineKind int
 
-// The kinds of lines that can come next; noLine is none of a head.
+// The kinds of lines. With noLine, the bytes that come belong to no head.
 const (
-	noLine line = iota
+	noLine lineKind = iota
 	statusLine
 	fieldLine
 )
@@ -33,7 +33,7 @@
 //
 // The zero value expects no head.
 type Checker struct {
-	next line
+	next lineKind
 	// interim means that the head is that of an interim (1xx) answer, which another head follows.
 	interim bool
 	// begun holds the beginning of a line whose end has not come.
