--- a/io/dial/broken_answers_test.go
+++ b/io/dial/broken_answers_test.go
@@ -49,11 +49,14 @@
 	Ends string
 	// Sound means that the answer is not broken.
 	Sound bool
+	// early means that the answer comes before the request is read.
+	early bool
 }
 
 // soundAnswers holds the type and the body of the sound answer to each call.
 var soundAnswers = map[string]struct{ kind, body string }{
 	"Run":    {"application/json", `{"RequestID":"r","AttemptID":"a","Output":1}`},
+	"Once":   {"application/json", `{"RequestID":"r","AttemptID":"a","Output":1}`},
 	"Stream": {"text/event-stream", "id: 1\ndata: {\"Text\":\"x\"}\n\nevent: done\ndata: {\"Count\":1,\"Checksum\":\"y\"}\n\n"},
 	"Resume": {"text/event-stream", "id: 1\ndata: {\"Text\":\"x\"}\n\nevent: done\ndata: {\"Count\":1,\"Checksum\":\"y\"}\n\n"},
 	"Probe":  {"application/json", `{"ID":"e","Incarnation":7}`},
@@ -78,12 +81,15 @@
 		if later && n == 0 {
 			sent = brokenRow{Framing: "Content-Length: %d"}
 		}
-		if sent.Ends == "" {
+		if sent.Ends == "" && !sent.early {
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
 		}
-		if !sent.answer(c, name) {
+		if !sent.answer(c, name) && !sent.early {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || sent.early {
 			return
 		}
 	}
@@ -123,8 +129,8 @@
 	var s *Stream
 	var err error
 	switch name {
-	case "Run":
-		_, err = c.Call(ctx, target, run, true)
+	case "Run", "Once":
+		_, err = c.Call(ctx, target, run, name == "Run")
 	case "Stream":
 		s, err = c.Stream(ctx, target, run)
 	case "Resume":
@@ -204,6 +210,11 @@
 			if reused := name == "Run" || name == "Stream" || name == "Resume"; reused {
 				t.Run(name+" on a reused connection, "+row.Name, func(t *testing.T) { playBroken(t, row, name, true, nil, nil) })
 			}
+			if long := name == "Run" || name == "Once" || name == "Stream"; long && row.Ends == "" {
+				early := row
+				early.early = true
+				t.Run(name+" before it is read, "+row.Name, func(t *testing.T) { playBroken(t, early, name, false, nil, nil) })
+			}
 			if row.Ends == "" {
 				t.Run(name+" by TLS, "+row.Name, func(t *testing.T) { playBroken(t, row, name, false, secured.TLS, transport.TLSClientConfig) })
 			}
--- a/io/pipe/head_test.go
+++ b/io/pipe/head_test.go
@@ -1,8 +1,11 @@
 package pipe
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -61,7 +64,16 @@
 	}
 }
 
-// TestMalformedHeads guards against malformed heads that are taken for an answer, and against reusing their connections.
+// countIdle returns the number of connections that may be used again.
+func countIdle(c *Client) (n int) {
+	for _, list := range c.idle {
+		n += len(list)
+	}
+	return n
+}
+
+// TestMalformedHeads guards against malformed heads that are taken for an answer, on new and on used connections and before a long request is
+// read, and against reusing their connections.
 func TestMalformedHeads(t *testing.T) {
 	raw, err := os.ReadFile("testdata/heads.json")
 	must.NoError(t, err)
@@ -71,17 +83,45 @@
 		Sound bool
 	}
 	must.NoError(t, strict.Decode(raw, &rows))
+	client := func() *Client { return New(Options{Clock: wall.New()}) }
 	for _, row := range rows {
+		want := "error"
+		if row.Sound {
+			want = "one"
+		}
 		t.Run(row.Name, func(t *testing.T) {
-			address := endpoint(t, []string{row.Answer})
-			client := New(Options{Clock: wall.New()})
-			defer func() { must.NoError(t, client.Stop(context.Background())) }()
-			if row.Sound {
-				must.Eq(t, "one", ask(client, address, "a"))
-				return
+			c := client()
+			must.Eq(t, want, ask(c, endpoint(t, []string{row.Answer}), "a"))
+			must.True(t, row.Sound || countIdle(c) == 0, must.Sprint("the connection is used again"))
+			must.NoError(t, c.Stop(context.Background()))
+		})
+		t.Run(row.Name+", on a connection that was used", func(t *testing.T) {
+			c, address := client(), endpoint(t, []string{"HTTP/1.1 200 OK\r\nId: first\r\nContent-Length: 5\r\n\r\nfirst", row.Answer})
+			must.Eq(t, "first", ask(c, address, "first"))
+			must.Eq(t, want, ask(c, address, "a"))
+			must.Eq(t, 1, c.Dials())
+			must.True(t, row.Sound || countIdle(c) == 0, must.Sprint("the connection is used again"))
+			must.NoError(t, c.Stop(context.Background()))
+		})
+		t.Run(row.Name+", before a long request is read", func(t *testing.T) {
+			address := serve(t, func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				raw, last := strings.CutSuffix(row.Answer, "<close>")
+				_, _ = io.WriteString(conn, raw)
+				if tcp, ok := conn.(*net.TCPConn); ok && last {
+					_ = tcp.CloseWrite()
+				}
+				_, _ = io.Copy(io.Discard, conn)
+			})
+			c := client()
+			got, err := askLong(c, address, []byte(strings.Repeat("x", resetBodyBytes)))
+			if err != nil {
+				got = "error"
 			}
-			must.Eq(t, "error", ask(client, address, "a"))
-			must.MapEmpty(t, client.idle, must.Sprint("connections that are used again"))
+			must.Eq(t, want, got)
+			must.NoError(t, c.Stop(context.Background()))
 		})
 	}
 }
