Bound the log, its messages and what waits for a keeper by bytes

Callers and operators saw keepers end by memory, one after another, while configurations of 160 KB came every 80 ms: when members returned that had been frozen, or after ten large configurations without any disruption.

Now a message carries at most 1 MiB or one entry, a member has at most 4 MiB unacknowledged, counted from what it has confirmed, and one message with entries while its position is not. The number of unacknowledged messages is no longer reset after two heartbeats of silence, since each reply to a heartbeat tells what was lost; the reset sent new entries to silent members without end.

--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -6,6 +6,9 @@
 type log struct {
 	snapshot Snapshot
 	entries  []Entry
+	// sizes holds, for each entry, the bytes of data in it and in all entries pushed before it. baseSize is that sum before the first entry.
+	sizes    []int
+	baseSize int
 	// configs lists the configurations in the log, oldest first, starting with the snapshot's.
 	configs []indexedConfig
 	// baseIndex and baseTerm are the position before the first entry, which may be older than the snapshot.
@@ -34,6 +37,7 @@
 
 // push appends an entry and records its configuration, if it has one.
 func (l *log) push(e Entry) {
+	l.sizes = append(l.sizes, l.sizeUpTo(l.lastIndex())+len(e.Data))
 	l.entries = append(l.entries, e)
 	if e.Kind == ConfigEntry && e.Config != nil {
 		l.configs = append(l.configs, indexedConfig{index: e.Index, config: *e.Config})
@@ -91,25 +95,51 @@
 	return slices.Clone(rest[:min(limit, len(rest))])
 }
 
+// countWithin returns how many entries, starting at the given index, have at most maxBytes of data together.
+func (l *log) countWithin(from uint64, maxBytes int) int {
+	if from <= l.baseIndex || from > l.lastIndex() {
+		return 0
+	}
+	rest := l.sizes[from-l.baseIndex-1:]
+	count, _ := slices.BinarySearch(rest, l.sizeUpTo(from-1)+maxBytes+1)
+	return count
+}
+
+// sizeUpTo returns the bytes of data in all entries up to an index, those that are no longer in the log included.
+func (l *log) sizeUpTo(index uint64) int {
+	if index <= l.baseIndex || len(l.sizes) == 0 {
+		return l.baseSize
+	}
+	return l.sizes[min(index, l.lastIndex())-l.baseIndex-1]
+}
+
 // truncate removes the entry at an index and all later ones.
 func (l *log) truncate(from uint64) {
+	// Clears the entries that are cut off, which hold their data otherwise.
+	clear(l.entries[from-l.baseIndex-1:])
 	l.entries = l.entries[:from-l.baseIndex-1]
+	l.sizes = l.sizes[:from-l.baseIndex-1]
 	for len(l.configs) > 1 && l.configs[len(l.configs)-1].index >= from {
 		l.configs = l.configs[:len(l.configs)-1]
 	}
 }
 
-// compact replaces the snapshot by a newer one and retains at most the given number of the entries that it covers.
-func (l *log) compact(s Snapshot, retained uint64) {
+// compact replaces the snapshot by a newer one and retains at most the given number and bytes of the entries that it covers.
+func (l *log) compact(s Snapshot, retained, retainedBytes int) {
 	l.snapshot = s
-	first := uint64(0)
-	if s.Index > retained {
-		first = s.Index - retained
+	first := l.baseIndex
+	if s.Index > uint64(retained) {
+		first = max(first, s.Index-uint64(retained))
+	}
+	for first < s.Index && l.sizeUpTo(s.Index)-l.sizeUpTo(first) > retainedBytes {
+		first++
 	}
 	if first > l.baseIndex {
 		term, _ := l.term(first)
+		size := l.sizeUpTo(first)
 		l.entries = slices.Clone(l.entries[first-l.baseIndex:])
-		l.baseIndex, l.baseTerm = first, term
+		l.sizes = slices.Clone(l.sizes[first-l.baseIndex:])
+		l.baseIndex, l.baseTerm, l.baseSize = first, term, size
 	}
 	for len(l.configs) > 1 && l.configs[1].index <= s.Index {
 		l.configs = l.configs[1:]
--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -7,16 +7,14 @@
 	"cyclamenford/core"
 )
 
-// retainedEntries is the number of entries retained before a snapshot, so that a slow member can catch up without the
-// snapshot.
-const retainedEntries = 512
-
 // progress is the leader's view of the replication to one member.
 type progress struct {
-	// match is the highest index known to be on the member, and next the index of the next entry to send.
-	match    uint64
-	next     uint64
-	inflight int
+	// match is the highest index known to be on the member, matchSize the bytes of data in all entries up to it, and next the index of
+	// the next entry to send.
+	match     uint64
+	matchSize int
+	next      uint64
+	inflight  int
 	// probing means that match is not confirmed; next then stays until the member accepts an append.
 	probing bool
 	// lastReply is when the last reply arrived. ackedSentAt is the leader's time at which the newest acknowledged message
@@ -77,6 +75,13 @@
 	mayCommitByCount func(entryTerm, ownTerm uint64) bool
 }
 
+// setMatch records the highest index known to be on a member.
+func (n *Node) setMatch(p *progress, index uint64) {
+	if index > p.match {
+		p.match, p.matchSize = index, n.log.sizeUpTo(index)
+	}
+}
+
 // pendingRead is a read that is confirmed once a quorum has acknowledged the heartbeat round.
 type pendingRead struct {
 	id    uint64
@@ -297,7 +302,7 @@
 func (n *Node) Compact(index uint64, data []byte) Snapshot {
 	term, _ := n.log.term(index)
 	s := Snapshot{Index: index, Term: term, Config: n.log.configAsOf(index), Data: data}
-	n.log.compact(s, retainedEntries)
+	n.log.compact(s, n.settings.RetainedEntries, n.settings.RetainedBytes)
 	return s
 }
 
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -43,20 +43,15 @@
 	}
 }
 
-// broadcast starts a new heartbeat round and sends an append, with entries if the member lacks some, to every member.
-// Appends to a member that has not replied for two heartbeats are assumed lost.
+// broadcast starts a new heartbeat round and sends an append, with entries if the member lacks some, to every member. The reply to an
+// append without entries tells whether those before it were lost.
 func (n *Node) broadcast() {
 	n.round++
 	n.lastBroadcast = n.now
 	for _, m := range n.Config().Members() {
-		if m == n.id {
-			continue
-		}
-		p := n.peers[m]
-		if n.now-p.lastReply > 2*n.settings.Heartbeat {
-			p.inflight = 0
+		if m != n.id {
+			n.sendAppend(m, true)
 		}
-		n.sendAppend(m, true)
 	}
 }
 
@@ -69,10 +64,7 @@
 		n.sendSnapshotChunk(to, heartbeat)
 		return
 	}
-	var entries []Entry
-	if p.inflight < n.settings.MaxInflight && (!p.probing || heartbeat || p.inflight == 0) {
-		entries = n.log.entriesFrom(p.next, n.settings.MaxBatch)
-	}
+	entries := n.nextEntries(p)
 	if len(entries) == 0 && !heartbeat {
 		return
 	}
@@ -89,6 +81,23 @@
 	}
 }
 
+// nextEntries returns the entries of a member's next append, none while as many are unacknowledged as the settings allow. While the
+// member's position is not confirmed it gets one message with entries, since those may have to be sent anew from another position.
+func (n *Node) nextEntries(p *progress) []Entry {
+	room := n.settings.MaxBatchBytes
+	switch {
+	case p.probing && p.inflight > 0 || p.inflight >= n.settings.MaxInflight:
+		return nil
+	case !p.probing:
+		unacknowledged := n.log.sizeUpTo(p.next-1) - p.matchSize
+		if unacknowledged > 0 && n.log.countWithin(p.next, n.settings.MaxInflightBytes-unacknowledged) == 0 {
+			return nil
+		}
+		room = min(room, n.settings.MaxInflightBytes-unacknowledged)
+	}
+	return n.log.entriesFrom(p.next, min(n.settings.MaxBatch, max(1, n.log.countWithin(p.next, room))))
+}
+
 // onAppend accepts the sender as leader and adds its entries to the log if the position before them matches.
 func (n *Node) onAppend(m Message) {
 	reply := Message{Kind: AppendReply, To: m.From, Round: m.Round, SentAt: m.SentAt}
@@ -190,9 +199,9 @@
 	if p == nil {
 		return
 	}
-	p.inflight = max(0, p.inflight-1)
 	if m.Reject {
-		if m.Index < p.match {
+		// A member that returns rejects all appends that were sent to it meanwhile. Only the first of them tells something new.
+		if m.Index < p.match || p.probing && p.inflight > 0 && m.Index+1 >= p.next {
 			n.finishReads()
 			return
 		}
@@ -203,7 +212,8 @@
 		n.finishReads()
 		return
 	}
-	p.match = max(p.match, m.Index)
+	p.inflight = max(0, p.inflight-1)
+	n.setMatch(p, m.Index)
 	p.next = max(p.next, p.match+1)
 	p.probing = false
 	if n.advanceCommit() {
@@ -291,7 +301,8 @@
 }
 
 // sendSnapshotChunk sends the next snapshot chunk to a member that needs entries which are no longer in the log. While
-// the chunk is not acknowledged it sends only heartbeats, and repeats the chunk after two heartbeat intervals.
+// the chunk is not acknowledged it sends only heartbeats, and repeats the chunk after two heartbeat intervals if the member has replied
+// to one since.
 func (n *Node) sendSnapshotChunk(to Member, heartbeat bool) {
 	p := n.peers[to]
 	if p.snapshotOffset < 0 || p.outgoing.Index < n.log.baseIndex {
@@ -299,7 +310,7 @@
 		p.outgoing = n.log.snapshot
 		p.chunkSentAt = 0
 	}
-	retryDue := n.now-p.chunkSentAt >= 2*n.settings.Heartbeat
+	retryDue := n.now-p.chunkSentAt >= 2*n.settings.Heartbeat && p.lastReply > p.chunkSentAt
 	if p.chunkSentAt != 0 && !retryDue {
 		if heartbeat {
 			n.send(Message{Kind: Append, To: to, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Round: n.round, SentAt: n.now})
@@ -366,7 +377,7 @@
 	n.finishReads()
 	if m.Index >= p.outgoing.Index && m.Offset >= len(p.outgoing.Data) {
 		p.snapshotOffset = -1
-		p.match = max(p.match, m.Index)
+		n.setMatch(p, m.Index)
 		p.next = p.match + 1
 		p.probing = true
 		p.inflight = 0
--- a/core/quorum/seeds_test.go
+++ b/core/quorum/seeds_test.go
@@ -14,7 +14,7 @@
 )
 
 // seedsInCI is the total number of seeds, divided among the schedules.
-const seedsInCI = 2808
+const seedsInCI = 3042
 
 var soak = flag.Int("soak", seedsInCI, "number of seeds to run over all schedules")
 
--- a/core/quorum/types.go
+++ b/core/quorum/types.go
@@ -214,10 +214,17 @@
 	Heartbeat core.Millis
 	// LeasePercent is the length of the leader's lease as a percentage of ElectionTimeout.
 	LeasePercent int
-	// MaxBatch is the number of entries in one message, and MaxInflight the number of unacknowledged messages with
-	// entries per member.
-	MaxBatch    int
-	MaxInflight int
+	// MaxBatch and MaxBatchBytes are the number and the size of the entries in one message. An entry above the size is sent alone.
+	MaxBatch      int
+	MaxBatchBytes int
+	// MaxInflight is the number of unacknowledged messages with entries per member, and MaxInflightBytes the size of those entries. At
+	// least one entry may be unacknowledged, whatever its size.
+	MaxInflight      int
+	MaxInflightBytes int
+	// RetainedEntries and RetainedBytes are the number and the size of the entries retained before a snapshot, so that a slow member can
+	// catch up without the snapshot. A member that needs an older entry gets the snapshot.
+	RetainedEntries int
+	RetainedBytes   int
 	// SnapshotChunkBytes is the size of a snapshot chunk.
 	SnapshotChunkBytes int
 }
@@ -226,6 +233,7 @@
 func Defaults() Settings {
 	return Settings{
 		ElectionTimeout: 600, Heartbeat: 100, LeasePercent: 75,
-		MaxBatch: 256, MaxInflight: 8, SnapshotChunkBytes: 256 << 10,
+		MaxBatch: 256, MaxBatchBytes: 1 << 20, MaxInflight: 8, MaxInflightBytes: 4 << 20,
+		RetainedEntries: 512, RetainedBytes: 8 << 20, SnapshotChunkBytes: 256 << 10,
 	}
 }
--- a/core/quorum/world_test.go
+++ b/core/quorum/world_test.go
@@ -28,6 +28,9 @@
 	Jump      int
 	// MaxBatch bounds the entries in one message; 0 means 8.
 	MaxBatch int
+	// MaxBytes bounds the bytes of entries in one message, three times as many those that are unacknowledged, and ten times as many those
+	// that are retained; 0 means the defaults.
+	MaxBytes int
 	// SlowLinks is the percentage of one-way links on which messages take SlowDelay.
 	SlowLinks int
 	SlowDelay core.Millis
@@ -160,6 +163,9 @@
 	if w.schedule.MaxBatch > 0 {
 		s.MaxBatch = w.schedule.MaxBatch
 	}
+	if w.schedule.MaxBytes > 0 {
+		s.MaxBatchBytes, s.MaxInflightBytes, s.RetainedBytes = w.schedule.MaxBytes, 3*w.schedule.MaxBytes, 10*w.schedule.MaxBytes
+	}
 	if w.bugs.longLease {
 		s.LeasePercent = 600
 	}
