Name the endpoint in each call of the relay itself, releases of results too

Callers' back ends got work that nobody had sent: releases of stage results reached endpoints of another service that had got the address of a silent one.

Cause: the call that releases results did not name its endpoint, unlike the one that makes them, so that whoever had the address took it.

Another one answers 421; the keeper logs it, ends the connection and believes nothing else of the answer.

--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -507,7 +507,7 @@
 
 // freeResults asks an endpoint to free results. Failures are only logged. Any success is due, and its body says nothing.
 func (a *Assigner) freeResults(f order.Free) {
-	call, err := a.dialect.FreeResults(newCallID(), f.Handles)
+	call, err := a.dialect.FreeResults(f.Life.Endpoint, newCallID(), f.Handles)
 	if err != nil {
 		a.log.Error("cannot encode the call that frees results", "err", err)
 		return
@@ -532,6 +532,11 @@
 	}
 	defer resp.Close()
 	verdict := a.dialect.ParseResponse(resp.Status, resp.Header)
+	if verdict.OtherEndpoint {
+		resp.EndConnection()
+		a.log.Info("results not released: another endpoint has the address", "endpoint", f.Life.Endpoint, "address", f.Address, "results", len(f.Handles))
+		return
+	}
 	a.applyStageNotice(f.Life, verdict)
 	a.recordStageLimit(f.Life, verdict.Limit, sentAt)
 	if _, err := resp.ReadAll(maxStageResponse); err != nil {
--- a/io/assign/lapse_test.go
+++ b/io/assign/lapse_test.go
@@ -66,7 +66,7 @@
 	return cio.EndpointCall{ID: id, Method: http.MethodPost, Path: "/run", Header: http.Header{callHeader: {string(id)}}, Body: raw}, err
 }
 
-func (fakeDialect) FreeResults(id core.RequestID, handles []string) (cio.EndpointCall, error) {
+func (fakeDialect) FreeResults(_ core.EndpointID, id core.RequestID, handles []string) (cio.EndpointCall, error) {
 	body := []byte(strings.Join(handles, " "))
 	return cio.EndpointCall{ID: id, Method: http.MethodPost, Path: "/free", Header: http.Header{callHeader: {string(id)}}, Body: body}, nil
 }
--- a/io/relay.go
+++ b/io/relay.go
@@ -33,7 +33,7 @@
 	// ParseStageResults parses the response to a stage call. The results are in the order of the call's items.
 	ParseStageResults(body []byte) ([]order.ItemResult, error)
 	// FreeResults builds the call with the given ID that tells an endpoint to free the results with these handles.
-	FreeResults(id core.RequestID, handles []string) (EndpointCall, error)
+	FreeResults(to core.EndpointID, id core.RequestID, handles []string) (EndpointCall, error)
 	// ParseConfig parses a complete configuration. The caller validates it.
 	ParseConfig(doc []byte) (conf.Config, error)
 }
