Send no release of results to an endpoint that is gone or leaves, nor of results that have expired

Cause: the scheduler kept the endpoint with the results and sent the release without asking what had become of either. A release frees room that is needed for new work only; an endpoint that is gone or leaves gets none.

Now such results are forgotten and nothing is sent; the keepers' copies are told by the same action, marked Lost. Releases for an endpoint that leaves wait until it comes back or its results have expired, as those for an evacuated domain did. An endpoint that is merely silent still gets its releases, which name it.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -297,7 +297,7 @@
 	Content poison.Content
 }
 
-// Free orders an endpoint to free results that are no longer needed.
+// Free orders an endpoint to free results that are no longer needed, or reports that they no longer exist.
 type Free struct {
 	// Number identifies the release in its acknowledgement.
 	Number uint64
@@ -313,4 +313,7 @@
 	Permitted bool
 	// Bounded means that the endpoint has or had a bound: nothing may be sent without a permit.
 	Bounded bool
+	// Lost means that the results no longer exist: their endpoint is gone, or has dropped them by itself. Nothing is sent, and the release
+	// has no acknowledgement.
+	Lost bool
 }
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -149,7 +149,7 @@
 		return
 	case !wanted:
 		s.totals.ResultsUnused++
-		s.freeResults([]string{result.Handle}, c.endpoint, i.Bytes)
+		s.freeResults([]string{result.Handle}, c.endpoint, i.Bytes, s.expiryOfResult(c.endpoint.Service))
 		return
 	}
 	st := &r.stages[i.Stage]
@@ -158,10 +158,10 @@
 	if st.service != nil {
 		st.service.missing--
 	}
-	r.addResult(i.Stage, result.Handle, c.endpoint, c.startedAt)
-	// A new configuration may meanwhile have made this a service without stage calls.
-	if svc := s.services[st.Service]; svc.Pieces != nil && (st.expiresAt == 0 || s.now+svc.Pieces.Keep < st.expiresAt) {
-		st.expiresAt = s.now + svc.Pieces.Keep
+	expiresAt := s.expiryOfResult(st.Service)
+	r.addResult(i.Stage, madeResult{handle: result.Handle, endpoint: c.endpoint, startedAt: c.startedAt, expiresAt: expiresAt})
+	if s.services[st.Service].Pieces != nil && (st.expiresAt == 0 || expiresAt < st.expiresAt) {
+		st.expiresAt = expiresAt
 	}
 	if st.missing == 0 {
 		r.unfinished--
@@ -170,6 +170,15 @@
 	}
 }
 
+// expiryOfResult returns when a service's endpoint drops a result by itself that has just arrived: now, if a new configuration has meanwhile made
+// this a service without stage calls.
+func (s *Scheduler) expiryOfResult(service string) core.Millis {
+	if svc := s.services[service]; svc != nil && svc.Pieces != nil {
+		return s.now + svc.Pieces.Keep
+	}
+	return s.now
+}
+
 // failPiece handles a piece without a result: its inputs are prepared again if they are gone, and otherwise the piece is
 // queued again.
 func (s *Scheduler) failPiece(i order.Item, reason order.ItemReason) {
--- a/core/sched/inherit.go
+++ b/core/sched/inherit.go
@@ -109,7 +109,7 @@
 			}
 			st.handles[piece] = h.Handles[n]
 			st.missing--
-			r.addResult(h.Stage, h.Handles[n], e, s.now)
+			r.addResult(h.Stage, madeResult{handle: h.Handles[n], endpoint: e, startedAt: s.now, expiresAt: h.Till})
 		}
 		if st.expiresAt == 0 || h.Till < st.expiresAt {
 			st.expiresAt = h.Till
@@ -149,7 +149,7 @@
 	for _, key := range slices.SortedFunc(maps.Keys(s.inherited), compareKeys) {
 		for _, h := range s.inherited[key] {
 			if e, ok := s.fleet.Endpoint(h.Endpoint, h.Life); ok {
-				s.freeResults(h.Handles, e, h.Bytes*int64(len(h.Handles)))
+				s.freeResults(h.Handles, e, h.Bytes*int64(len(h.Handles)), h.Till)
 			}
 		}
 	}
--- a/core/sched/play_test.go
+++ b/core/sched/play_test.go
@@ -622,7 +622,13 @@
 					return h.Stage == made.Stage && h.Endpoint == a.Free.Life.Endpoint
 				})
 			}
-			sim.handleFree(*a.Free)
+			if !a.Free.Lost {
+				sim.handleFree(*a.Free)
+				break
+			}
+			for _, h := range a.Free.Handles {
+				sim.removeResult(h)
+			}
 		}
 	}
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -158,7 +158,7 @@
 			s.totals.Granted++
 		case a.Refuse != nil:
 			s.totals.Refused++
-		case a.Free != nil:
+		case a.Free != nil && !a.Free.Lost:
 			s.totals.Releases++
 		}
 	}
--- a/core/sched/script_test.go
+++ b/core/sched/script_test.go
@@ -162,6 +162,8 @@
 				items = append(items, fmt.Sprintf("%s/%d/%d", i.ID, i.Stage, i.Piece))
 			}
 			list = append(list, fmt.Sprintf("call %d at %s %s", a.Call.Number, a.Call.Endpoint, strings.Join(items, " ")))
+		case a.Free != nil && a.Free.Lost:
+			list = append(list, fmt.Sprintf("forget at %s %s", a.Free.Address, strings.Join(a.Free.Handles, ",")))
 		case a.Free != nil:
 			list = append(list, fmt.Sprintf("free at %s %s", a.Free.Address, strings.Join(a.Free.Handles, ",")))
 		}
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -408,6 +408,8 @@
 				defer a.stageCalls.Add(-1)
 				a.callStage(s, call)
 			})
+		case action.Free != nil && action.Free.Lost:
+			a.log.Debug("results not released: they no longer exist", "endpoint", action.Free.Life.Endpoint, "results", len(action.Free.Handles))
 		case action.Free != nil:
 			free := *action.Free
 			s := a.sched
