--- a/core/quorum/node.go
+++ b/core/quorum/node.go
@@ -75,13 +75,6 @@
 	mayCommitByCount func(entryTerm, ownTerm uint64) bool
 }
 
-// setMatch records the highest index known to be on a member.
-func (n *Node) setMatch(p *progress, index uint64) {
-	if index > p.match {
-		p.match, p.matchSize = index, n.log.sizeUpTo(index)
-	}
-}
-
 // pendingRead is a read that is confirmed once a quorum has acknowledged the heartbeat round.
 type pendingRead struct {
 	id    uint64
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -84,17 +84,18 @@
 // nextEntries returns the entries of a member's next append, none while as many are unacknowledged as the settings allow. While the
 // member's position is not confirmed it gets one message with entries, since those may have to be sent anew from another position.
 func (n *Node) nextEntries(p *progress) []Entry {
-	room := n.settings.MaxBatchBytes
-	switch {
-	case p.probing && p.inflight > 0 || p.inflight >= n.settings.MaxInflight:
+	if p.probing && p.inflight > 0 || p.inflight >= n.settings.MaxInflight {
 		return nil
-	case !p.probing:
+	}
+	room := n.settings.MaxInflightBytes
+	if !p.probing {
 		unacknowledged := n.log.sizeUpTo(p.next-1) - p.matchSize
-		if unacknowledged > 0 && n.log.countWithin(p.next, n.settings.MaxInflightBytes-unacknowledged) == 0 {
+		room -= unacknowledged
+		if unacknowledged > 0 && n.log.countWithin(p.next, room) == 0 {
 			return nil
 		}
-		room = min(room, n.settings.MaxInflightBytes-unacknowledged)
 	}
+	room = min(room, n.settings.MaxBatchBytes)
 	return n.log.entriesFrom(p.next, min(n.settings.MaxBatch, max(1, n.log.countWithin(p.next, room))))
 }
 
@@ -193,6 +194,13 @@
 	return p
 }
 
+// setMatch records the highest index known to be on a member.
+func (n *Node) setMatch(p *progress, index uint64) {
+	if index > p.match {
+		p.match, p.matchSize = index, n.log.sizeUpTo(index)
+	}
+}
+
 // onAppendReply advances the member's progress and the commit index, or goes back to the index that the rejection names.
 func (n *Node) onAppendReply(m Message) {
 	p := n.recordReply(m)
