--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -19,7 +20,9 @@
 	whole bool
 	err   error
 	sent  time.Time
-	took  time.Duration
+	// retryAfter is what a refusal asks for.
+	retryAfter time.Duration
+	took       time.Duration
 }
 
 // question is what a client sends.
@@ -64,6 +67,9 @@
 		return l.answered(h, r)
 	}
 	r.status, r.stamp = response.StatusCode, response.Header.Get(names.Stamp)
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		r.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	body, err := io.ReadAll(response.Body)
 	r.body, r.err, r.whole = string(body), err, err == nil
 	return l.answered(h, r)
--- a/review/stand3/lab.go
+++ b/review/stand3/lab.go
@@ -104,6 +104,8 @@
 	mu       sync.Mutex
 	settings map[string]bool
 	sequence int
+	// mixed and whole count the streams with events of two versions, and those that are whole.
+	mixed, whole int
 }
 
 // newLab creates a deployment of keepers and the given number of entry hosts, one after another in the zones.
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -25,7 +25,8 @@
 }
 
 var scripts = map[string]script{
-	"carried": {edges: 3, play: playCarried},
+	"carried":   {edges: 3, play: playCarried},
+	"restarted": {edges: 3, play: playRestarted},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -45,7 +45,9 @@
 	born     int64
 	seq      int
 	draining bool
-	stopped  chan struct{}
+	// late is how late the first announcement after a start arrives.
+	late    time.Duration
+	stopped chan struct{}
 }
 
 // start starts an incarnation of the runner.
@@ -71,6 +73,18 @@
 	return nil
 }
 
+// crash ends the incarnation.
+func (r *runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lab.note("runner %s crashes", r.id)
+	close(r.stopped)
+	_ = r.listener.Close()
+	for c := range r.conns {
+		reset(c)
+	}
+}
+
 // reset closes a connection with a reset.
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -141,6 +155,10 @@
 
 // announceUntil announces the incarnation until it ends.
 func (r *runner) announceUntil(stopped <-chan struct{}) {
+	r.mu.Lock()
+	late := r.late
+	r.mu.Unlock()
+	time.Sleep(late)
 	for {
 		status := r.announce("announcement.json")
 		wait := announceInterval
