--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -27,6 +27,7 @@
 var scripts = map[string]script{
 	"carried":   {edges: 3, play: playCarried},
 	"restarted": {edges: 3, play: playRestarted},
+	"foreign":   {edges: 3, play: playForeign},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand3/restarted.go
+++ b/review/stand3/restarted.go
@@ -86,6 +86,11 @@
 		}
 	}
 	clients.Wait()
+	return l.countMixed()
+}
+
+// countMixed records a breach if more streams hold events of two software versions than the rule allows.
+func (l *lab) countMixed() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.note("streams with events of two versions: %d, streams whole: %d", l.mixed, l.whole)
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -21,6 +21,9 @@
 // announceInterval is the interval between two announcements of a runner.
 const announceInterval = 1200 * time.Millisecond
 
+// ownAnnouncement is the data file of a runner's announcements.
+const ownAnnouncement = "announcement.json"
+
 // exchange is a request at a runner.
 type exchange struct {
 	runner *runner
@@ -160,7 +163,7 @@
 	r.mu.Unlock()
 	time.Sleep(late)
 	for {
-		status := r.announce("announcement.json")
+		status := r.announce(ownAnnouncement)
 		wait := announceInterval
 		if status != http.StatusOK {
 			wait = 100 * time.Millisecond
@@ -173,20 +176,32 @@
 	}
 }
 
-// announce sends one announcement made from a data file.
+// announce sends the runner's next announcement.
 func (r *runner) announce(file string) int {
 	r.mu.Lock()
 	r.seq++
+	seq := r.seq
+	r.mu.Unlock()
+	return r.send(file, seq)
+}
+
+// send sends an announcement made from a data file.
+func (r *runner) send(file string, seq int) int {
+	r.mu.Lock()
 	state := "ready"
 	if r.draining {
 		state = "draining"
 	}
 	body := text(file, map[string]string{
 		"SERVICE": r.service, "ADDRESS": r.address, "ZONE": r.zone, "VERSION": r.version, "SLOTS": fmt.Sprint(r.slots), "STATE": state,
-		"SEQ": fmt.Sprint(r.seq), "BORN": fmt.Sprint(r.born),
+		"SEQ": fmt.Sprint(seq), "BORN": fmt.Sprint(r.born),
 	})
 	r.mu.Unlock()
-	return r.lab.control(r.lab.anyKeeper(), http.MethodPut, names.Instances+r.id, strings.TrimSpace(body))
+	status := r.lab.control(r.lab.anyKeeper(), http.MethodPut, names.Instances+r.id, strings.TrimSpace(body))
+	if file != ownAnnouncement {
+		r.lab.note("announcement %s answered %d", strings.TrimSpace(body), status)
+	}
+	return status
 }
 
 // cutFrom cuts the runner from a machine: new connections hang, and the open ones are reset. An empty address ends the cut.
