--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -28,6 +28,7 @@
 	"carried":   {edges: 3, play: playCarried},
 	"restarted": {edges: 3, play: playRestarted},
 	"foreign":   {edges: 3, play: playForeign},
+	"staged":    {edges: 3, play: playStaged},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -48,6 +48,8 @@
 	born     int64
 	seq      int
 	draining bool
+	// dark means that the runner is silent until its incarnation ends.
+	dark bool
 	// late is how late the first announcement after a start arrives.
 	late    time.Duration
 	stopped chan struct{}
@@ -67,7 +69,7 @@
 	}
 	r.mu.Lock()
 	r.listener, r.address, r.conns = l.(*net.TCPListener), l.Addr().String(), map[net.Conn]bool{}
-	r.born, r.seq, r.stopped = time.Now().UnixMilli(), 0, make(chan struct{})
+	r.born, r.seq, r.stopped, r.dark = time.Now().UnixMilli(), 0, make(chan struct{}), false
 	stopped := r.stopped
 	r.mu.Unlock()
 	go r.accept(l)
@@ -76,6 +78,21 @@
 	return nil
 }
 
+// goDark makes the incarnation silent: it answers nothing, takes no new connections, and announces itself no more.
+func (r *runner) goDark() error {
+	r.lab.note("runner %s goes dark", r.id)
+	r.mu.Lock()
+	r.dark = true
+	r.mu.Unlock()
+	return r.filter(func(fd int) error { return drop(fd, "") })
+}
+
+func (r *runner) isDark() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dark
+}
+
 // crash ends the incarnation.
 func (r *runner) crash() {
 	r.mu.Lock()
@@ -163,7 +180,10 @@
 	r.mu.Unlock()
 	time.Sleep(late)
 	for {
-		status := r.announce(ownAnnouncement)
+		status := http.StatusOK
+		if !r.isDark() {
+			status = r.announce(ownAnnouncement)
+		}
 		wait := announceInterval
 		if status != http.StatusOK {
 			wait = 100 * time.Millisecond
@@ -206,6 +226,27 @@
 
 // cutFrom cuts the runner from a machine: new connections hang, and the open ones are reset. An empty address ends the cut.
 func (r *runner) cutFrom(ip string) error {
+	err := r.filter(func(fd int) error {
+		if ip == "" {
+			return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+		}
+		return drop(fd, ip)
+	})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if ip != "" && remoteIP(c) == ip {
+			reset(c)
+		}
+	}
+	return nil
+}
+
+// filter calls set for the listening socket.
+func (r *runner) filter(set func(fd int) error) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	raw, err := r.listener.SyscallConn()
@@ -213,33 +254,25 @@
 		return err
 	}
 	var setErr error
-	err = raw.Control(func(fd uintptr) {
-		if ip == "" {
-			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-			return
-		}
-		setErr = dropFrom(int(fd), ip)
-	})
+	err = raw.Control(func(fd uintptr) { setErr = set(int(fd)) })
 	if err := errors.Join(err, setErr); err != nil {
 		return os.NewSyscallError("setsockopt", err)
 	}
-	for c := range r.conns {
-		if ip != "" && remoteIP(c) == ip {
-			reset(c)
-		}
-	}
 	return nil
 }
 
-// dropFrom makes a listening socket drop the packets of one IPv4 address.
-func dropFrom(fd int, ip string) error {
+// drop makes a listening socket drop the packets of one IPv4 address, or of all if it is empty.
+func drop(fd int, ip string) error {
 	// sourceOffset is the place of the source address in the IP header, counted from the value that stands for the header's begin.
 	const networkHeader, sourceOffset = 0xfff00000, 12
-	program := []unix.SockFilter{
-		{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: networkHeader + sourceOffset},
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: binary.BigEndian.Uint32(net.ParseIP(ip).To4()), Jt: 0, Jf: 1},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 0xffffffff},
+	program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	if ip != "" {
+		program = []unix.SockFilter{
+			{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: networkHeader + sourceOffset},
+			{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: binary.BigEndian.Uint32(net.ParseIP(ip).To4()), Jt: 0, Jf: 1},
+			{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+			{Code: unix.BPF_RET | unix.BPF_K, K: 0xffffffff},
+		}
 	}
 	return unix.SetsockoptSockFprog(fd, syscall.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
 }
