--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -29,6 +29,7 @@
 	"restarted": {edges: 3, play: playRestarted},
 	"foreign":   {edges: 3, play: playForeign},
 	"staged":    {edges: 3, play: playStaged},
+	"silent":    {edges: 3, play: playSilent},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -47,7 +47,8 @@
 	conns    map[net.Conn]bool
 	born     int64
 	seq      int
-	draining bool
+	// silent means that the runner goes on with nothing for a while.
+	silent bool
 	// dark means that the runner is silent until its incarnation ends.
 	dark bool
 	// late is how late the first announcement after a start arrives.
@@ -87,6 +88,19 @@
 	return r.filter(func(fd int) error { return drop(fd, "") })
 }
 
+func (r *runner) setSilent(on bool) {
+	r.lab.note("runner %s is silent: %t", r.id, on)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = on
+}
+
+func (r *runner) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent
+}
+
 func (r *runner) isDark() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -208,12 +222,8 @@
 // send sends an announcement made from a data file.
 func (r *runner) send(file string, seq int) int {
 	r.mu.Lock()
-	state := "ready"
-	if r.draining {
-		state = "draining"
-	}
 	body := text(file, map[string]string{
-		"SERVICE": r.service, "ADDRESS": r.address, "ZONE": r.zone, "VERSION": r.version, "SLOTS": fmt.Sprint(r.slots), "STATE": state,
+		"SERVICE": r.service, "ADDRESS": r.address, "ZONE": r.zone, "VERSION": r.version, "SLOTS": fmt.Sprint(r.slots), "STATE": "ready",
 		"SEQ": fmt.Sprint(seq), "BORN": fmt.Sprint(r.born),
 	})
 	r.mu.Unlock()
--- a/review/stand3/staged.go
+++ b/review/stand3/staged.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// stagedTime is the length of the load, layoutsPerSecond its rate, and layoutPieces the numbers of pieces of the stages.
-	stagedTime       = 48 * time.Second
-	layoutsPerSecond = 8.0
-	layoutPieces     = "1,2,2"
+	// stagedTime is the length of the load and stagedRate the number of requests in a second, and layoutPieces are the numbers of pieces of
+	// the stages.
+	stagedTime, stagedRate = 48 * time.Second, 8.0
+	layoutPieces           = "1,2,2"
 	// callTime is the work of a call.
 	callTime = 200 * time.Millisecond
 	// keepTime is how long a runner keeps a result.
@@ -55,6 +55,18 @@
 	return ok && m.runner.incarnation() == m.born && m.runner.alive() && time.Since(m.at) < keepTime, ok && m.id == id
 }
 
+// free drops the results that the body of a call names.
+func (s *store) free(body string) {
+	var call struct{ Handles []string }
+	// A call that cannot be read frees nothing: the results expire.
+	_ = json.Unmarshal([]byte(body), &call)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range call.Handles {
+		delete(s.results, h)
+	}
+}
+
 // alive reports whether an incarnation of the runner runs.
 func (r *runner) alive() bool {
 	r.mu.Lock()
@@ -82,6 +94,7 @@
 func (s *store) serveStage(x *exchange) bool {
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: application/json\r\n", names.RequestID, x.id)
 	if x.RequestURI == names.StageFree {
+		s.free(x.body)
 		return x.write("%sContent-Length: 2\r\n\r\n{}", head)
 	}
 	l, r := x.runner.lab, x.runner
@@ -91,6 +104,9 @@
 		return false
 	}
 	born := r.incarnation()
+	for r.isSilent() {
+		time.Sleep(10 * time.Millisecond)
+	}
 	results := make([]map[string]string, len(call.Items))
 	work := callTime
 	for n, i := range call.Items {
@@ -155,14 +171,21 @@
 // crashes, so that results are lost.
 func playStaged(l *lab) error {
 	s := &store{results: map[string]made{}}
+	return l.playLayouts(stagedTime, stagedRate, s.serveStage, s.serveLayout, func(byService map[string][]*runner, n int) error {
+		return trouble(byService["portal"][n%3], byService["fields"][n%3])
+	})
+}
+
+// playLayouts starts a deployment with three runners of each service, sends layouts, and begins a round of trouble after each troublePeriod.
+func (l *lab) playLayouts(length time.Duration, rate float64, stage, layout func(x *exchange) bool, trouble func(byService map[string][]*runner, n int) error) error {
 	byService := map[string][]*runner{}
 	for i, service := range []string{"model", "model", "model", "plans", "plans", "plans", "fields", "fields", "fields", "portal", "portal", "portal"} {
 		r := &runner{
 			lab: l, id: fmt.Sprint("i-", service, i), service: service, zone: zones[i%len(zones)], version: "v1",
-			ip: fmt.Sprintf("127.83.2.%d", i+1), slots: 1, serve: s.serveStage,
+			ip: fmt.Sprintf("127.83.2.%d", i+1), slots: 1, serve: stage,
 		}
 		if service == "model" {
-			r.slots, r.serve = 64, s.serveLayout
+			r.slots, r.serve = 64, layout
 		}
 		if err := r.start(); err != nil {
 			return err
@@ -175,10 +198,10 @@
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() { l.sendLayouts(stop) })
-	for began, n := time.Now(), 0; time.Since(began) < stagedTime; n++ {
+	clients.Go(func() { l.sendLayouts(rate, stop) })
+	for began, n := time.Now(), 0; time.Since(began) < length; n++ {
 		if l.trouble {
-			if err := trouble(byService["portal"][n%3], byService["fields"][n%3]); err != nil {
+			if err := trouble(byService, n); err != nil {
 				return err
 			}
 		}
@@ -206,7 +229,7 @@
 }
 
 // sendLayouts sends requests at random times until stop closes, and waits for their answers.
-func (l *lab) sendLayouts(stop <-chan struct{}) {
+func (l *lab) sendLayouts(rate float64, stop <-chan struct{}) {
 	var sent sync.WaitGroup
 	defer sent.Wait()
 	for n := 0; ; n++ {
@@ -223,7 +246,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(rand.ExpFloat64() / layoutsPerSecond * float64(time.Second))):
+		case <-time.After(time.Duration(rand.ExpFloat64() / rate * float64(time.Second))):
 		}
 	}
 }
