--- a/review/stand3/restarted.go
+++ b/review/stand3/chat.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -18,8 +17,8 @@
 	// chats is the number of streams, which begin chatsGap after each other.
 	chats    = 24
 	chatsGap = 100 * time.Millisecond
-	// crashTime is how long the crashed runner is down, and lateTime how late the first announcement after its start arrives.
-	crashTime, lateTime = 3 * time.Second, 2 * time.Second
+	// crashTime is how long the crashed runner is down.
+	crashTime = 3 * time.Second
 	// chatDeadline is how long a client waits for a chat, and chatTries how often it tries.
 	chatDeadline = 15 * time.Second
 	chatTries    = 5
@@ -51,44 +50,6 @@
 	return x.write("0\r\n\r\n")
 }
 
-// playRestarted crashes the only runner of the former software version, which starts again under its id with the latter one. The first
-// announcement after its start arrives late.
-func playRestarted(l *lab) error {
-	var runners []*runner
-	for i, version := range []string{"v1", "v2", "v2"} {
-		r := &runner{
-			lab: l, id: fmt.Sprint("i-model", i), service: "model", zone: zones[i], version: version, ip: fmt.Sprintf("127.83.2.%d", i+1), slots: 64,
-			serve: serveChat,
-		}
-		if err := r.start(); err != nil {
-			return err
-		}
-		runners = append(runners, r)
-	}
-	if err := l.startAll(text("config.json", map[string]string{"VERSION": "1"})); err != nil {
-		return err
-	}
-	time.Sleep(2 * time.Second)
-	var clients sync.WaitGroup
-	for i := range chats {
-		clients.Go(func() { l.chat(i) })
-		time.Sleep(chatsGap)
-	}
-	if l.trouble {
-		r := runners[0]
-		r.crash()
-		time.Sleep(crashTime)
-		r.mu.Lock()
-		r.version, r.late = "v2", lateTime
-		r.mu.Unlock()
-		if err := r.start(); err != nil {
-			return err
-		}
-	}
-	clients.Wait()
-	return l.countMixed()
-}
-
 // countMixed records a breach if more streams hold events of two software versions than the rule allows.
 func (l *lab) countMixed() error {
 	l.mu.Lock()
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -25,11 +25,10 @@
 }
 
 var scripts = map[string]script{
-	"carried":   {edges: 3, play: playCarried},
-	"restarted": {edges: 3, play: playRestarted},
-	"foreign":   {edges: 3, play: playForeign},
-	"staged":    {edges: 3, play: playStaged},
-	"silent":    {edges: 3, play: playSilent},
+	"carried": {edges: 3, play: playCarried},
+	"foreign": {edges: 3, play: playForeign},
+	"staged":  {edges: 3, play: playStaged},
+	"silent":  {edges: 3, play: playSilent},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -50,9 +50,7 @@
 	// silent means that the runner goes on with nothing for a while.
 	silent bool
 	// dark means that the runner is silent until its incarnation ends.
-	dark bool
-	// late is how late the first announcement after a start arrives.
-	late    time.Duration
+	dark    bool
 	stopped chan struct{}
 }
 
@@ -189,10 +187,6 @@
 
 // announceUntil announces the incarnation until it ends.
 func (r *runner) announceUntil(stopped <-chan struct{}) {
-	r.mu.Lock()
-	late := r.late
-	r.mu.Unlock()
-	time.Sleep(late)
 	for {
 		status := http.StatusOK
 		if !r.isDark() {
