--- a/review/stand3/staged.go
+++ b/review/stand3/staged.go
@@ -20,7 +20,7 @@
 	// keepTime is how long a runner keeps a result.
 	keepTime = 4 * time.Second
 	// troublePeriod is the time between two rounds of trouble. In each, a runner of the last stage is dark for darkTime, and after crashAfter a
-	// runner of the stage before crashes, which is down for downTime.
+	// runner of the stage before crashes, which is down for fieldsDown.
 	troublePeriod, darkTime, crashAfter, fieldsDown = 4 * time.Second, 1200 * time.Millisecond, 250 * time.Millisecond, 2 * time.Second
 )
 
