--- a/review/stand3/chat.go
+++ b/review/stand3/chat.go
@@ -15,10 +15,10 @@
 	chatEvents = 40
 	chatGap    = 100 * time.Millisecond
 	// chats is the number of streams, which begin chatsGap after each other.
-	chats    = 24
+	chats    = 36
 	chatsGap = 100 * time.Millisecond
 	// crashTime is how long the crashed runner is down.
-	crashTime = 3 * time.Second
+	crashTime = 2 * time.Second
 	// chatDeadline is how long a client waits for a chat, and chatTries how often it tries.
 	chatDeadline = 15 * time.Second
 	chatTries    = 5
--- a/review/stand3/foreign.go
+++ b/review/stand3/foreign.go
@@ -14,13 +14,13 @@
 	beforeCrash = 1500 * time.Millisecond
 )
 
-// playForeign sends announcements of another writer, which lack a field, and then crashes one of two runners, which have different software
+// playForeign sends announcements of another writer, which lack a field, and then crashes one of four runners, which have two software
 // versions.
 func playForeign(l *lab) error {
 	var runners []*runner
-	for i, version := range []string{"v1", "v2"} {
+	for i, version := range []string{"v1", "v2", "v1", "v2"} {
 		r := &runner{
-			lab: l, id: fmt.Sprint("i-model", i), service: "model", zone: zones[i], version: version, ip: fmt.Sprintf("127.83.2.%d", i+1), slots: 64,
+			lab: l, id: fmt.Sprint("i-model", i), service: "model", zone: zones[i%len(zones)], version: version, ip: fmt.Sprintf("127.83.2.%d", i+1), slots: 64,
 			serve: serveChat,
 		}
 		if err := r.start(); err != nil {
--- a/review/stand3/silent.go
+++ b/review/stand3/silent.go
@@ -55,7 +55,7 @@
 func playSilent(l *lab) error {
 	s := &store{results: map[string]made{}}
 	return l.playLayouts(silentLength, silentRate, s.serveStage, s.serveChecked, func(byService map[string][]*runner, n int) error {
-		silent, model := byService["portal"][n%3], byService["model"][n%3]
+		silent, model := byService["portal"][n%4], byService["model"][n%4]
 		silent.setSilent(true)
 		time.Sleep(silentTime)
 		silent.setSilent(false)
--- a/review/stand3/staged.go
+++ b/review/stand3/staged.go
@@ -13,7 +13,7 @@
 const (
 	// stagedTime is the length of the load and stagedRate the number of requests in a second, and layoutPieces are the numbers of pieces of
 	// the stages.
-	stagedTime, stagedRate = 48 * time.Second, 8.0
+	stagedTime, stagedRate = 48 * time.Second, 11.0
 	layoutPieces           = "1,2,2"
 	// callTime is the work of a call.
 	callTime = 200 * time.Millisecond
@@ -172,16 +172,16 @@
 func playStaged(l *lab) error {
 	s := &store{results: map[string]made{}}
 	return l.playLayouts(stagedTime, stagedRate, s.serveStage, s.serveLayout, func(byService map[string][]*runner, n int) error {
-		return trouble(byService["portal"][n%3], byService["fields"][n%3])
+		return trouble(byService["portal"][n%4], byService["fields"][n%4])
 	})
 }
 
-// playLayouts starts a deployment with three runners of each service, sends layouts, and begins a round of trouble after each troublePeriod.
+// playLayouts starts a deployment with three or four runners of each service, sends layouts, and begins a round of trouble after each troublePeriod.
 func (l *lab) playLayouts(length time.Duration, rate float64, stage, layout func(x *exchange) bool, trouble func(byService map[string][]*runner, n int) error) error {
 	byService := map[string][]*runner{}
-	for i, service := range []string{"model", "model", "model", "plans", "plans", "plans", "fields", "fields", "fields", "portal", "portal", "portal"} {
+	for i, service := range []string{"model", "model", "model", "model", "plans", "plans", "plans", "fields", "fields", "fields", "fields", "portal", "portal", "portal", "portal"} {
 		r := &runner{
-			lab: l, id: fmt.Sprint("i-", service, i), service: service, zone: zones[i%len(zones)], version: "v1",
+			lab: l, id: fmt.Sprint("i-", service, i), service: service, zone: zones[len(byService[service])%len(zones)], version: "v1",
 			ip: fmt.Sprintf("127.83.2.%d", i+1), slots: 1, serve: stage,
 		}
 		if service == "model" {
