Log when and why the inputs of a request are prepared again

The line names the cause, the stage call and piece whose outcome it was, whether the call was overdue and the piece made, and the endpoint that the request had; assign_resets_total counts by cause. No change of logic.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -197,8 +197,40 @@
 	RequestRuns  *RunningRequest
 	RequestBegan *Key
 	RequestEnded *Key
+	// Reset reports a decision and orders nothing.
+	Reset *Reset
 }
 
+// Reset reports that all stages of a request are prepared again.
+type Reset struct {
+	ID    core.RequestID
+	Cause ResetCause
+	// Call, Stage and Piece identify the outcome of a stage call that caused the reset. Call is 0 if no call did.
+	Call         uint64
+	Stage, Piece int
+	// Overdue means that the pieces of the call were also started at another endpoint, and Made that the piece had a result.
+	Overdue, Made bool
+	// Endpoint is the endpoint that the request was granted when its stages were reset, if it had one.
+	Endpoint core.EndpointID
+	// Rebuilds is how often inputs of the request were lost so far.
+	Rebuilds int
+}
+
+// ResetCause is the reason why the stages of a request are prepared again.
+type ResetCause string
+
+// The causes of a reset.
+const (
+	// ResetExpired means that a result expired before it was used.
+	ResetExpired ResetCause = "Expired"
+	// ResetGone means that a stage call found an input gone, and ResetUnserved that the endpoint of an attempt did.
+	ResetGone     ResetCause = "Gone"
+	ResetUnserved ResetCause = "Unserved"
+	// ResetFreed means that a piece must run again whose inputs were freed, and ResetRetried that the request must.
+	ResetFreed   ResetCause = "Freed"
+	ResetRetried ResetCause = "Retried"
+)
+
 // StageKey identifies a stage of a request.
 type StageKey struct {
 	Key   Key
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -104,7 +104,7 @@
 		// An endpoint that has ended hasn't run the call and gets no other one.
 		counted := ending != order.Rejected && ending != order.OtherEndpoint
 		for _, i := range c.items {
-			s.requeuePiece(i, counted)
+			s.requeuePiece(c, i, counted)
 		}
 	}
 	s.passDue = true
@@ -145,7 +145,7 @@
 			s.totals.NoRoom++
 		}
 		c.endpoint.FreeResults(i.Bytes)
-		s.failPiece(i, result.Reason)
+		s.failPiece(c, i, result.Reason)
 		return
 	case !wanted:
 		s.totals.ResultsUnused++
@@ -181,27 +181,34 @@
 
 // failPiece handles a piece without a result: its inputs are prepared again if they are gone, and otherwise the piece is
 // queued again.
-func (s *Scheduler) failPiece(i order.Item, reason order.ItemReason) {
+func (s *Scheduler) failPiece(c *call, i order.Item, reason order.ItemReason) {
 	r, ok := s.requests[i.Key]
 	if !ok {
 		return
 	}
 	if reason == order.ItemGone {
-		s.rebuildOrRefuse(r)
+		s.rebuildOrRefuse(r, c.reset(order.ResetGone, r, i))
 		return
 	}
-	s.requeuePiece(i, true)
+	s.requeuePiece(c, i, true)
 }
 
-// requeuePiece puts a piece back into the queue of its stage. If counted is set, this adds to the failures of the
+// reset describes a reset of a request's stages that the outcome of a piece of the call causes.
+func (c *call) reset(cause order.ResetCause, r *request, i order.Item) order.Reset {
+	return order.Reset{
+		Cause: cause, Call: c.number, Stage: i.Stage, Piece: i.Piece, Overdue: c.overdue, Made: r.stages[i.Stage].handles[i.Piece] != "",
+	}
+}
+
+// requeuePiece puts a piece of a call back into the queue of its stage. If counted is set, this adds to the failures of the
 // stage, and the request is refused once they exceed their limit.
-func (s *Scheduler) requeuePiece(i order.Item, countFailure bool) {
+func (s *Scheduler) requeuePiece(c *call, i order.Item, countFailure bool) {
 	r, ok := s.requests[i.Key]
 	if !ok || r.stages[i.Stage].handles[i.Piece] != "" {
 		return
 	}
 	if r.hasFreedInputs(i.Stage) {
-		s.rebuildOrRefuse(r)
+		s.rebuildOrRefuse(r, c.reset(order.ResetFreed, r, i))
 		return
 	}
 	st := &r.stages[i.Stage]
@@ -237,7 +244,7 @@
 		s.adjustRunning(c, -1)
 		c.endpoint.RecordOverdue(float64(s.now-c.startedAt) / max(1, float64(c.expectedTime)))
 		for _, i := range c.items {
-			s.requeuePiece(i, false)
+			s.requeuePiece(c, i, false)
 		}
 	}
 }
--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -107,18 +107,23 @@
 
 // rebuildOrRefuse prepares the inputs of a request again, or refuses the request if it was rebuilt too often or if that
 // would delay other requests.
-func (s *Scheduler) rebuildOrRefuse(r *request) {
+func (s *Scheduler) rebuildOrRefuse(r *request, reset order.Reset) {
 	if r.rebuilds >= maxRebuilds || !s.hasSpareCapacity(r) {
 		s.refuse(r, core.ReasonInputsLost, s.expectedTime(r))
 		s.drop(r)
 		return
 	}
 	r.rebuilds++
-	s.rebuildInputs(r)
+	s.rebuildInputs(r, reset)
 }
 
-// rebuildInputs prepares all inputs of a request again after one was lost.
-func (s *Scheduler) rebuildInputs(r *request) {
+// rebuildInputs prepares all inputs of a request again. reset tells why.
+func (s *Scheduler) rebuildInputs(r *request, reset order.Reset) {
+	reset.ID, reset.Rebuilds = r.ID, r.rebuilds
+	if r.endpoint != nil {
+		reset.Endpoint = r.endpoint.ID
+	}
+	s.actions = append(s.actions, order.Action{Reset: &reset})
 	s.freeAllResults(r)
 	r.freed = false
 	s.dequeue(r)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -334,7 +334,7 @@
 	case ending == order.GoneInput && r.rebuilds < maxRebuilds:
 		r.rebuilds++
 		r.attempts--
-		s.rebuildInputs(r)
+		s.rebuildInputs(r, order.Reset{Cause: order.ResetUnserved})
 	default:
 		s.requeue(r)
 	}
@@ -344,7 +344,7 @@
 // requeue makes a request wait for another endpoint. Its inputs are prepared again first if they have been freed.
 func (s *Scheduler) requeue(r *request) {
 	if r.freed && len(r.stages) > 0 {
-		s.rebuildInputs(r)
+		s.rebuildInputs(r, order.Reset{Cause: order.ResetRetried})
 		return
 	}
 	s.enqueue(r)
@@ -376,7 +376,7 @@
 			s.refuseEvacuated(r)
 			s.drop(r)
 		case r.inputsExpired(now):
-			s.rebuildOrRefuse(r)
+			s.rebuildOrRefuse(r, order.Reset{Cause: order.ResetExpired})
 		case now+s.minTime(r) > r.deadlineAt:
 			s.refuse(r, core.ReasonDeadlineExceeded, s.minTime(r))
 			s.drop(r)
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -403,6 +403,11 @@
 				"queue", action.Refuse.Queue.Service, "pieces_before", action.Refuse.Queue.Pieces, "wait_ms", action.Refuse.Queue.Wait)
 			a.meter.Count("assign_refused_total", 1, "reason", string(action.Refuse.Reason))
 			a.deliver(action.Refuse.Key, action)
+		case action.Reset != nil:
+			x := action.Reset
+			a.log.Info("inputs prepared again", "request", x.ID, "cause", x.Cause, "call", x.Call, "stage", x.Stage, "piece", x.Piece,
+				"overdue", x.Overdue, "made", x.Made, "endpoint", x.Endpoint, "rebuilds", x.Rebuilds)
+			a.meter.Count("assign_resets_total", 1, "cause", string(x.Cause))
 		case action.Call != nil:
 			a.meter.Observe("stage_call_items", int64(len(action.Call.Items)), "service", action.Call.Service)
 			call := *action.Call
