Ignore failures of pieces whose results another call has made

Cause: a stage call is overdue, its pieces are run at another endpoint, the request is granted, and inputs that nobody needs any more are freed. The late call then says that its inputs are gone, and failPiece prepared all stages of the request again, whatever had become of the piece. The request is queued with the empty handles of the new stages when its attempt breaks off. The same happens without a silent endpoint, if the second of two runs finds the inputs freed after the first.

Why this works: an outcome is asked whether its request still waits for the piece before it changes anything, in one place for results, failures and overdue calls. A granted request has all its results, so no outcome of a stage call can reset it.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -197,8 +197,9 @@
 	RequestRuns  *RunningRequest
 	RequestBegan *Key
 	RequestEnded *Key
-	// Reset reports a decision and orders nothing.
-	Reset *Reset
+	// Reset and Ignored report decisions and order nothing.
+	Reset   *Reset
+	Ignored *Ignored
 }
 
 // Reset reports that all stages of a request are prepared again.
@@ -208,8 +209,8 @@
 	// Call, Stage and Piece identify the outcome of a stage call that caused the reset. Call is 0 if no call did.
 	Call         uint64
 	Stage, Piece int
-	// Overdue means that the pieces of the call were also started at another endpoint, and Made that the piece had a result.
-	Overdue, Made bool
+	// Overdue means that the pieces of the call were also started at another endpoint.
+	Overdue bool
 	// Endpoint is the endpoint that the request was granted when its stages were reset, if it had one.
 	Endpoint core.EndpointID
 	// Rebuilds is how often inputs of the request were lost so far.
@@ -231,6 +232,26 @@
 	ResetRetried ResetCause = "Retried"
 )
 
+// Ignored reports that failures of a request's pieces in a stage call change nothing.
+type Ignored struct {
+	ID   core.RequestID
+	Call uint64
+	// Stage is the stage of the pieces, and Pieces their number.
+	Stage, Pieces int
+	// Reason is that of the first piece, empty if the whole call failed.
+	Reason ItemReason
+	Why    IgnoreCause
+}
+
+// IgnoreCause is the reason why the failure of a piece changes nothing.
+type IgnoreCause string
+
+// The causes.
+const (
+	// IgnoredMade means that another call has made the result of the piece.
+	IgnoredMade IgnoreCause = "Made"
+)
+
 // StageKey identifies a stage of a request.
 type StageKey struct {
 	Key   Key
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -104,7 +104,7 @@
 		// An endpoint that has ended hasn't run the call and gets no other one.
 		counted := ending != order.Rejected && ending != order.OtherEndpoint
 		for _, i := range c.items {
-			s.requeuePiece(c, i, counted)
+			s.failPiece(c, i, "", counted)
 		}
 	}
 	s.passDue = true
@@ -132,22 +132,28 @@
 	}
 }
 
+// pendingRequest returns the request of a piece, and whether it still waits for the piece's result. Another call may have made it meanwhile,
+// and the inputs of the piece may have been freed since.
+func (s *Scheduler) pendingRequest(i order.Item) (*request, bool) {
+	r, ok := s.requests[i.Key]
+	return r, ok && r.stages[i.Stage].handles[i.Piece] == ""
+}
+
 // completePiece stores the result of a piece, or handles its failure. A result that is not needed any more is freed.
 func (s *Scheduler) completePiece(c *call, i order.Item, result order.ItemResult) {
 	if result.Handle != "" {
 		s.totals.ResultsMade++
 	}
-	r, ok := s.requests[i.Key]
-	wanted := ok && r.stages[i.Stage].handles[i.Piece] == ""
+	r, pending := s.pendingRequest(i)
 	switch {
 	case result.Handle == "":
 		if result.Reason == order.ItemNoRoom {
 			s.totals.NoRoom++
 		}
 		c.endpoint.FreeResults(i.Bytes)
-		s.failPiece(c, i, result.Reason)
+		s.failPiece(c, i, result.Reason, true)
 		return
-	case !wanted:
+	case !pending:
 		s.totals.ResultsUnused++
 		s.freeResults([]string{result.Handle}, c.endpoint, i.Bytes, s.expiryOfResult(c.endpoint.Service))
 		return
@@ -179,36 +185,42 @@
 	return s.now
 }
 
-// failPiece handles a piece without a result: its inputs are prepared again if they are gone, and otherwise the piece is
-// queued again.
-func (s *Scheduler) failPiece(c *call, i order.Item, reason order.ItemReason) {
-	r, ok := s.requests[i.Key]
-	if !ok {
-		return
+// failPiece handles a run of a piece without a result: if the piece is pending, its inputs are prepared again if they are gone, and
+// otherwise the piece is queued again. reason is empty if the whole call failed.
+func (s *Scheduler) failPiece(c *call, i order.Item, reason order.ItemReason, countFailure bool) {
+	r, pending := s.pendingRequest(i)
+	switch {
+	case r == nil:
+	case !pending:
+		s.ignore(c, i, reason, order.IgnoredMade)
+	case reason == order.ItemGone:
+		s.rebuildOrRefuse(r, c.reset(order.ResetGone, i))
+	default:
+		s.requeuePiece(c, i, r, countFailure)
 	}
-	if reason == order.ItemGone {
-		s.rebuildOrRefuse(r, c.reset(order.ResetGone, r, i))
-		return
+}
+
+// ignore reports a failure of a piece that changes nothing, together with those of the same stage in the call.
+func (s *Scheduler) ignore(c *call, i order.Item, reason order.ItemReason, why order.IgnoreCause) {
+	if n := len(s.actions); n > 0 && s.actions[n-1].Ignored != nil {
+		if x := s.actions[n-1].Ignored; x.Call == c.number && x.ID == i.ID && x.Stage == i.Stage && x.Why == why {
+			x.Pieces++
+			return
+		}
 	}
-	s.requeuePiece(c, i, true)
+	s.actions = append(s.actions, order.Action{Ignored: &order.Ignored{ID: i.ID, Call: c.number, Stage: i.Stage, Pieces: 1, Reason: reason, Why: why}})
 }
 
 // reset describes a reset of a request's stages that the outcome of a piece of the call causes.
-func (c *call) reset(cause order.ResetCause, r *request, i order.Item) order.Reset {
-	return order.Reset{
-		Cause: cause, Call: c.number, Stage: i.Stage, Piece: i.Piece, Overdue: c.overdue, Made: r.stages[i.Stage].handles[i.Piece] != "",
-	}
+func (c *call) reset(cause order.ResetCause, i order.Item) order.Reset {
+	return order.Reset{Cause: cause, Call: c.number, Stage: i.Stage, Piece: i.Piece, Overdue: c.overdue}
 }
 
-// requeuePiece puts a piece of a call back into the queue of its stage. If counted is set, this adds to the failures of the
+// requeuePiece puts a pending piece of a call back into the queue of its stage. If countFailure is set, this adds to the failures of the
 // stage, and the request is refused once they exceed their limit.
-func (s *Scheduler) requeuePiece(c *call, i order.Item, countFailure bool) {
-	r, ok := s.requests[i.Key]
-	if !ok || r.stages[i.Stage].handles[i.Piece] != "" {
-		return
-	}
+func (s *Scheduler) requeuePiece(c *call, i order.Item, r *request, countFailure bool) {
 	if r.hasFreedInputs(i.Stage) {
-		s.rebuildOrRefuse(r, c.reset(order.ResetFreed, r, i))
+		s.rebuildOrRefuse(r, c.reset(order.ResetFreed, i))
 		return
 	}
 	st := &r.stages[i.Stage]
@@ -244,7 +256,9 @@
 		s.adjustRunning(c, -1)
 		c.endpoint.RecordOverdue(float64(s.now-c.startedAt) / max(1, float64(c.expectedTime)))
 		for _, i := range c.items {
-			s.requeuePiece(c, i, false)
+			if r, pending := s.pendingRequest(i); pending {
+				s.requeuePiece(c, i, r, false)
+			}
 		}
 	}
 }
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -406,8 +406,12 @@
 		case action.Reset != nil:
 			x := action.Reset
 			a.log.Info("inputs prepared again", "request", x.ID, "cause", x.Cause, "call", x.Call, "stage", x.Stage, "piece", x.Piece,
-				"overdue", x.Overdue, "made", x.Made, "endpoint", x.Endpoint, "rebuilds", x.Rebuilds)
+				"overdue", x.Overdue, "endpoint", x.Endpoint, "rebuilds", x.Rebuilds)
 			a.meter.Count("assign_resets_total", 1, "cause", string(x.Cause))
+		case action.Ignored != nil:
+			x := action.Ignored
+			a.log.Info("failed pieces ignored", "request", x.ID, "why", x.Why, "call", x.Call, "stage", x.Stage, "pieces", x.Pieces, "reason", x.Reason)
+			a.meter.Count("assign_pieces_ignored_total", int64(x.Pieces), "why", string(x.Why))
 		case action.Call != nil:
 			a.meter.Observe("stage_call_items", int64(len(action.Call.Items)), "service", action.Call.Service)
 			call := *action.Call
