Apply outcomes of stage calls only to the preparation that they were sent for

Cause: a stage call names request, stage and piece, but the stages of a request may be prepared more than once. Each outcome of a call that had been sent before a reset was taken for one of the new stages: a failure queued a piece whose inputs do not exist yet, inputs that are gone reset the new stages or refused the request, one answer with two lost inputs used up both rebuilds, a fetch let new inputs be freed early, a result was used beside the new ones.

Why this works: each preparation has a number that is unique at its scheduler, so that a request which is placed again under its key differs too, and an outcome counts only if its piece has the number in force.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -135,10 +135,12 @@
 
 // Item is one piece in a call to a stage's endpoint.
 type Item struct {
-	Key   Key
-	ID    core.RequestID
-	Stage int
-	Piece int
+	Key Key
+	ID  core.RequestID
+	// Preparation is the preparation of the request's stages that the piece belongs to. Its number is unique at a scheduler.
+	Preparation uint64
+	Stage       int
+	Piece       int
 	// Left is the time that remains until the deadline of the request.
 	Left core.Millis
 	// PieceKey is set for stages that need no results of other stages, Inputs for all others.
@@ -209,6 +211,8 @@
 	// Call, Stage and Piece identify the outcome of a stage call that caused the reset. Call is 0 if no call did.
 	Call         uint64
 	Stage, Piece int
+	// Preparation is the one that begins.
+	Preparation uint64
 	// Overdue means that the pieces of the call were also started at another endpoint.
 	Overdue bool
 	// Endpoint is the endpoint that the request was granted when its stages were reset, if it had one.
@@ -250,6 +254,8 @@
 const (
 	// IgnoredMade means that another call has made the result of the piece.
 	IgnoredMade IgnoreCause = "Made"
+	// IgnoredEarlier means that the call was sent for an earlier preparation of the request's stages.
+	IgnoredEarlier IgnoreCause = "Earlier"
 )
 
 // StageKey identifies a stage of a request.
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -121,21 +121,26 @@
 	return float64(noRoom) / float64(max(1, len(results)))
 }
 
-// adjustRunning adds by to the running count of the stage of each item in a call. A stage that was restarted after the
-// call began counts from zero, so the count is kept from going negative.
+// adjustRunning adds by to the running count of the stage of each item in a call.
 func (s *Scheduler) adjustRunning(c *call, by int) {
 	for _, i := range c.items {
-		if r, ok := s.requests[i.Key]; ok {
-			st := &r.stages[i.Stage]
-			st.running = max(0, st.running+by)
+		if r, ok := s.preparing(i); ok {
+			r.stages[i.Stage].running += by
 		}
 	}
 }
 
+// preparing returns the request of a piece, and whether the piece belongs to the present preparation of its stages. The request
+// may have been placed again, or its stages may have been reset, so that even the inputs of the piece may not exist yet.
+func (s *Scheduler) preparing(i order.Item) (*request, bool) {
+	r, ok := s.requests[i.Key]
+	return r, ok && r.preparation == i.Preparation
+}
+
 // pendingRequest returns the request of a piece, and whether it still waits for the piece's result. Another call may have made it meanwhile,
 // and the inputs of the piece may have been freed since.
 func (s *Scheduler) pendingRequest(i order.Item) (*request, bool) {
-	r, ok := s.requests[i.Key]
+	r, ok := s.preparing(i)
 	return r, ok && r.stages[i.Stage].handles[i.Piece] == ""
 }
 
@@ -191,6 +196,8 @@
 	r, pending := s.pendingRequest(i)
 	switch {
 	case r == nil:
+	case r.preparation != i.Preparation:
+		s.ignore(c, i, reason, order.IgnoredEarlier)
 	case !pending:
 		s.ignore(c, i, reason, order.IgnoredMade)
 	case reason == order.ItemGone:
--- a/core/sched/fetch.go
+++ b/core/sched/fetch.go
@@ -48,7 +48,7 @@
 		}
 		c.fetchedAt = 0
 		for _, i := range c.items {
-			r, ok := s.requests[i.Key]
+			r, ok := s.preparing(i)
 			if !ok {
 				continue
 			}
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -282,7 +282,7 @@
 
 func (s *Scheduler) newItem(r *request, stage, piece int) order.Item {
 	i := order.Item{
-		Key: r.Key, ID: r.ID, Stage: stage, Piece: piece, Left: r.deadlineAt - s.now,
+		Key: r.Key, ID: r.ID, Preparation: r.preparation, Stage: stage, Piece: piece, Left: r.deadlineAt - s.now,
 		Bytes: r.stages[stage].Bytes,
 	}
 	if st := r.stages[stage]; len(st.After) == 0 {
--- a/core/sched/inherit.go
+++ b/core/sched/inherit.go
@@ -17,7 +17,7 @@
 func (s *Scheduler) reportResults(c *call, results []order.ItemResult) {
 	var current *order.HeldResults
 	for n, i := range c.items {
-		r, ok := s.requests[i.Key]
+		r, ok := s.preparing(i)
 		handle := results[n].Handle
 		if !ok || handle == "" || r.stages[i.Stage].handles[i.Piece] != handle {
 			continue
--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -25,7 +25,7 @@
 	// held counts the results of the stage that endpoints hold, and heldIn counts them by failure domain.
 	held   int
 	heldIn map[core.FailureDomain]int
-	// running counts the pieces in calls that are not overdue.
+	// running counts the pieces of the present preparation in calls that are not overdue.
 	running  int
 	failures int
 	// fetched marks the pieces whose calls have fetched their inputs. freed is set when the results were freed before
@@ -119,7 +119,9 @@
 
 // rebuildInputs prepares all inputs of a request again. reset tells why.
 func (s *Scheduler) rebuildInputs(r *request, reset order.Reset) {
-	reset.ID, reset.Rebuilds = r.ID, r.rebuilds
+	s.lastPreparation++
+	r.preparation = s.lastPreparation
+	reset.ID, reset.Rebuilds, reset.Preparation = r.ID, r.rebuilds, r.preparation
 	if r.endpoint != nil {
 		reset.Endpoint = r.endpoint.ID
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -35,6 +35,8 @@
 	incarnations map[core.HostID]core.Incarnation
 	calls        map[uint64]*call
 	lastCall     uint64
+	// lastPreparation is the number of the latest preparation of a request's stages.
+	lastPreparation uint64
 	// pendingFrees holds the freed results whose endpoints have not acknowledged the release yet, by the number of the
 	// release.
 	pendingFrees map[uint64]pendingFree
@@ -101,6 +103,8 @@
 	// due is when the first stage must begin to meet the aim; each less urgent priority adds priorityWeight.
 	due    core.Millis
 	stages []stageState
+	// preparation numbers the present preparation of the stages. Outcomes of stage calls count for the one that they were sent for.
+	preparation uint64
 	// final holds the stages whose results no other stage uses. It is nil until first computed.
 	final []int
 	// unfinished counts the stages that are not done.
@@ -210,7 +214,8 @@
 	// The host has not used a grant of an earlier scheduler if it places the request again.
 	s.endReported(a.Former)
 	r := &request{PlacementRequest: a, arrivedAt: now, aimAt: now + a.Aim, deadlineAt: now + a.Left, attempts: a.Attempts}
-	r.stages = make([]stageState, len(a.Stages))
+	s.lastPreparation++
+	r.preparation, r.stages = s.lastPreparation, make([]stageState, len(a.Stages))
 	for i, ask := range a.Stages {
 		r.stages[i] = newStage(ask, s.services[ask.Service])
 		r.stages[i].content = a.Content.ForStage(i)
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -406,7 +406,7 @@
 		case action.Reset != nil:
 			x := action.Reset
 			a.log.Info("inputs prepared again", "request", x.ID, "cause", x.Cause, "call", x.Call, "stage", x.Stage, "piece", x.Piece,
-				"overdue", x.Overdue, "endpoint", x.Endpoint, "rebuilds", x.Rebuilds)
+				"overdue", x.Overdue, "endpoint", x.Endpoint, "rebuilds", x.Rebuilds, "preparation", x.Preparation)
 			a.meter.Count("assign_resets_total", 1, "cause", string(x.Cause))
 		case action.Ignored != nil:
 			x := action.Ignored
