Leave pieces alone that were started elsewhere when their overdue call fails

Callers saw sound requests prepared again, and refused as InputsLost once their rebuilds were used up, while a second run of their pieces was in progress; endpoints ran pieces a third time.

Cause: when a call is overdue, its pieces are handed to another endpoint. A failure of the call was still taken for the state of the pieces: they were queued once more, or, where the second run had fetched its inputs and these were freed for want of room, all stages of the request were reset.

Why this works: such a piece waits in a queue or is in a call that is not overdue, whose own outcome follows. The failure still counts towards the limit of the stage, and inputs that are gone without having been freed here are still prepared again at once, which the second run would find too, only later.

Seen by stepping through the outcomes; no caller's failure was traced to it.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -256,6 +256,8 @@
 	IgnoredMade IgnoreCause = "Made"
 	// IgnoredEarlier means that the call was sent for an earlier preparation of the request's stages.
 	IgnoredEarlier IgnoreCause = "Earlier"
+	// IgnoredOverdue means that the call is overdue, so that the pieces wait for another endpoint or run there already.
+	IgnoredOverdue IgnoreCause = "Overdue"
 )
 
 // StageKey identifies a stage of a request.
--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -191,7 +191,7 @@
 }
 
 // failPiece handles a run of a piece without a result: if the piece is pending, its inputs are prepared again if they are gone, and
-// otherwise the piece is queued again. reason is empty if the whole call failed.
+// otherwise the piece is queued again, unless that has happened when the call became overdue. reason is empty if the whole call failed.
 func (s *Scheduler) failPiece(c *call, i order.Item, reason order.ItemReason, countFailure bool) {
 	r, pending := s.pendingRequest(i)
 	switch {
@@ -200,13 +200,31 @@
 		s.ignore(c, i, reason, order.IgnoredEarlier)
 	case !pending:
 		s.ignore(c, i, reason, order.IgnoredMade)
+	case c.overdue && reason == order.ItemGone && r.hasFreedInputs(i.Stage):
+		// The later run has fetched them.
+		s.ignore(c, i, reason, order.IgnoredOverdue)
 	case reason == order.ItemGone:
 		s.rebuildOrRefuse(r, c.reset(order.ResetGone, i))
+	case countFailure && s.failsTooOften(r, i.Stage):
+	case c.overdue:
+		s.ignore(c, i, reason, order.IgnoredOverdue)
 	default:
-		s.requeuePiece(c, i, r, countFailure)
+		s.requeuePiece(c, i, r)
 	}
 }
 
+// failsTooOften counts a failed run of a stage's piece. It refuses the request and returns true once a stage has failed too often.
+func (s *Scheduler) failsTooOften(r *request, stage int) bool {
+	st := &r.stages[stage]
+	st.failures++
+	if st.failures <= maxFailuresPerPiece*max(1, st.Pieces) {
+		return false
+	}
+	s.refuse(r, core.ReasonEndpointFailed, 0)
+	s.drop(r)
+	return true
+}
+
 // ignore reports a failure of a piece that changes nothing, together with those of the same stage in the call.
 func (s *Scheduler) ignore(c *call, i order.Item, reason order.ItemReason, why order.IgnoreCause) {
 	if n := len(s.actions); n > 0 && s.actions[n-1].Ignored != nil {
@@ -223,23 +241,14 @@
 	return order.Reset{Cause: cause, Call: c.number, Stage: i.Stage, Piece: i.Piece, Overdue: c.overdue}
 }
 
-// requeuePiece puts a pending piece of a call back into the queue of its stage. If countFailure is set, this adds to the failures of the
-// stage, and the request is refused once they exceed their limit.
-func (s *Scheduler) requeuePiece(c *call, i order.Item, r *request, countFailure bool) {
+// requeuePiece puts a pending piece of a call back into the queue of its stage.
+func (s *Scheduler) requeuePiece(c *call, i order.Item, r *request) {
 	if r.hasFreedInputs(i.Stage) {
 		s.rebuildOrRefuse(r, c.reset(order.ResetFreed, i))
 		return
 	}
 	st := &r.stages[i.Stage]
 	st.fetched[i.Piece] = false
-	if countFailure {
-		st.failures++
-	}
-	if st.failures > maxFailuresPerPiece*max(1, st.Pieces) {
-		s.refuse(r, core.ReasonEndpointFailed, 0)
-		s.drop(r)
-		return
-	}
 	svc := s.services[st.Service]
 	for _, g := range svc.groups {
 		if g.request == r && g.stage == i.Stage {
@@ -264,7 +273,7 @@
 		c.endpoint.RecordOverdue(float64(s.now-c.startedAt) / max(1, float64(c.expectedTime)))
 		for _, i := range c.items {
 			if r, pending := s.pendingRequest(i); pending {
-				s.requeuePiece(c, i, r, false)
+				s.requeuePiece(c, i, r)
 			}
 		}
 	}
