Take a piece out of its queue when a late call brings its result

Endpoints ran pieces whose results existed, some after the inputs had been freed, so that they found them gone.

Cause: when a call is overdue, its pieces are queued for another endpoint. If the late call brings the result while they wait, they stayed in the queue and were sent with the handles of inputs that had been released in the same step.

Why this works: a piece waits in a queue only before its first call, after a failure, or while its call is overdue, so the result of an overdue call is the only one that can find it there.

--- a/core/sched/call.go
+++ b/core/sched/call.go
@@ -163,6 +163,9 @@
 		s.freeResults([]string{result.Handle}, c.endpoint, i.Bytes, s.expiryOfResult(c.endpoint.Service))
 		return
 	}
+	if c.overdue {
+		s.unqueuePiece(r, i)
+	}
 	st := &r.stages[i.Stage]
 	st.handles[i.Piece] = result.Handle
 	st.missing--
@@ -261,6 +264,17 @@
 	svc.groups = append(svc.groups, &group{request: r, stage: i.Stage, pieces: []int{i.Piece}})
 }
 
+// unqueuePiece removes a piece from the queue of its stage if it waits for another run.
+func (s *Scheduler) unqueuePiece(r *request, i order.Item) {
+	svc := s.services[r.stages[i.Stage].Service]
+	for _, g := range svc.groups {
+		if g.request == r && g.stage == i.Stage {
+			g.pieces = slices.DeleteFunc(g.pieces, func(piece int) bool { return piece == i.Piece })
+		}
+	}
+	svc.groups = slices.DeleteFunc(svc.groups, func(g *group) bool { return len(g.pieces) == 0 })
+}
+
 // restartOverdueCalls queues the pieces of overdue calls again, so that another endpoint runs them as well.
 func (s *Scheduler) restartOverdueCalls() {
 	for _, number := range s.sortedCallNumbers() {
