Keep the identity of pieces when the stages of their request are reset

Sound requests could be suspected beside one that crashes endpoints, and convicted pieces ran once more.

Cause: rebuildInputs made the states of the stages without the content by which pieces that crash endpoints are recognised, so that all pieces that were prepared again had the content 0; only AddRequest set it. A reset also did not look whether a stage has been convicted since the request arrived.

Found by reading; no caller's failure was traced to it.

Why this works: one function makes the states for arrivals and resets, and a reset refuses convicted requests as an arrival does.

--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -119,24 +119,36 @@
 
 // rebuildInputs prepares all inputs of a request again. reset tells why.
 func (s *Scheduler) rebuildInputs(r *request, reset order.Reset) {
-	s.lastPreparation++
-	r.preparation = s.lastPreparation
-	reset.ID, reset.Rebuilds, reset.Preparation = r.ID, r.rebuilds, r.preparation
+	reset.ID, reset.Rebuilds = r.ID, r.rebuilds
 	if r.endpoint != nil {
 		reset.Endpoint = r.endpoint.ID
 	}
-	s.actions = append(s.actions, order.Action{Reset: &reset})
 	s.freeAllResults(r)
 	r.freed = false
 	s.dequeue(r)
-	r.unfinished = 0
 	r.addWork(-1)
-	for i := range r.stages {
-		r.stages[i] = newStage(r.stages[i].StageRequest, s.services[r.stages[i].Service])
-		if r.stages[i].Pieces > 0 {
+	s.resetStages(r)
+	r.addWork(1)
+	reset.Preparation = r.preparation
+	s.actions = append(s.actions, order.Action{Reset: &reset})
+	if suspicion, convicted := s.convictedStage(r); convicted {
+		s.refuseConvicted(r, suspicion)
+		s.drop(r)
+		return
+	}
+	s.advance(r)
+}
+
+// resetStages begins a preparation of a request's stages, none of which has a result.
+func (s *Scheduler) resetStages(r *request) {
+	s.lastPreparation++
+	r.preparation, r.unfinished = s.lastPreparation, 0
+	r.stages = make([]stageState, len(r.Stages))
+	for i, ask := range r.Stages {
+		r.stages[i] = newStage(ask, s.services[ask.Service])
+		r.stages[i].content = r.Content.ForStage(i)
+		if ask.Pieces > 0 {
 			r.unfinished++
 		}
 	}
-	r.addWork(1)
-	s.advance(r)
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -214,15 +214,7 @@
 	// The host has not used a grant of an earlier scheduler if it places the request again.
 	s.endReported(a.Former)
 	r := &request{PlacementRequest: a, arrivedAt: now, aimAt: now + a.Aim, deadlineAt: now + a.Left, attempts: a.Attempts}
-	s.lastPreparation++
-	r.preparation, r.stages = s.lastPreparation, make([]stageState, len(a.Stages))
-	for i, ask := range a.Stages {
-		r.stages[i] = newStage(ask, s.services[ask.Service])
-		r.stages[i].content = a.Content.ForStage(i)
-		if ask.Pieces > 0 {
-			r.unfinished++
-		}
-	}
+	s.resetStages(r)
 	s.claimResults(r)
 	if suspicion, convicted := s.convictedStage(r); convicted {
 		s.refuseConvicted(r, suspicion)
