Withhold stage calls and grants whose inputs are not complete

The check is the last one before the order, costs a look at the stages that the work follows, and repairs nothing by itself: the order is logged as a fault and counted (assign_withheld_total), and the request is prepared again.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -199,9 +199,10 @@
 	RequestRuns  *RunningRequest
 	RequestBegan *Key
 	RequestEnded *Key
-	// Reset and Ignored report decisions and order nothing.
-	Reset   *Reset
-	Ignored *Ignored
+	// Reset, Ignored and Withheld report decisions and order nothing.
+	Reset    *Reset
+	Ignored  *Ignored
+	Withheld *Withheld
 }
 
 // Reset reports that all stages of a request are prepared again.
@@ -231,11 +232,24 @@
 	// ResetGone means that a stage call found an input gone, and ResetUnserved that the endpoint of an attempt did.
 	ResetGone     ResetCause = "Gone"
 	ResetUnserved ResetCause = "Unserved"
+	// ResetWithheld means that an order was withheld because its inputs were not complete.
+	ResetWithheld ResetCause = "Withheld"
 	// ResetFreed means that a piece must run again whose inputs were freed, and ResetRetried that the request must.
 	ResetFreed   ResetCause = "Freed"
 	ResetRetried ResetCause = "Retried"
 )
 
+// Withheld reports that a stage call or a grant was not ordered, since its inputs are not complete. That is a fault of the scheduler.
+type Withheld struct {
+	ID core.RequestID
+	// Call is set for a stage call with pieces of Stage, and not set for a grant.
+	Call  bool
+	Stage int
+	// Preparation is that of the request's stages, and Inputs are the stages whose results are needed.
+	Preparation uint64
+	Inputs      []int
+}
+
 // Ignored reports that failures of a request's pieces in a stage call change nothing.
 type Ignored struct {
 	ID   core.RequestID
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -105,11 +105,19 @@
 		if e == nil {
 			return
 		}
-		items, bytes := s.takePieces(svc, e, keys)
+		items, bytes, incomplete := s.takePieces(svc, e, keys)
+		if len(items) > 0 {
+			s.startCall(svc, e, items, bytes)
+		}
+		for _, g := range incomplete {
+			// A group of the same request may have reset it.
+			if slices.Contains(svc.groups, g) {
+				s.withhold(g.request, order.Withheld{Call: true, Stage: g.stage, Inputs: g.request.stages[g.stage].After})
+			}
+		}
 		if len(items) == 0 {
 			return
 		}
-		s.startCall(svc, e, items, bytes)
 	}
 }
 
@@ -244,8 +252,9 @@
 	return longestOther > r.pathTimes[g.stage]+earlyMargin
 }
 
-// takePieces removes the most urgent pieces from the queue, as many as fit into a call and into the endpoint's room.
-func (s *Scheduler) takePieces(svc *service, e *fleet.Endpoint, keys map[*group]float64) ([]order.Item, int64) {
+// takePieces removes the most urgent pieces from the queue, as many as fit into a call and into the endpoint's room. It also returns the
+// groups that it has left out because their inputs are not complete.
+func (s *Scheduler) takePieces(svc *service, e *fleet.Endpoint, keys map[*group]float64) ([]order.Item, int64, []*group) {
 	slices.SortStableFunc(svc.groups, func(a, b *group) int {
 		return cmp.Compare(keys[a]+a.crossDomainCost(e), keys[b]+b.crossDomainCost(e))
 	})
@@ -257,11 +266,16 @@
 	}
 	var items []order.Item
 	var bytes int64
+	var incomplete []*group
 	room := e.FreeBytes()
 	for _, g := range svc.groups {
 		if keys[g] >= notYetKey || s.waitsForCloser(svc, g, e) {
 			continue
 		}
+		if !g.request.holdsInputs(g.request.stages[g.stage].After) {
+			incomplete = append(incomplete, g)
+			continue
+		}
 		alone := s.runsAlone(g)
 		if alone && len(items) > 0 {
 			continue
@@ -277,7 +291,7 @@
 		}
 	}
 	svc.groups = slices.DeleteFunc(svc.groups, func(g *group) bool { return len(g.pieces) == 0 })
-	return items, bytes
+	return items, bytes, incomplete
 }
 
 func (s *Scheduler) newItem(r *request, stage, piece int) order.Item {
--- a/core/sched/inputs.go
+++ b/core/sched/inputs.go
@@ -52,6 +52,22 @@
 	return true
 }
 
+// holdsInputs reports whether endpoints hold a result of each piece of the given stages.
+func (r *request) holdsInputs(stages []int) bool {
+	return !slices.ContainsFunc(stages, func(i int) bool {
+		st := &r.stages[i]
+		return st.missing > 0 || st.held != st.Pieces || slices.Contains(st.handles, "")
+	})
+}
+
+// withhold reports an order that would name incomplete inputs, and prepares them again.
+func (s *Scheduler) withhold(r *request, x order.Withheld) {
+	x.ID, x.Preparation = r.ID, r.preparation
+	s.actions = append(s.actions, order.Action{Withheld: &x})
+	s.rebuildOrRefuse(r, order.Reset{Cause: order.ResetWithheld, Stage: x.Stage})
+	s.passDue = true
+}
+
 // inputHandles returns the handles of all pieces of the given stages.
 func (r *request) inputHandles(stages []int) []string {
 	var list []string
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -23,8 +23,12 @@
 	slices.SortStableFunc(svc.waiting, func(a, b *request) int {
 		return cmp.Compare(s.schedulingKey(a, remaining), s.schedulingKey(b, remaining))
 	})
-	var unplaced, paused, limited, gone []*request
+	var unplaced, paused, limited, gone, incomplete []*request
 	for _, r := range svc.waiting {
+		if !r.holdsInputs(r.finalStages()) {
+			incomplete = append(incomplete, r)
+			continue
+		}
 		e, cost := s.chooseEndpoint(svc, r)
 		if e == nil {
 			switch s.waitingRefusal(svc, r, len(unplaced), remaining) {
@@ -42,6 +46,9 @@
 		s.grant(r, e, cost)
 	}
 	svc.waiting = unplaced
+	for _, r := range incomplete {
+		s.withhold(r, order.Withheld{Inputs: r.finalStages()})
+	}
 	for _, r := range gone {
 		s.refuseVersion(r)
 		s.drop(r)
--- a/core/sched/random_test.go
+++ b/core/sched/random_test.go
@@ -233,6 +233,8 @@
 func (p *randomPlay) carryOut(actions []order.Action) {
 	for _, a := range actions {
 		switch {
+		case a.Withheld != nil:
+			p.Fatalf("%d ms: an order is withheld: %+v", p.time, *a.Withheld)
 		case a.Grant != nil:
 			p.grant(*a.Grant)
 		case a.Refuse != nil:
--- a/io/assign/assigner.go
+++ b/io/assign/assigner.go
@@ -408,6 +408,10 @@
 			a.log.Info("inputs prepared again", "request", x.ID, "cause", x.Cause, "call", x.Call, "stage", x.Stage, "piece", x.Piece,
 				"overdue", x.Overdue, "endpoint", x.Endpoint, "rebuilds", x.Rebuilds, "preparation", x.Preparation)
 			a.meter.Count("assign_resets_total", 1, "cause", string(x.Cause))
+		case action.Withheld != nil:
+			x := action.Withheld
+			a.log.Error("order withheld: its inputs are not complete", "request", x.ID, "stage_call", x.Call, "stage", x.Stage, "inputs", x.Inputs, "preparation", x.Preparation)
+			a.meter.Count("assign_withheld_total", 1)
 		case action.Ignored != nil:
 			x := action.Ignored
 			a.log.Info("failed pieces ignored", "request", x.ID, "why", x.Why, "call", x.Call, "stage", x.Stage, "pieces", x.Pieces, "reason", x.Reason)
