Queue a request once if the end of its attempt is reported twice

A second report of an attempt's end queued its request twice, so that it got two endpoints, or before its stages were prepared again, with empty inputs.

--- a/core/sched/random_test.go
+++ b/core/sched/random_test.go
@@ -329,6 +329,9 @@
 			return
 		}
 		p.AttemptEnded(p.time, g.Key, how, again)
+		if p.rng.IntN(8) == 0 {
+			p.AttemptEnded(p.time, g.Key, how, again)
+		}
 	}
 	if slices.ContainsFunc(g.Inputs, func(handle string) bool { return !p.exists(handle) }) {
 		p.after(20, func() { end(order.GoneInput, true) })
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -308,6 +308,10 @@
 		s.recordFormerEnding(key, ending)
 		return
 	}
+	if r.endpoint == nil && again {
+		// The end of the attempt was reported before, and the request waits or is being prepared.
+		return
+	}
 	if r.endpoint != nil {
 		s.dropBudgets()
 		s.recordEnding(r.endpoint, r.grantedAt, ending, r.endpoint.Running())
