--- a/io/assign/roster.go
+++ b/io/assign/roster.go
@@ -45,8 +45,7 @@
 		return stale, nil
 	}
 	known, ok := r.entries[endpoint.ID]
-	if ok && (known.Endpoint.Incarnation > endpoint.Incarnation ||
-		known.Endpoint.Incarnation == endpoint.Incarnation && known.Seq >= a.Seq) {
+	if ok && (known.Endpoint.Incarnation > endpoint.Incarnation || known.Endpoint.Incarnation == endpoint.Incarnation && !known.precedes(a)) {
 		return stale, nil
 	}
 	var replaced []core.EndpointID
@@ -67,6 +66,15 @@
 	return current, replaced
 }
 
+// precedes reports whether an announcement of the same incarnation takes the place of this one. One without a version is not the endpoint's own
+// if another has one, and its count says nothing: a host of an earlier release may pass on what another writer has sent.
+func (e rosterEntry) precedes(a Announcement) bool {
+	if (e.Endpoint.Version == "") != (a.Endpoint.Version == "") {
+		return e.Endpoint.Version == ""
+	}
+	return e.Seq < a.Seq
+}
+
 // removeSilent removes and returns the endpoints without an announcement for longer than maxSilence.
 func (r *roster) removeSilent(now core.Millis) []core.EndpointID {
 	var removed []core.EndpointID
--- a/io/assign/roster_test.go
+++ b/io/assign/roster_test.go
@@ -24,6 +24,7 @@
 			ID      core.EndpointID
 			Born    core.Incarnation
 			Seq     uint64
+			Version string
 			Address string
 			Leaving bool
 			Stale   bool
@@ -40,7 +41,7 @@
 			r := newRoster(core.Second)
 			for i, h := range c.Heard {
 				a := Announcement{
-					Endpoint: order.Endpoint{ID: h.ID, Incarnation: h.Born, Address: h.Address}, Seq: h.Seq, Leaving: h.Leaving,
+					Endpoint: order.Endpoint{ID: h.ID, Incarnation: h.Born, Version: h.Version, Address: h.Address}, Seq: h.Seq, Leaving: h.Leaving,
 				}
 				s, _ := r.apply(core.Millis(i), a, retired)
 				must.Eq(t, h.Stale, s == stale, must.Sprintf("announcement %d", i))
