--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -269,6 +269,9 @@
 	var incomplete []*group
 	room := e.FreeBytes()
 	for _, g := range svc.groups {
+		if len(items) >= maxItems {
+			break
+		}
 		if keys[g] >= notYetKey || s.waitsForCloser(svc, g, e) {
 			continue
 		}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -25,10 +25,6 @@
 	})
 	var unplaced, paused, limited, gone, incomplete []*request
 	for _, r := range svc.waiting {
-		if !r.holdsInputs(r.finalStages()) {
-			incomplete = append(incomplete, r)
-			continue
-		}
 		e, cost := s.chooseEndpoint(svc, r)
 		if e == nil {
 			switch s.waitingRefusal(svc, r, len(unplaced), remaining) {
@@ -43,6 +39,10 @@
 			}
 			continue
 		}
+		if !r.holdsInputs(r.finalStages()) {
+			incomplete = append(incomplete, r)
+			continue
+		}
 		s.grant(r, e, cost)
 	}
 	svc.waiting = unplaced
