Log how answers without a length end, and which side ends carried connections

Cause: a cut answer that looks whole could not be told from a whole one in the logs: neither the framing of the endpoint's answer nor the side that ended a carried connection was written. Change: until_close and unproven in 'attempt ended', ended in 'connection carried', and a counter for each; no decision changes. Tests of io/carry, io/pipe and io/entry pass.

--- a/io/carry/carrier.go
+++ b/io/carry/carrier.go
@@ -69,8 +69,9 @@
 	}
 	defer c.carried.Add(-1)
 	began := time.Now()
-	sent, received := c.copyBothWays(conn, endpoint)
-	c.log.Info("connection carried", "remote", conn.RemoteAddr(), "address", address, "sent_bytes", sent, "received_bytes", received,
+	sent, received, ended := c.copyBothWays(conn, endpoint)
+	c.meter.Count("carried_connections_ended_total", 1, "ended", string(ended))
+	c.log.Info("connection carried", "remote", conn.RemoteAddr(), "address", address, "sent_bytes", sent, "received_bytes", received, "ended", ended,
 		"took_ms", time.Since(began).Milliseconds(), "carried", c.carried.Load())
 }
 
@@ -105,25 +106,43 @@
 	return nil, unreachable, err
 }
 
-// copyBothWays copies bytes until either side ends, and returns how many it has sent to the endpoint and received from it.
-func (c *Carrier) copyBothWays(conn, endpoint net.Conn) (sent, received int64) {
+// ending is how a carried connection ended.
+type ending string
+
+const (
+	// byEndpoint means that the endpoint has ended it in order, brokenByEndpoint that its connection broke, and byHost that the other host is gone or
+	// has closed it.
+	byEndpoint       ending = "Endpoint"
+	brokenByEndpoint ending = "EndpointBroken"
+	byHost           ending = "Host"
+)
+
+// copyBothWays copies bytes until either side ends, and returns how many it has sent to the endpoint and received from it, and which side ended it.
+func (c *Carrier) copyBothWays(conn, endpoint net.Conn) (sent, received int64, ended ending) {
+	var hostEnded atomic.Bool
 	var up sync.WaitGroup
 	up.Go(func() {
 		n, err := c.copy(endpoint, conn)
 		sent = n
 		if err == nil || !isWriteError(err) {
 			// The other host has closed the connection, so that nobody waits for the answer.
+			hostEnded.Store(true)
 			abort(endpoint)
 		}
 	})
 	received, err := c.copy(conn, endpoint)
+	ended = byEndpoint
 	if err != nil || !sock.EndedInOrder(endpoint) {
+		ended = brokenByEndpoint
 		abort(conn)
 	}
+	if hostEnded.Load() || isWriteError(err) {
+		ended = byHost
+	}
 	_ = conn.Close()
 	_ = endpoint.Close()
 	up.Wait()
-	return sent, received
+	return sent, received, ended
 }
 
 // writeError marks an error of the side that is written to.
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -6,6 +6,7 @@
 
 	"cyclamenford/core"
 	"cyclamenford/core/order"
+	"cyclamenford/core/reach"
 	"cyclamenford/core/reply"
 	"cyclamenford/io/pipe"
 )
@@ -81,6 +82,9 @@
 	if a.err != nil {
 		attrs = append(attrs, "err", a.err)
 	}
+	if a.resp != nil && a.resp.UntilClose {
+		r.entry.meter.Count("answers_until_close_total", 1, "way", string(wayOf(a.resp)), "how", string(how))
+	}
 	r.entry.log.Info("attempt ended", attrs...)
 }
 
@@ -105,9 +109,20 @@
 	if resp.Carrier != "" {
 		attrs = append(attrs, "carrier", resp.Carrier)
 	}
+	if resp.UntilClose {
+		attrs = append(attrs, "until_close", true, "unproven", resp.Unproven)
+	}
 	return attrs
 }
 
+// wayOf returns the way of the connection that an answer came by.
+func wayOf(resp *pipe.Response) reach.Way {
+	if resp.Carrier != "" {
+		return reach.Carried
+	}
+	return reach.Direct
+}
+
 // nextOf returns what follows the last attempt, after which the client gets the problem if there is one.
 func (r *request) nextOf(out *answerWriter, p *core.Problem) next {
 	switch {
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -38,16 +38,17 @@
 	Reused, Written bool
 	// Carrier is the host that carries the connection, empty if it is direct.
 	Carrier string
+	// UntilClose means that the answer has neither a length nor chunks and ends with its connection, and Unproven that this connection ended
+	// without a proof that the answer is whole.
+	UntilClose, Unproven bool
 	// OnRead, if not nil, is called with the number of bytes of each read of the body.
 	OnRead func(n int)
 	body   io.ReadCloser
 	client *Client
 	conn   *conn
-	// writeEnd gets the result of writing the request, and writeKnown means that it was taken from there. untilClose means that the body
-	// ends with the connection.
+	// writeEnd gets the result of writing the request, and writeKnown means that it was taken from there.
 	writeEnd   chan error
 	writeKnown bool
-	untilClose bool
 	// unwatchContext ends the watch that closes the connection when the request's context ends.
 	unwatchContext func() bool
 	// readToEnd means that the body was read to its end, and reusable that the connection may then serve another
@@ -93,7 +94,7 @@
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Reused: x.used, Carrier: x.carrier, body: resp.Body, client: c, conn: x, unwatchContext: unwatch, writeEnd: written,
-		untilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 	}
 	x.used = true
 	// If the request is not written completely, the endpoint would read the rest of its body as the next request.
@@ -210,7 +211,8 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if r.untilClose && !(r.endWriting() && sock.EndedInOrder(r.conn.Conn)) {
+	if r.UntilClose && !(r.endWriting() && sock.EndedInOrder(r.conn.Conn)) {
+		r.Unproven = true
 		// A reset of the connection is reported once, to the writer or to the reader: the other one sees an orderly end.
 		return n, fmt.Errorf("%w: the connection ended before the endpoint had received the request", io.ErrUnexpectedEOF)
 	}
