Take an answer that ends with its connection for whole only if its carrier marks its endpoint's end

What callers saw: while a host without links to the endpoints has its connections carried, and the process of a carrier is killed, answers without a length or chunks were cut and looked complete: plain ones got a Content-Length of the part that came, streams a last chunk.

Cause: carried bytes were copied as they are, and an end in order of the connection between the hosts counted as the endpoint's. The kernel of a killed process ends its connections in order.

Change: the carrier sends frames, and a mark of ten bytes once the endpoint has ended its connection in order and has acknowledged all that was sent; the mark says how many bytes that is. The host takes nothing else for an end. A dying process cannot send the mark, and neither silence, an end nor a reset between the hosts looks like it. Hosts of releases without marks get bytes as they are; a carrier without marks is asked once more in the former form, and answers that need the mark are cut there. sock.EndedInOrder proves nothing for a connection that it cannot ask.

--- a/io/carry/carried.go
+++ b/io/carry/carried.go
@@ -39,7 +39,7 @@
 		case a := <-results:
 			ended++
 			if a.err == nil {
-				d.recordCarried(a.carrier, without)
+				d.recordCarried(a, without)
 				return a
 			}
 			if a.refused {
@@ -57,12 +57,15 @@
 	return failed
 }
 
-// recordCarried records which carrier has connected, and that the given ones have no link to its endpoint.
-func (d *Dialer) recordCarried(carrier string, without []string) {
+// recordCarried records which carrier has connected, and that the given ones have no link to its endpoint. One without marks does not count as
+// proven, so that others are preferred.
+func (d *Dialer) recordCarried(a attempt, without []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	d.carriers.RecordSuccess(now, carrier)
+	if a.marked {
+		d.carriers.RecordSuccess(now, a.carrier)
+	}
 	for _, x := range without {
 		d.carriers.RecordFailure(now, x)
 	}
@@ -80,12 +83,14 @@
 	// errUnreachable means that a carrier has not connected to the endpoint either, and errNotCarrying that it has not tried.
 	errUnreachable = errors.New("the carrier does not reach the endpoint either")
 	errNotCarrying = errors.New("the carrier takes no connection")
+	// errNoMarks means that a carrier of an earlier release has not understood what it was asked.
+	errNoMarks = errors.New("the carrier knows no marks")
 )
 
 // ask asks one carrier for a connection to an endpoint.
 func (d *Dialer) ask(ctx context.Context, carrier, address string) attempt {
 	a := attempt{way: reach.Carried, carrier: carrier}
-	a.conn, a.err = d.openCarried(ctx, carrier, address)
+	a.conn, a.marked, a.err = d.openCarried(ctx, carrier, address)
 	a.refused = errors.Is(a.err, unix.ECONNREFUSED)
 	if a.err != nil && ctx.Err() == nil && !a.refused && !errors.Is(a.err, errUnreachable) {
 		d.recordFailure(carrier)
@@ -93,19 +98,36 @@
 	return a
 }
 
-func (d *Dialer) openCarried(ctx context.Context, carrier, address string) (net.Conn, error) {
+// openCarried opens a connection through a carrier, without marks if the carrier does not know them.
+func (d *Dialer) openCarried(ctx context.Context, carrier, address string) (conn net.Conn, hasMarks bool, err error) {
+	conn, err = d.request(ctx, carrier, marked, address)
+	if err == nil {
+		return newMarkedConn(conn), true, nil
+	}
+	if !errors.Is(err, errNoMarks) {
+		return nil, false, err
+	}
+	d.meter.Count("carriers_without_marks_total", 1)
+	if conn, err = d.request(ctx, carrier, raw, address); err != nil {
+		return nil, false, err
+	}
+	return rawConn{conn}, false, nil
+}
+
+// request asks a carrier for a connection, and returns the one over which its bytes come in the given form.
+func (d *Dialer) request(ctx context.Context, carrier string, f form, address string) (net.Conn, error) {
 	conn, err := d.peers.OpenStream(ctx, carrier)
 	if err != nil {
 		return nil, fmt.Errorf("carrier %s: %w: %s", carrier, errNotCarrying, err.Error())
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	answer := make([]byte, 1)
-	err = writeAddress(conn, address)
+	err = writeRequest(conn, f, address)
 	if err == nil {
 		_, err = io.ReadFull(conn, answer)
 	}
 	if err == nil {
-		err = status(answer[0]).err()
+		err = status(answer[0]).err(f)
 	}
 	if !stop() {
 		return nil, fmt.Errorf("carrier %s: %w", carrier, errors.Join(err, ctx.Err()))
@@ -116,15 +138,17 @@
 	return conn, nil
 }
 
-// err returns why a carrier has not connected, nil if it has.
-func (s status) err() error {
-	switch s {
-	case connected:
+// err returns why a carrier that was asked in a form has not connected, nil if it has.
+func (s status) err(f form) error {
+	switch {
+	case s == connected:
 		return nil
-	case refusedByEndpoint:
+	case s == refusedByEndpoint:
 		return unix.ECONNREFUSED
-	case unreachable:
+	case s == unreachable:
 		return errUnreachable
+	case s == notCarrying && f == marked:
+		return errNoMarks
 	}
 	return errNotCarrying
 }
--- a/io/carry/carrier.go
+++ b/io/carry/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"errors"
 	"io"
 	"log/slog"
@@ -52,12 +53,15 @@
 
 // Serve connects a stream of another host to the endpoint that it names, and returns when either side has ended.
 func (c *Carrier) Serve(conn net.Conn) {
-	address, err := readAddress(conn)
+	asked, address, err := readRequest(conn)
 	if err != nil {
 		c.log.Debug("read the address to carry to", "remote", conn.RemoteAddr(), "err", err)
 		return
 	}
 	endpoint, answer, err := c.connect(address)
+	if asked == marked && answer == notCarrying {
+		answer = declined
+	}
 	c.meter.Count("carrier_connections_total", 1, "connected", yesOrNo(err == nil))
 	if _, writeErr := conn.Write([]byte{byte(answer)}); err != nil || writeErr != nil {
 		c.log.Info("connection not carried", "remote", conn.RemoteAddr(), "address", address, "err", errors.Join(err, writeErr))
@@ -69,9 +73,9 @@
 	}
 	defer c.carried.Add(-1)
 	began := time.Now()
-	sent, received, ended := c.copyBothWays(conn, endpoint)
+	sent, received, ended := c.copyBothWays(conn, endpoint, asked)
 	c.meter.Count("carried_connections_ended_total", 1, "ended", string(ended))
-	c.log.Info("connection carried", "remote", conn.RemoteAddr(), "address", address, "sent_bytes", sent, "received_bytes", received, "ended", ended,
+	c.log.Info("connection carried", "remote", conn.RemoteAddr(), "address", address, "sent_bytes", sent, "received_bytes", received, "ended", ended, "marked", asked == marked,
 		"took_ms", time.Since(began).Milliseconds(), "carried", c.carried.Load())
 }
 
@@ -118,21 +122,33 @@
 )
 
 // copyBothWays copies bytes until either side ends, and returns how many it has sent to the endpoint and received from it, and which side ended it.
-func (c *Carrier) copyBothWays(conn, endpoint net.Conn) (sent, received int64, ended ending) {
+func (c *Carrier) copyBothWays(conn, endpoint net.Conn, f form) (sent, received int64, ended ending) {
 	var hostEnded atomic.Bool
-	var up sync.WaitGroup
-	up.Go(func() {
-		n, err := c.copy(endpoint, conn)
-		sent = n
-		if err == nil || !isWriteError(err) {
+	up := &countedWriter{to: endpoint}
+	var upEnded sync.WaitGroup
+	upEnded.Go(func() {
+		if _, err := c.copy(up, conn, 0); err == nil || !isWriteError(err) {
 			// The other host has closed the connection, so that nobody waits for the answer.
 			hostEnded.Store(true)
 			abort(endpoint)
 		}
 	})
-	received, err := c.copy(conn, endpoint)
+	headerBytes := 0
+	if f == marked {
+		headerBytes = frameHeaderBytes
+	}
+	received, err := c.copy(conn, endpoint, headerBytes)
 	ended = byEndpoint
-	if err != nil || !sock.EndedInOrder(endpoint) {
+	var taken int64
+	if err == nil {
+		taken, err = up.finish(endpoint)
+	}
+	if err == nil && f == marked {
+		if _, writeErr := conn.Write(endMark(taken)); writeErr != nil {
+			err = writeError{writeErr}
+		}
+	}
+	if err != nil {
 		ended = brokenByEndpoint
 		abort(conn)
 	}
@@ -141,8 +157,42 @@
 	}
 	_ = conn.Close()
 	_ = endpoint.Close()
-	up.Wait()
-	return sent, received, ended
+	upEnded.Wait()
+	return up.written, received, ended
+}
+
+// errNotReceived means that an endpoint has ended a connection before it had received all that was sent, or has reset it.
+var errNotReceived = errors.New("the endpoint has not received all that was sent")
+
+// countedWriter writes to an endpoint and counts the bytes that the socket has taken.
+type countedWriter struct {
+	to      net.Conn
+	mu      sync.Mutex
+	written int64
+}
+
+// Write writes to the endpoint.
+func (w *countedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.to.Write(p)
+	w.written += int64(n)
+	return n, err
+}
+
+// finish ends the writing once the endpoint has ended the connection, and returns how many bytes the endpoint has received, or an error unless these
+// are all that were written.
+func (w *countedWriter) finish(endpoint net.Conn) (received int64, err error) {
+	// A write that the endpoint does not take any more would not end.
+	if err := endpoint.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return 0, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !sock.EndedInOrder(endpoint) {
+		return 0, errNotReceived
+	}
+	return w.written, nil
 }
 
 // writeError marks an error of the side that is written to.
@@ -150,15 +200,18 @@
 
 func isWriteError(err error) bool { return errors.As(err, &writeError{}) }
 
-// copy copies until the end of from. An error of to is a writeError.
-func (c *Carrier) copy(to, from net.Conn) (int64, error) {
+// copy copies until the end of from, behind a frame header of the given size for each read. An error of to is a writeError.
+func (c *Carrier) copy(to io.Writer, from net.Conn, headerBytes int) (int64, error) {
 	buffer := c.buffers.Get().(*[copyBufferBytes]byte)
 	defer c.buffers.Put(buffer)
 	copied := int64(0)
 	for {
-		n, err := from.Read(buffer[:])
+		n, err := from.Read(buffer[headerBytes:])
 		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
+			if headerBytes > 0 {
+				binary.BigEndian.PutUint16(buffer[:], uint16(n))
+			}
+			if _, err := to.Write(buffer[:headerBytes+n]); err != nil {
 				return copied, writeError{err}
 			}
 			copied += int64(n)
--- a/io/carry/carry_test.go
+++ b/io/carry/carry_test.go
@@ -59,24 +59,30 @@
 
 // startCarrierIn is startCarrier in a failure domain.
 func startCarrierIn(t *testing.T, domain core.FailureDomain, direct directFunc, isolated bool) carrierHost {
+	c := NewCarrier(nil, func() bool { return isolated }, meter.New(), slog.New(slog.DiscardHandler))
+	if direct != nil {
+		c.dial = direct
+	}
+	h := startServing(t, c.Serve)
+	h.carrier, h.domain = c, domain
+	return h
+}
+
+// startServing starts a host that serves streams by a function.
+func startServing(t *testing.T, serve func(net.Conn)) carrierHost {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	address := l.Addr().String()
 	must.NoError(t, l.Close())
-	log := slog.New(slog.DiscardHandler)
-	c := NewCarrier(nil, func() bool { return isolated }, meter.New(), log)
-	if direct != nil {
-		c.dial = direct
-	}
-	s := peer.NewServer(address, []byte(testKey), nil, log)
-	s.HandleStreams(c.Serve)
+	s := peer.NewServer(address, []byte(testKey), nil, slog.New(slog.DiscardHandler))
+	s.HandleStreams(serve)
 	must.NoError(t, s.Start(context.Background()))
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		_ = s.Stop(ctx)
 	})
-	return carrierHost{carrier: c, server: s, address: address, domain: domain}
+	return carrierHost{server: s, address: address}
 }
 
 // dialerWith returns the dialer of a host that connects to endpoints by direct, among the given other hosts.
--- a/io/carry/dialer.go
+++ b/io/carry/dialer.go
@@ -86,13 +86,13 @@
 }
 
 // attempt is the result of one way to an endpoint. refused means that the machine of the endpoint has refused the connection, or that there is no
-// host which could carry one.
+// host which could carry one. marked means that the carrier marks the endpoint's end.
 type attempt struct {
-	way     reach.Way
-	conn    net.Conn
-	carrier string
-	refused bool
-	err     error
+	way             reach.Way
+	conn            net.Conn
+	carrier         string
+	marked, refused bool
+	err             error
 }
 
 // Dial connects to the endpoint at an address. It returns the peer address of the carrier, empty if the connection is direct. An error wraps
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -209,6 +209,7 @@
 		r.OnRead(n)
 	}
 	if !errors.Is(err, io.EOF) {
+		r.Unproven = r.UntilClose && errors.Is(err, io.ErrUnexpectedEOF)
 		return n, err
 	}
 	if r.UntilClose && !(r.endWriting() && sock.EndedInOrder(r.conn.Conn)) {
