--- a/io/carry/killed_test.go
+++ b/io/carry/killed_test.go
@@ -102,25 +102,43 @@
 	return l.Addr().String(), sent
 }
 
+// getByHTTP is get by net/http, as serve calls its endpoints.
+func getByHTTP(d *Dialer, address string) (body, carrier string, err error) {
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (conn net.Conn, err error) {
+		conn, carrier, err = d.Dial(ctx, address)
+		return conn, err
+	}}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Get("http://" + address)
+	if err != nil {
+		return "", carrier, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), carrier, err
+}
+
 // TestAnAnswerWhoseCarrierIsKilledIsNotWhole guards against a part of an answer that looks whole, as the system ends a killed process's connections in order.
 func TestAnAnswerWhoseCarrierIsKilledIsNotWhole(t *testing.T) {
-	for name, head := range map[string]string{
-		"neither a length nor chunks": "Connection: close\r\n\r\npart",
-		"a length":                    "Content-Length: 8\r\n\r\npart",
-		"chunks":                      "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
-	} {
-		t.Run(name, func(t *testing.T) {
-			host, kill := startCarrierProcess(t)
-			address, sent := halfAnswers(t, "HTTP/1.1 200 OK\r\n"+head)
-			go func() {
-				<-sent
-				// The part is on its way through the carrier.
-				time.Sleep(50 * time.Millisecond)
-				kill()
-			}()
-			body, carrier, err := get(dialerWith(refuse, host), address)
-			must.Eq(t, host.address, carrier)
-			must.Error(t, err, must.Sprintf("%q looks whole", body))
-		})
+	for client, get := range map[string]func(*Dialer, string) (string, string, error){"relay": get, "serve": getByHTTP} {
+		for name, head := range map[string]string{
+			"neither a length nor chunks": "Connection: close\r\n\r\npart",
+			"a length":                    "Content-Length: 8\r\n\r\npart",
+			"chunks":                      "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		} {
+			t.Run(client+", "+name, func(t *testing.T) {
+				host, kill := startCarrierProcess(t)
+				address, sent := halfAnswers(t, "HTTP/1.1 200 OK\r\n"+head)
+				go func() {
+					<-sent
+					// The part is on its way through the carrier.
+					time.Sleep(50 * time.Millisecond)
+					kill()
+				}()
+				body, carrier, err := get(dialerWith(refuse, host), address)
+				must.Eq(t, host.address, carrier)
+				must.Error(t, err, must.Sprintf("%q looks whole", body))
+			})
+		}
 	}
 }
