Take an answer to HEAD without a length for whole, also across a carrier

Cause: such an answer has no body, but counted as one that ends with its connection, so that a proof of that end was asked for. The endpoint keeps the connection open, and no mark comes. A direct connection was asked too, and answered by its socket.

Change: an answer without a body ends with its head.

--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -38,7 +38,7 @@
 	Reused, Written bool
 	// Carrier is the host that carries the connection, empty if it is direct.
 	Carrier string
-	// UntilClose means that the answer has neither a length nor chunks and ends with its connection, and Unproven that this connection ended
+	// UntilClose means that the body has neither a length nor chunks and ends with its connection, and Unproven that this connection ended
 	// without a proof that the answer is whole.
 	UntilClose, Unproven bool
 	// OnRead, if not nil, is called with the number of bytes of each read of the body.
@@ -94,7 +94,7 @@
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Reused: x.used, Carrier: x.carrier, body: resp.Body, client: c, conn: x, unwatchContext: unwatch, writeEnd: written,
-		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
 	}
 	x.used = true
 	// If the request is not written completely, the endpoint would read the rest of its body as the next request.
