Keep the first failure of an answer's body

What callers saw: nothing, since no caller reads on after an error; one that did would take a part of an answer for a whole one. Cause: the system reports a reset once, to a read or when the socket is asked, and an orderly end after that; each end was asked about anew. Change: the first failure is the result of all further reads. Evidence: both rows of TestAnEndThatIsNotProvenStaysSo fail three of three on and pass with this, as do the tests of io/pipe and io/entry.

--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -55,6 +55,8 @@
 	// request.
 	readToEnd bool
 	reusable  bool
+	// failure is the first error of a read other than io.EOF, and the result of all further ones: the system reports a reset only once.
+	failure error
 	// ended is set by the first call of Abort or Close, which decides what becomes of the connection.
 	ended atomic.Bool
 }
@@ -204,20 +206,26 @@
 
 // Read reads from the body.
 func (r *Response) Read(p []byte) (int, error) {
+	if r.failure != nil {
+		return 0, r.failure
+	}
 	n, err := r.body.Read(p)
 	if r.OnRead != nil {
 		r.OnRead(n)
 	}
-	if !errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF):
 		r.Unproven = r.UntilClose && errors.Is(err, io.ErrUnexpectedEOF)
-		return n, err
-	}
-	if r.UntilClose && !(r.endWriting() && sock.EndedInOrder(r.conn.Conn)) {
-		r.Unproven = true
+		r.failure = err
+	case r.UntilClose && !(r.endWriting() && sock.EndedInOrder(r.conn.Conn)):
 		// A reset of the connection is reported once, to the writer or to the reader: the other one sees an orderly end.
-		return n, fmt.Errorf("%w: the connection ended before the endpoint had received the request", io.ErrUnexpectedEOF)
+		r.Unproven = true
+		r.failure = fmt.Errorf("%w: the connection ended before the endpoint had received the request", io.ErrUnexpectedEOF)
+		err = r.failure
+	default:
+		r.readToEnd = true
 	}
-	r.readToEnd = true
 	return n, err
 }
 
