Refuse a body that ends with its connection and holds a late answer

What callers would see: a plain answer whose body is the endpoint's and, behind it, the head and the body of a second answer, with a length that counts both; the second may be a copy of the answer to an earlier request on the connection.

Cause: only the end of the connection ends such a body, so that whatever comes before it was taken for the body.

Change: io/pipe looks for heads in these bodies; one that names a request which the connection has carried ends the attempt as garbled. The names of requests are what tells; a head that names none stays a part of the body.

--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -234,6 +234,11 @@
 			return verdict.ID == "" && !verdict.IsUnnamed()
 		},
 	}
+	if r.due() == reply.Body {
+		endpointRequest.NameOf = func(resp *http.Response) string {
+			return string(e.dialect.ParseResponse(resp.StatusCode, resp.Header).ID)
+		}
+	}
 	if !r.repeatable() {
 		endpointRequest.MaxIdle = nonRepeatableMaxIdle
 	}
@@ -326,6 +331,9 @@
 	}
 	body, whole, err := resp.ReadUpTo(bufferedAnswerBytes)
 	resp.OnRead = nil
+	if errors.Is(err, pipe.ErrJoinedAnswers) {
+		return r.recordGarbage(g, resp, out, nil, err), false
+	}
 	if err != nil {
 		return r.breakOff(ctx, err), false
 	}
@@ -344,7 +352,9 @@
 	}
 	if whole {
 		out.writeBuffered(a)
-	} else if err := out.writeLong(a, resp); err != nil {
+	} else if err := out.writeLong(a, resp); errors.Is(err, pipe.ErrJoinedAnswers) {
+		return r.recordGarbage(g, resp, out, nil, err), false
+	} else if err != nil {
 		return r.breakOff(ctx, err), false
 	}
 	if resp.Status >= http.StatusInternalServerError {
--- a/io/pipe/client.go
+++ b/io/pipe/client.go
@@ -113,6 +113,9 @@
 	// NamesNone reports whether a response names no request. Such a response counts as the answer only on a connection on which
 	// no answer has named its request: later it may be an earlier answer once more. If it is nil, IsAnswer decides.
 	NamesNone func(*http.Response) bool
+	// NameOf returns the name of the request that a response names, empty if it names none. If it is not nil, a body that ends with its connection
+	// must not hold the head of an answer to a request that the connection has carried.
+	NameOf func(*http.Response) string
 }
 
 func (r Request) poolKey() poolKey { return poolKey{address: r.Address, group: r.Group} }
--- a/io/pipe/exchange.go
+++ b/io/pipe/exchange.go
@@ -57,6 +57,8 @@
 	reusable  bool
 	// failure is the first error of a read other than io.EOF, and the result of all further ones: the system reports a reset only once.
 	failure error
+	// heads looks for other answers in a body that ends with its connection, nil if none can be told from it.
+	heads *headFinder
 	// ended is set by the first call of Abort or Close, which decides what becomes of the connection.
 	ended atomic.Bool
 }
@@ -98,6 +100,9 @@
 		Reused: x.used, Carrier: x.carrier, body: resp.Body, client: c, conn: x, unwatchContext: unwatch, writeEnd: written,
 		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
 	}
+	if out.UntilClose {
+		out.heads = x.newHeadFinder(r)
+	}
 	x.used = true
 	// If the request is not written completely, the endpoint would read the rest of its body as the next request.
 	out.reusable = out.isWritten() && !resp.Close
@@ -214,6 +219,9 @@
 		r.OnRead(n)
 	}
 	switch {
+	case r.heads != nil && r.heads.add(p[:n]):
+		r.failure = ErrJoinedAnswers
+		return 0, r.failure
 	case err == nil:
 	case !errors.Is(err, io.EOF):
 		r.Unproven = r.UntilClose && errors.Is(err, io.ErrUnexpectedEOF)
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -113,6 +113,7 @@
 		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Name: id, Header: http.Header{"Id": {id}}, Body: []byte("body"),
 		IsAnswer:  func(r *http.Response) bool { return r.Header.Get("Id") == id },
 		NamesNone: func(r *http.Response) bool { return r.Header.Get("Id") == "" },
+		NameOf:    func(r *http.Response) string { return r.Header.Get("Id") },
 	})
 	if err != nil {
 		return "", err
