--- a/io/peer/stop_test.go
+++ b/io/peer/stop_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 )
 
 // TestCallsInProgressAtAStopGetTheirReplies guards against a stop that closes connections beneath calls that have run.
@@ -70,6 +73,54 @@
 	must.Error(t, <-failed)
 }
 
+// startStreams starts a server whose streams are served by serve, and returns it with the open end of a stream.
+func startStreams(t *testing.T, serve func(conn net.Conn)) (*Server, net.Conn) {
+	s := NewServer("127.0.0.1:0", []byte("key"), nil, slog.New(slog.DiscardHandler))
+	s.HandleStreams(serve)
+	must.NoError(t, s.Start(context.Background()))
+	conn, err := NewClient([]byte("key"), nil, nil).OpenStream(context.Background(), s.listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	must.NoError(t, err)
+	return s, conn
+}
+
+// TestAStreamThatEndsWithinAStopIsNotCut guards against sound streams of other hosts that a planned stop cuts though there is time left.
+func TestAStreamThatEndsWithinAStopIsNotCut(t *testing.T) {
+	t.Parallel()
+	s, conn := startStreams(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "x")
+		time.Sleep(4 * time.Second)
+		_, _ = io.WriteString(conn, "rest")
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	began := time.Now()
+	must.NoError(t, s.Stop(ctx))
+	must.Less(t, 8*time.Second, time.Since(began), must.Sprint("the stop waits for a stream that has ended"))
+	rest, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.Eq(t, "rest", string(rest))
+}
+
+// TestAStreamThatAStopCutsDoesNotEndInOrder guards against a part of an answer that looks whole to another host, as the end of its time is an end in order.
+func TestAStreamThatAStopCutsDoesNotEndInOrder(t *testing.T) {
+	t.Parallel()
+	s, conn := startStreams(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "x")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(ctx) }()
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err := conn.Read(make([]byte, 1))
+	must.ErrorIs(t, err, unix.ECONNRESET)
+	must.NoError(t, <-stopped)
+}
+
 // countingService is an RPC service whose calls block until stall is closed.
 type countingService struct {
 	stall chan struct{}
