Let the connections that a stopping host carries end by themselves, and reset what is left at the end of its grace

Cause: Server.Stop closed streams after a constant 3 s, in order. The constant was there because a stopped keeper is missing from its quorum until its process is replaced, and the peer server stops after the keeper; but it held for hosts without a keeper as well.

Change: Stop waits for streams until shortly before the end of its context, and then resets them. Nothing waits where nothing is carried.

--- a/io/carry/carrier.go
+++ b/io/carry/carrier.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -15,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"cyclamenford/core"
+	"cyclamenford/io/loop"
 	"cyclamenford/io/meter"
 	"cyclamenford/io/sock"
 )
@@ -26,6 +26,7 @@
 	copyBufferBytes = 16 << 10
 	// carrierDialTimeout is below DialTimeout, so that a carrier's answer arrives within it.
 	carrierDialTimeout = 300 * time.Millisecond
+	waitPollInterval   = 5 * time.Millisecond
 )
 
 // Carrier connects other hosts to endpoints.
@@ -51,6 +52,13 @@
 // Leave makes the carrier refuse new connections.
 func (c *Carrier) Leave() { c.leaving.Store(true) }
 
+// Wait blocks until this host carries no connection or ctx ends.
+func (c *Carrier) Wait(ctx context.Context) {
+	for c.carried.Load() > 0 && ctx.Err() == nil {
+		loop.Sleep(ctx, waitPollInterval)
+	}
+}
+
 // Serve connects a stream of another host to the endpoint that it names, and returns when either side has ended.
 func (c *Carrier) Serve(conn net.Conn) {
 	asked, address, err := readRequest(conn)
@@ -66,7 +74,7 @@
 	if _, writeErr := conn.Write([]byte{byte(answer)}); err != nil || writeErr != nil {
 		c.log.Info("connection not carried", "remote", conn.RemoteAddr(), "address", address, "err", errors.Join(err, writeErr))
 		if endpoint != nil {
-			abort(endpoint)
+			sock.Reset(endpoint)
 			c.carried.Add(-1)
 		}
 		return
@@ -130,7 +138,7 @@
 		if _, err := c.copy(up, conn, 0); err == nil || !isWriteError(err) {
 			// The other host has closed the connection, so that nobody waits for the answer.
 			hostEnded.Store(true)
-			abort(endpoint)
+			sock.Reset(endpoint)
 		}
 	})
 	headerBytes := 0
@@ -150,7 +158,7 @@
 	}
 	if err != nil {
 		ended = brokenByEndpoint
-		abort(conn)
+		sock.Reset(conn)
 	}
 	if hostEnded.Load() || isWriteError(err) {
 		ended = byHost
@@ -225,19 +233,6 @@
 	}
 }
 
-// abort resets a connection, so that the other side does not take its end for an orderly one.
-func abort(conn net.Conn) {
-	if secured, ok := conn.(*tls.Conn); ok {
-		// Its Close would tell the other side of an orderly end.
-		conn = secured.NetConn()
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// An error means that the connection has ended.
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 func yesOrNo(b bool) string {
 	if b {
 		return "Yes"
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cyclamenford/io/loop"
+	"cyclamenford/io/sock"
 )
 
 // Server accepts connections of other hosts and serves their RPC calls.
@@ -48,8 +49,11 @@
 // streamMark is the first byte of a connection that carries a stream. No call begins with it.
 const streamMark = 0
 
-// streamStopTimeout limits how long a server that stops waits for streams: its host may have to be replaced meanwhile.
-const streamStopTimeout = 3 * time.Second
+// streamEndReserve is what a stop leaves of its time for the ends of the streams that it resets, at most streamEndShare of it.
+const (
+	streamEndReserve = 50 * time.Millisecond
+	streamEndShare   = 8
+)
 
 // pastDeadline ends a read without taking any bytes.
 var pastDeadline = time.Unix(1, 0)
@@ -161,8 +165,9 @@
 	return n, nil
 }
 
-// Stop closes the listener, reads no further calls, and waits for the calls in progress, which still get their replies, and for some
-// time for streams. When ctx ends, it closes the connections of the remaining ones.
+// Stop closes the listener, reads no further calls, and waits for streams and for the calls in progress, which still get their replies.
+// Shortly before ctx ends, it resets the remaining streams: an orderly end could be taken for that of the bytes that they carry. When ctx
+// ends, it closes the connections of the remaining calls.
 func (s *Server) Stop(ctx context.Context) error {
 	err := s.listener.Close()
 	s.endConns(func(conn net.Conn, as use) error {
@@ -175,15 +180,10 @@
 		}
 		return conn.Close()
 	})
-	streams, cancel := context.WithTimeout(ctx, streamStopTimeout)
+	streams, cancel := untilStreamEnd(ctx)
 	defer cancel()
 	if s.open.Wait(streams) != nil {
-		s.endConns(func(conn net.Conn, as use) error {
-			if as == stream {
-				return conn.Close()
-			}
-			return nil
-		})
+		s.resetStreams()
 	}
 	waitErr := s.open.Wait(ctx)
 	if waitErr != nil {
@@ -195,6 +195,30 @@
 	return nil
 }
 
+// untilStreamEnd returns a context that ends when a stop until the end of ctx resets the remaining streams.
+func untilStreamEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	left := time.Until(end)
+	return context.WithTimeout(ctx, left-min(streamEndReserve, left/streamEndShare))
+}
+
+func (s *Server) resetStreams() {
+	streams := 0
+	s.endConns(func(conn net.Conn, as use) error {
+		if as == stream {
+			streams++
+			sock.Reset(conn)
+		}
+		return nil
+	})
+	if streams > 0 {
+		s.log.Warn("streams reset: the time of the stop is over", "streams", streams)
+	}
+}
+
 // endConns takes no further connections and calls end for each open one.
 func (s *Server) endConns(end func(conn net.Conn, as use) error) {
 	s.mu.Lock()
--- a/setup/app.go
+++ b/setup/app.go
@@ -30,6 +30,7 @@
 	followService       = "Follow"
 	brokerService       = "Broker"
 	dialService         = "Dial"
+	carryService        = "Carry"
 	shareService        = "Share"
 	runnerService       = "Runner"
 	greetService        = "Greet"
@@ -61,7 +62,7 @@
 	}
 	steps := []func() error{
 		a.addTrace, a.addPeers, a.addKeeper, a.addFollow, a.addBroker, a.addShare,
-		a.addPermits, a.addDial, a.addRunner, a.addIssuer, a.addServer, a.addGreet, a.addAdmin, a.addFront,
+		a.addPermits, a.addDial, a.addRunner, a.addIssuer, a.addServer, a.addGreet, a.addAdmin, a.addCarryWait, a.addFront,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/setup/relay.go
+++ b/setup/relay.go
@@ -78,7 +78,7 @@
 	if s.MemoryMb > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMb) * (1 << 20)))
 	}
-	for _, step := range []func() error{r.addPeers, r.addKeeper, r.addFollow, r.addDial, r.addGuard, r.addAssign, r.addControl, r.addEntry, r.addMetrics} {
+	for _, step := range []func() error{r.addPeers, r.addKeeper, r.addFollow, r.addDial, r.addGuard, r.addAssign, r.addControl, r.addCarryWait, r.addEntry, r.addMetrics} {
 		if err := step(); err != nil {
 			return nil, fmt.Errorf("wire host %s: %w", s.Host.ID, err)
 		}
@@ -277,6 +277,10 @@
 	return w.register(adminService, listen.New(o, handler, r.log), followService, assignService)
 }
 
+func (r *Relay) addCarryWait() error {
+	return addCarryWait(r.kernel, r.carrier, r.settings.Host.DataFolder)
+}
+
 func (r *Relay) addEntry() error {
 	if r.settings.Listeners.Clients == "" {
 		return nil
--- a/setup/wire.go
+++ b/setup/wire.go
@@ -248,6 +248,10 @@
 	return w.register(adminService, x, followService, brokerService)
 }
 
+func (a *App) addCarryWait() error {
+	return addCarryWait(a.kernel, a.carrier, a.settings.Host.DataFolder)
+}
+
 func (a *App) addFront() error {
 	w := resolver{kernel: a.kernel}
 	config := w.listener(a.settings.Tls.Callers)
