Tell connections that a stop has reset from those that their hosts have left

What was seen: log and metrics count a carried connection that the stop of its carrier ends as ended by the other host; by reading, one whose endpoint breaks it may count so too, as the reset that follows is taken for the host's end if it comes first.

Cause: copyBothWays took every error of the host's side for its end, and looked at it after the reset of that side.

Change: an end by this host's own Close counts as Stop, and which side has ended a connection is settled before the reset.

--- a/io/carry/carrier.go
+++ b/io/carry/carrier.go
@@ -122,21 +122,23 @@
 type ending string
 
 const (
-	// byEndpoint means that the endpoint has ended it in order, brokenByEndpoint that its connection broke, and byHost that the other host is gone or
-	// has closed it.
+	// byEndpoint means that the endpoint has ended it in order, brokenByEndpoint that its connection broke, byHost that the other host is gone or
+	// has closed it, and byStop that this host has reset it at the end of its stop.
 	byEndpoint       ending = "Endpoint"
 	brokenByEndpoint ending = "EndpointBroken"
 	byHost           ending = "Host"
+	byStop           ending = "Stop"
 )
 
 // copyBothWays copies bytes until either side ends, and returns how many it has sent to the endpoint and received from it, and which side ended it.
 func (c *Carrier) copyBothWays(conn, endpoint net.Conn, f form) (sent, received int64, ended ending) {
-	var hostEnded atomic.Bool
+	var hostEnded, stopEnded atomic.Bool
 	up := &countedWriter{to: endpoint}
 	var upEnded sync.WaitGroup
 	upEnded.Go(func() {
 		if _, err := c.copy(up, conn, 0); err == nil || !isWriteError(err) {
-			// The other host has closed the connection, so that nobody waits for the answer.
+			// The other host or a stop has closed the connection, so that nobody waits for the answer.
+			stopEnded.Store(errors.Is(err, net.ErrClosed))
 			hostEnded.Store(true)
 			sock.Reset(endpoint)
 		}
@@ -156,12 +158,16 @@
 			err = writeError{writeErr}
 		}
 	}
-	if err != nil {
+	switch {
+	case stopEnded.Load() || isWriteError(err) && errors.Is(err, net.ErrClosed):
+		ended = byStop
+	case hostEnded.Load() || isWriteError(err):
+		ended = byHost
+	case err != nil:
 		ended = brokenByEndpoint
-		sock.Reset(conn)
 	}
-	if hostEnded.Load() || isWriteError(err) {
-		ended = byHost
+	if err != nil {
+		sock.Reset(conn)
 	}
 	_ = conn.Close()
 	_ = endpoint.Close()
@@ -206,6 +212,8 @@
 // writeError marks an error of the side that is written to.
 type writeError struct{ error }
 
+func (e writeError) Unwrap() error { return e.error }
+
 func isWriteError(err error) bool { return errors.As(err, &writeError{}) }
 
 // copy copies until the end of from, behind a frame header of the given size for each read. An error of to is a writeError.
--- a/io/carry/carry_test.go
+++ b/io/carry/carry_test.go
@@ -295,3 +295,23 @@
 	must.NoError(t, <-done)
 	must.Zero(t, host.carrier.carried.Load())
 }
+
+// TestConnectionsThatAStopResetsAreToldApart guards against a planned stop that looks like a host that has left, in log and metrics.
+func TestConnectionsThatAStopResetsAreToldApart(t *testing.T) {
+	address, sent := halfAnswers(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+	host := startCarrier(t, nil, false)
+	go func() {
+		<-sent
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_ = host.server.Stop(ctx)
+	}()
+	body, _, err := get(dialerWith(refuse, host), address)
+	must.Error(t, err, must.Sprintf("%q looks whole", body))
+	for host.carrier.carried.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var metrics strings.Builder
+	must.NoError(t, host.carrier.meter.Write(&metrics))
+	must.StrContains(t, metrics.String(), `carried_connections_ended_total{ended="Stop"} 1`)
+}
