Pass on the reset of an endpoint through its carrier, and take no reset by the carrier for it

Cause: a connection to an ended endpoint that is reset while it begins is opened again through a carrier. Whether its reset was seen depended on the link between the hosts: a proxy there makes an end in order of it, so that the crash did not count and its trial ended without a verdict. The other way round, the reset of a killed carrier counted as the crash of a sound endpoint in serve.

Change: the carrier marks a reset, in the place of the count of an end in order. A host takes an end or a reset of the link for neither. Hosts that know marks but not this one read a count that does not match, which proves nothing. With carriers without marks no reset is proven.

--- a/io/carry/carrier.go
+++ b/io/carry/carrier.go
@@ -149,12 +149,12 @@
 	}
 	received, err := c.copy(conn, endpoint, headerBytes)
 	ended = byEndpoint
-	var taken int64
-	if err == nil {
-		taken, err = up.finish(endpoint)
+	mark, err := up.prove(endpoint, err)
+	if f == raw {
+		mark = nil
 	}
-	if err == nil && f == marked {
-		if _, writeErr := conn.Write(endMark(taken)); writeErr != nil {
+	if mark != nil {
+		if _, writeErr := conn.Write(mark); writeErr != nil {
 			err = writeError{writeErr}
 		}
 	}
@@ -166,7 +166,7 @@
 	case err != nil:
 		ended = brokenByEndpoint
 	}
-	if err != nil {
+	if err != nil && mark == nil {
 		sock.Reset(conn)
 	}
 	_ = conn.Close()
@@ -194,19 +194,27 @@
 	return n, err
 }
 
-// finish ends the writing once the endpoint has ended the connection, and returns how many bytes the endpoint has received, or an error unless these
-// are all that were written.
-func (w *countedWriter) finish(endpoint net.Conn) (received int64, err error) {
+// prove returns the mark of how the endpoint has ended the connection, whose reading has ended with the given error: in order if that is nil. The mark
+// is nil if nothing is proven. The error is not nil unless the endpoint has ended the connection in order and has received all that was written.
+func (w *countedWriter) prove(endpoint net.Conn, readErr error) (mark []byte, err error) {
+	switch {
+	case isWriteError(readErr):
+		return nil, readErr
+	case errors.Is(readErr, unix.ECONNRESET):
+		return endMark(endpointReset), readErr
+	case readErr != nil:
+		return nil, readErr
+	}
 	// A write that the endpoint does not take any more would not end.
 	if err := endpoint.SetWriteDeadline(time.Unix(1, 0)); err != nil {
-		return 0, err
+		return nil, err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !sock.EndedInOrder(endpoint) {
-		return 0, errNotReceived
+		return nil, errNotReceived
 	}
-	return w.written, nil
+	return endMark(uint64(w.written)), nil
 }
 
 // writeError marks an error of the side that is written to.
--- a/io/carry/conn.go
+++ b/io/carry/conn.go
@@ -8,12 +8,19 @@
 	"io"
 	"net"
 	"sync/atomic"
+
+	"golang.org/x/sys/unix"
 )
 
-// errUnproven means that a carried connection has ended without a proof that its endpoint has ended it in order.
-var errUnproven = errors.New("the carried connection has ended without a mark of its endpoint's end")
+var (
+	// errUnproven means that a carried connection has ended without a proof of what its endpoint has done.
+	errUnproven = errors.New("the carried connection has ended without a mark of its endpoint's end")
+	// errReset means that the carrier has marked a reset by the endpoint.
+	errReset = fmt.Errorf("the endpoint of the carried connection: %w", unix.ECONNRESET)
+)
 
-// markedConn is a connection to an endpoint whose carrier marks an end in order. Read returns io.EOF only at the mark.
+// markedConn is a connection to an endpoint whose carrier marks an end in order, and a reset. Read returns io.EOF only at the mark of an end, and an
+// error that wraps unix.ECONNRESET only at that of a reset.
 type markedConn struct {
 	net.Conn
 	in *bufio.Reader
@@ -36,7 +43,8 @@
 // Write writes to the endpoint.
 func (c *markedConn) Write(p []byte) (int, error) {
 	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	return n, unprovenIfEnded(err)
 }
 
 // Read reads what the endpoint has sent. One goroutine may call it at a time.
@@ -48,14 +56,14 @@
 	}
 	n, err := c.in.Read(p[:min(len(p), c.left)])
 	c.left -= n
-	return n, unprovenIfEOF(err)
+	return n, unprovenIfEnded(err)
 }
 
 // readHeader reads the length of the next frame. It returns io.EOF, now and when it is called again, if the mark comes in its place.
 func (c *markedConn) readHeader() error {
 	header, err := c.in.Peek(frameHeaderBytes)
 	if err != nil {
-		return unprovenIfEOF(err)
+		return unprovenIfEnded(err)
 	}
 	if c.left = int(binary.BigEndian.Uint16(header)); c.left > 0 {
 		_, err := c.in.Discard(frameHeaderBytes)
@@ -63,9 +71,13 @@
 	}
 	mark, err := c.in.Peek(endBytes)
 	if err != nil {
-		return unprovenIfEOF(err)
+		return unprovenIfEnded(err)
+	}
+	received, written := binary.BigEndian.Uint64(mark[frameHeaderBytes:]), uint64(c.written.Load())
+	if received == endpointReset {
+		return errReset
 	}
-	if received, written := int64(binary.BigEndian.Uint64(mark[frameHeaderBytes:])), c.written.Load(); received != written {
+	if received != written {
 		return fmt.Errorf("%w: %w: the endpoint has received %d of %d bytes", errUnproven, io.ErrUnexpectedEOF, received, written)
 	}
 	c.ended = true
@@ -81,13 +93,19 @@
 // Read reads what the endpoint has sent. It never returns io.EOF.
 func (c rawConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	return n, unprovenIfEOF(err)
+	return n, unprovenIfEnded(err)
+}
+
+// Write writes to the endpoint.
+func (c rawConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	return n, unprovenIfEnded(err)
 }
 
-// unprovenIfEOF replaces io.EOF, as which the end of the connection to the carrier is read.
-func unprovenIfEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return fmt.Errorf("%w: %w", errUnproven, io.ErrUnexpectedEOF)
+// unprovenIfEnded replaces the end and the reset of the connection to the carrier, which are not the endpoint's.
+func unprovenIfEnded(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, unix.ECONNRESET) {
+		return fmt.Errorf("%w: %w: %s", errUnproven, io.ErrUnexpectedEOF, err.Error())
 	}
 	return err
 }
--- a/io/carry/killed_test.go
+++ b/io/carry/killed_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"sync"
 	"testing"
 	"time"
 
@@ -56,10 +57,10 @@
 	in, err := cmd.StdinPipe()
 	must.NoError(t, err)
 	must.NoError(t, cmd.Start())
-	kill = func() {
+	kill = sync.OnceFunc(func() {
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
-	}
+	})
 	t.Cleanup(func() {
 		_ = in.Close()
 		kill()
--- a/io/carry/wire.go
+++ b/io/carry/wire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"time"
 )
@@ -43,6 +44,8 @@
 	// exchangeTimeout limits the reading of the address, which is sent with the handshake.
 	exchangeTimeout = time.Second
 	maxTextBytes    = 255
+	// endpointReset in the place of the count means that the endpoint has reset the connection.
+	endpointReset = math.MaxUint64
 )
 
 var errLongAddress = errors.New("the address is too long")
@@ -80,7 +83,7 @@
 	return f, string(text), conn.SetReadDeadline(time.Time{})
 }
 
-// endMark returns the mark of an end in order, whose endpoint has received the given number of bytes.
-func endMark(received int64) []byte {
-	return binary.BigEndian.AppendUint64(make([]byte, frameHeaderBytes, endBytes), uint64(received))
+// endMark returns the mark of an end in order, whose endpoint has received the given number of bytes, or that of endpointReset.
+func endMark(received uint64) []byte {
+	return binary.BigEndian.AppendUint64(make([]byte, frameHeaderBytes, endBytes), received)
 }
--- a/io/carry/wire_test.go
+++ b/io/carry/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing/iotest"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 
 	"cyclamenford/bench/strict"
 	"cyclamenford/core"
@@ -28,7 +30,7 @@
 	}
 	Statuses map[string]status
 	Ends     []struct {
-		Received int64
+		Received uint64
 		Bytes    string
 	}
 	Reads []struct {
@@ -99,9 +101,8 @@
 				must.Eq(t, row.Body, string(body))
 				must.Eq(t, row.End == "InOrder", err == nil, must.Sprint(err))
 				must.Eq(t, row.End == "InOrder", sock.EndedInOrder(c))
-				if err != nil {
-					must.ErrorIs(t, err, io.ErrUnexpectedEOF)
-				}
+				must.Eq(t, row.End == "Reset", errors.Is(err, unix.ECONNRESET), must.Sprint(err))
+				must.Eq(t, row.End == "Unproven", errors.Is(err, io.ErrUnexpectedEOF), must.Sprint(err))
 				_, again := c.Read(make([]byte, 1))
 				must.Error(t, again)
 			})
