Detect the loss of a host whose connections are carried

What callers would see: a planned stop of a carrier that lasts to the end of its grace, and carriers that refuse connections though the hosts that they carried for are gone.

Cause: the host's side of a carried connection fails 2.5 s after the other side is lost, the carrier's side had the system's defaults, up to some 15 minutes. Since stops wait for carried connections, such a one holds them up.

Change: streams that a host accepts get the limits of those that it opens; calls between hosts stay as they are.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -145,9 +145,13 @@
 		s.rpc.ServeConn(&prefixedConn{Conn: conn, prefix: first})
 		return
 	}
-	if s.streams != nil && s.track(conn, stream) {
-		s.streams(conn)
+	if s.streams == nil || !s.track(conn, stream) {
+		return
+	}
+	if err := sock.DetectLoss(conn); err != nil {
+		s.log.Warn("set the time limits of a stream", "remote", conn.RemoteAddr(), "err", err)
 	}
+	s.streams(conn)
 }
 
 // prefixedConn is a connection of which the first bytes have been read already.
--- a/io/sock/dial.go
+++ b/io/sock/dial.go
@@ -1,6 +1,7 @@
 package sock
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"syscall"
@@ -19,13 +20,34 @@
 	keepAliveCount    = 2
 )
 
+var (
+	keepAlive   = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+	errNoSocket = errors.New("the connection is not a TCP socket")
+)
+
 // Dialer returns a dialer that connects from an IP, or from any if it is nil, and cancels a connection attempt after
 // the timeout.
 func Dialer(from net.IP, timeout time.Duration) net.Dialer {
 	return net.Dialer{
 		LocalAddr: &net.TCPAddr{IP: from}, Timeout: timeout, Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: keepAlive,
+	}
+}
+
+// DetectLoss makes an accepted connection fail as soon as one of a Dialer does once the other side is lost.
+func DetectLoss(conn net.Conn) error {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
 	}
+	return errors.Join(tcp.SetKeepAliveConfig(keepAlive), setUserTimeout("", "", raw))
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
