Ask carriers without marks after those that have them

What callers saw: nothing yet; during an upgrade, answers without a length or chunks would be cut at a carrier of the former release though another host marks ends.

Cause: a carrier without marks did not count as proven, but one in the own failure domain still ranked before an unproven one of another domain. It answered first, so that the other one was never asked.

--- a/io/carry/carried.go
+++ b/io/carry/carried.go
@@ -57,14 +57,16 @@
 	return failed
 }
 
-// recordCarried records which carrier has connected, and that the given ones have no link to its endpoint. One without marks does not count as
-// proven, so that others are preferred.
+// recordCarried records which carrier has connected, and that the given ones have no link to its endpoint. One without marks is asked after all
+// others for a time, since no end is proven through it.
 func (d *Dialer) recordCarried(a attempt, without []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	if a.marked {
 		d.carriers.RecordSuccess(now, a.carrier)
+	} else {
+		d.carriers.RecordFailure(now, a.carrier)
 	}
 	for _, x := range without {
 		d.carriers.RecordFailure(now, x)
