Use carried connections of serve for one call each

What callers would see: a planned stop of a host that lasts as long as other hosts keep idle connections through it (30 s), and calls that begin through a stopping host and are cut at its end.

Cause: the design says that carried connections serve one request; io/pipe keeps to it, but net/http kept those of serve in its pool. A stop waits for carried connections now, idle ones included.

Change: a call over a carried connection asks its endpoint to close it.

--- a/io/carry/conn.go
+++ b/io/carry/conn.go
@@ -40,6 +40,9 @@
 // connection in order.
 func (c *markedConn) EndedInOrder() bool { return c.ended }
 
+// SingleUse marks a connection that carries one request only: nobody knows whether a carrier will be there for the next one.
+func (c *markedConn) SingleUse() {}
+
 // Write writes to the endpoint.
 func (c *markedConn) Write(p []byte) (int, error) {
 	c.written.Add(int64(len(p)))
@@ -90,6 +93,9 @@
 // EndedInOrder returns false.
 func (c rawConn) EndedInOrder() bool { return false }
 
+// SingleUse is that of markedConn.
+func (c rawConn) SingleUse() {}
+
 // Read reads what the endpoint has sent. It never returns io.EOF.
 func (c rawConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/io/dial/answer.go
+++ b/io/dial/answer.go
@@ -62,6 +62,10 @@
 					checked.expectHead()
 				}
 				conn.Store(checked)
+				if checked.singleUse {
+					// The request is written after this, by the same goroutine.
+					req.Header.Set("Connection", "close")
+				}
 			}
 			connected.Store(true)
 			reused.Store(i.Reused)
--- a/io/dial/conn.go
+++ b/io/dial/conn.go
@@ -14,6 +14,8 @@
 // checkedConn is a connection to an endpoint on which the heads of answers are checked as they were sent.
 type checkedConn struct {
 	net.Conn
+	// singleUse means that the connection carries one call only.
+	singleUse bool
 
 	// mu guards heads, since one goroutine of net/http reads and another one begins the next call.
 	mu    sync.Mutex
@@ -22,11 +24,20 @@
 
 // newCheckedConn returns a connection whose first bytes are a head.
 func newCheckedConn(raw net.Conn) *checkedConn {
-	c := &checkedConn{Conn: raw}
+	c := &checkedConn{Conn: raw, singleUse: isSingleUse(raw)}
 	c.expectHead()
 	return c
 }
 
+// isSingleUse reports whether a connection to an endpoint must not be reused, as one that another host carries.
+func isSingleUse(conn net.Conn) bool {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	_, ok := conn.(interface{ SingleUse() })
+	return ok
+}
+
 // expectHead makes the next byte the first one of a head.
 func (c *checkedConn) expectHead() {
 	c.mu.Lock()
