--- a/io/carry/carried.go
+++ b/io/carry/carried.go
@@ -86,7 +86,7 @@
 	errUnreachable = errors.New("the carrier does not reach the endpoint either")
 	errNotCarrying = errors.New("the carrier takes no connection")
 	// errNoMarks means that a carrier of an earlier release has not understood what it was asked.
-	errNoMarks = errors.New("the carrier knows no marks")
+	errNoMarks = errors.New("the carrier does not support end marks")
 )
 
 // ask asks one carrier for a connection to an endpoint.
@@ -116,8 +116,8 @@
 	return rawConn{conn}, false, nil
 }
 
-// request asks a carrier for a connection, and returns the one over which its bytes come in the given form.
-func (d *Dialer) request(ctx context.Context, carrier string, f form, address string) (net.Conn, error) {
+// request asks a carrier for a connection, and returns the one over which its bytes come in the given framing.
+func (d *Dialer) request(ctx context.Context, carrier string, f framing, address string) (net.Conn, error) {
 	conn, err := d.peers.OpenStream(ctx, carrier)
 	if err != nil {
 		return nil, fmt.Errorf("carrier %s: %w: %s", carrier, errNotCarrying, err.Error())
@@ -140,8 +140,8 @@
 	return conn, nil
 }
 
-// err returns why a carrier that was asked in a form has not connected, nil if it has.
-func (s status) err(f form) error {
+// err returns why a carrier that was asked for a framing has not connected, nil if it has.
+func (s status) err(f framing) error {
 	switch {
 	case s == connected:
 		return nil
--- a/io/carry/carrier.go
+++ b/io/carry/carrier.go
@@ -130,13 +130,13 @@
 	byStop           ending = "Stop"
 )
 
-// copyBothWays copies bytes until either side ends, and returns how many it has sent to the endpoint and received from it, and which side ended it.
-func (c *Carrier) copyBothWays(conn, endpoint net.Conn, f form) (sent, received int64, ended ending) {
+// copyBothWays copies bytes until either side ends, and returns once both directions have ended: how many bytes it has sent to the endpoint and received from it, and which side ended it.
+func (c *Carrier) copyBothWays(conn, endpoint net.Conn, f framing) (sent, received int64, ended ending) {
 	var hostEnded, stopEnded atomic.Bool
-	up := &countedWriter{to: endpoint}
-	var upEnded sync.WaitGroup
-	upEnded.Go(func() {
-		if _, err := c.copy(up, conn, 0); err == nil || !isWriteError(err) {
+	toEndpoint := &countedWriter{to: endpoint}
+	var toEndpointEnded sync.WaitGroup
+	toEndpointEnded.Go(func() {
+		if _, err := c.copy(toEndpoint, conn, 0); err == nil || !isWriteError(err) {
 			// The other host or a stop has closed the connection, so that nobody waits for the answer.
 			stopEnded.Store(errors.Is(err, net.ErrClosed))
 			hostEnded.Store(true)
@@ -149,7 +149,7 @@
 	}
 	received, err := c.copy(conn, endpoint, headerBytes)
 	ended = byEndpoint
-	mark, err := up.prove(endpoint, err)
+	mark, err := toEndpoint.endMarkFor(endpoint, err)
 	if f == raw {
 		mark = nil
 	}
@@ -171,8 +171,8 @@
 	}
 	_ = conn.Close()
 	_ = endpoint.Close()
-	upEnded.Wait()
-	return up.written, received, ended
+	toEndpointEnded.Wait()
+	return toEndpoint.written, received, ended
 }
 
 // errNotReceived means that an endpoint has ended a connection before it had received all that was sent, or has reset it.
@@ -194,9 +194,9 @@
 	return n, err
 }
 
-// prove returns the mark of how the endpoint has ended the connection, whose reading has ended with the given error: in order if that is nil. The mark
-// is nil if nothing is proven. The error is not nil unless the endpoint has ended the connection in order and has received all that was written.
-func (w *countedWriter) prove(endpoint net.Conn, readErr error) (mark []byte, err error) {
+// endMarkFor returns the mark to send once the reading from the endpoint has ended with the given error, nil at its end. The mark is nil if the end
+// proves nothing; the returned error is nil only for an end in order of an endpoint that has received all that was written.
+func (w *countedWriter) endMarkFor(endpoint net.Conn, readErr error) (mark []byte, err error) {
 	switch {
 	case isWriteError(readErr):
 		return nil, readErr
--- a/io/carry/conn.go
+++ b/io/carry/conn.go
@@ -28,7 +28,7 @@
 	left int
 	// ended means that the mark was read, and proves an end in order.
 	ended bool
-	// written counts the bytes of all writes that have begun.
+	// written counts the bytes of all writes that have begun, so that a write in progress never matches the mark.
 	written atomic.Int64
 }
 
@@ -47,7 +47,7 @@
 func (c *markedConn) Write(p []byte) (int, error) {
 	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	return n, unprovenIfEnded(err)
+	return n, hideLinkEnd(err)
 }
 
 // Read reads what the endpoint has sent. One goroutine may call it at a time.
@@ -59,14 +59,14 @@
 	}
 	n, err := c.in.Read(p[:min(len(p), c.left)])
 	c.left -= n
-	return n, unprovenIfEnded(err)
+	return n, hideLinkEnd(err)
 }
 
 // readHeader reads the length of the next frame. It returns io.EOF, now and when it is called again, if the mark comes in its place.
 func (c *markedConn) readHeader() error {
 	header, err := c.in.Peek(frameHeaderBytes)
 	if err != nil {
-		return unprovenIfEnded(err)
+		return hideLinkEnd(err)
 	}
 	if c.left = int(binary.BigEndian.Uint16(header)); c.left > 0 {
 		_, err := c.in.Discard(frameHeaderBytes)
@@ -74,7 +74,7 @@
 	}
 	mark, err := c.in.Peek(endBytes)
 	if err != nil {
-		return unprovenIfEnded(err)
+		return hideLinkEnd(err)
 	}
 	received, written := binary.BigEndian.Uint64(mark[frameHeaderBytes:]), uint64(c.written.Load())
 	if received == endpointReset {
@@ -99,17 +99,17 @@
 // Read reads what the endpoint has sent. It never returns io.EOF.
 func (c rawConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	return n, unprovenIfEnded(err)
+	return n, hideLinkEnd(err)
 }
 
 // Write writes to the endpoint.
 func (c rawConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	return n, unprovenIfEnded(err)
+	return n, hideLinkEnd(err)
 }
 
-// unprovenIfEnded replaces the end and the reset of the connection to the carrier, which are not the endpoint's.
-func unprovenIfEnded(err error) error {
+// hideLinkEnd replaces the end or the reset of the connection to the carrier, which says nothing about the endpoint.
+func hideLinkEnd(err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, unix.ECONNRESET) {
 		return fmt.Errorf("%w: %w: %s", errUnproven, io.ErrUnexpectedEOF, err.Error())
 	}
--- a/io/carry/wire.go
+++ b/io/carry/wire.go
@@ -24,18 +24,18 @@
 	declined
 )
 
-// form is how a host asks for a connection, and how the carrier sends what it receives from the endpoint.
-type form int
+// framing is how the carrier sends what it receives from the endpoint, as the host has asked for it.
+type framing int
 
 const (
-	// raw sends bytes as they are, so that the end of the connection proves nothing. It is the form of releases without marks.
-	raw form = iota
+	// raw sends bytes as they are, so that the end of the connection proves nothing. Releases without marks know no other.
+	raw framing = iota
 	// marked sends frames, and a mark once the endpoint has ended the connection in order.
 	marked
 )
 
 const (
-	// markedPrefix precedes the address in a request for the marked form. No address begins with it.
+	// markedPrefix precedes the address in a request for marks. No address begins with it.
 	markedPrefix = 1
 	// frameHeaderBytes is the size of the length in front of a frame, and endBytes that of the mark: an empty frame and a count of bytes.
 	frameHeaderBytes = 2
@@ -51,7 +51,7 @@
 var errLongAddress = errors.New("the address is too long")
 
 // writeRequest asks for a connection to the endpoint at an address.
-func writeRequest(w io.Writer, f form, address string) error {
+func writeRequest(w io.Writer, f framing, address string) error {
 	text := []byte(address)
 	if f == marked {
 		text = append([]byte{markedPrefix}, text...)
@@ -64,7 +64,7 @@
 }
 
 // readRequest reads what a host asks for.
-func readRequest(conn net.Conn) (form, string, error) {
+func readRequest(conn net.Conn) (framing, string, error) {
 	if err := conn.SetReadDeadline(time.Now().Add(exchangeTimeout)); err != nil {
 		return raw, "", err
 	}
--- a/io/carry/wire_test.go
+++ b/io/carry/wire_test.go
@@ -67,9 +67,9 @@
 		must.Eq(t, row.Bytes, hex.EncodeToString(sent.Bytes()), must.Sprint(row.Name))
 		ours, theirs := net.Pipe()
 		go func() { _, _ = ours.Write(unhex(t, row.Bytes)) }()
-		gotForm, address, err := readRequest(theirs)
+		gotFraming, address, err := readRequest(theirs)
 		must.NoError(t, err)
-		must.Eq(t, f, gotForm, must.Sprint(row.Name))
+		must.Eq(t, f, gotFraming, must.Sprint(row.Name))
 		must.Eq(t, row.Address, address, must.Sprint(row.Name))
 	}
 	must.Eq(t, map[string]status{
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -49,7 +49,8 @@
 // streamMark is the first byte of a connection that carries a stream. No call begins with it.
 const streamMark = 0
 
-// streamEndReserve is what a stop leaves of its time for the ends of the streams that it resets, at most streamEndShare of it.
+// streamEndReserve is what a stop leaves of its time for the ends of the streams that it resets, and streamEndShare the part (1/8) of a short stop
+// that this takes at most.
 const (
 	streamEndReserve = 50 * time.Millisecond
 	streamEndShare   = 8
